--- /dev/null
+++ b/admin/publish.go
@@ -0,0 +1,214 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"eiderfold/config"
+	adminapi "eiderfold/gen/admin"
+	"eiderfold/port"
+	"eiderfold/result"
+)
+
+const (
+	publishTries = 6
+	publishPause = 50 * time.Millisecond
+	settleTries  = 5
+)
+
+// edit changes a shard and returns the change it made.
+type edit func(ctx context.Context, s *config.Shard, c config.Change) (config.Change, error)
+
+// publish makes one change of one shard. Between its read and its write another
+// operator may have changed the shard: an edit with a base is refused then, and
+// any other is made again on top.
+func (s *Service) publish(ctx context.Context, key, publishID string, e edit) (config.Change, error) {
+	for try := range publishTries {
+		if try > 0 {
+			time.Sleep(publishPause << try / 2)
+		}
+		entry, shard, err := s.read(ctx, key)
+		if err != nil {
+			return config.Change{}, err
+		}
+		if done, ok := shard.Published(publishID); ok {
+			return done, nil
+		}
+		// A store that was restored from an old copy must not make newer changes
+		// look older than what nodes hold.
+		shard.Sequence = max(shard.Sequence, s.node.Holder().Now().Sequences()[key])
+		change := config.Change{PublishID: publishID, Publisher: teamOf(ctx).Name, At: time.Now().UTC()}
+		change, err = e(ctx, shard, change)
+		if err != nil {
+			return config.Change{}, err
+		}
+		if entry.Value, err = shard.Encode(); err != nil {
+			return config.Change{}, fault(result.Invalid, err.Error())
+		}
+		swapped, err := s.store.CompareAndSwap(ctx, entry)
+		if errors.Is(err, port.ErrUnknown) {
+			swapped, err = s.settle(ctx, key, publishID)
+		}
+		if err != nil {
+			return config.Change{}, storeFault(err)
+		}
+		if swapped {
+			s.audit(ctx, key, change)
+			s.node.Applied(key, entry.Value)
+			return change, nil
+		}
+	}
+	return config.Change{}, fault(result.Conflict, "others change this value over and over; nothing was changed")
+}
+
+// settle finds out by reading back whether a change whose answer was lost took
+// effect. The publish id is remembered in the shard, so it is found also under
+// changes of others. False means that it did not, and now cannot any more: its
+// compare-and-swap is for a version that the next try replaces.
+func (s *Service) settle(ctx context.Context, key, publishID string) (bool, error) {
+	err := error(port.ErrUnknown)
+	for range settleTries {
+		time.Sleep(publishPause)
+		var shard *config.Shard
+		if _, shard, err = s.read(ctx, key); err == nil {
+			_, ok := shard.Published(publishID)
+			return ok, nil
+		}
+	}
+	return false, port.ErrUnknown
+}
+
+func (s *Service) read(ctx context.Context, key string) (port.Entry, *config.Shard, error) {
+	entry, err := s.store.Get(ctx, key)
+	if errors.Is(err, port.ErrMissing) {
+		return port.Entry{Key: key}, &config.Shard{}, nil
+	}
+	if err != nil {
+		return entry, nil, storeFault(err)
+	}
+	shard, err := config.DecodeShard(entry.Value)
+	if err != nil {
+		return entry, nil, fault(result.StoreUnavailable, key+": "+err.Error())
+	}
+	return entry, shard, nil
+}
+
+func (s *Service) audit(ctx context.Context, key string, c config.Change) {
+	s.log.Info("change accepted",
+		zap.String("team", teamOf(ctx).Name),
+		zap.String("shard", key),
+		zap.Uint64("sequence", c.Sequence),
+		zap.String("publish_id", c.PublishID))
+}
+
+// conflict shows both sides of a refused change.
+func conflict(base, now uint64, ours, theirs string) error {
+	f := fault(result.Conflict, fmt.Sprintf("the change was made from sequence %d, and %d is in force; nothing was changed", base, now))
+	f.Ours, f.Theirs = &ours, &theirs
+	return f
+}
+
+// PublishTemplate implements the generated service.
+func (s *Service) PublishTemplate(ctx context.Context, p *adminapi.PublishTemplatePayload) (*adminapi.Revision, error) {
+	if err := mayChange(ctx, p.Template); err != nil {
+		return nil, err
+	}
+	file := "template"
+	if p.File != nil {
+		file = *p.File
+	}
+	t, err := config.ParseTemplate(file, []byte(p.Source))
+	if err != nil {
+		return nil, fault(result.Invalid, err.Error())
+	}
+	if t.Name() != p.Template {
+		return nil, fault(result.Invalid, fmt.Sprintf("%s:1: template: %q is published under the name %q", file, t.Name(), p.Template))
+	}
+	if err := s.accountsFit(ctx, t); err != nil {
+		return nil, err
+	}
+	key := config.TemplateKey(p.Template)
+	change, err := s.publish(ctx, key, p.PublishID, func(_ context.Context, shard *config.Shard, c config.Change) (config.Change, error) {
+		current, _ := shard.Current()
+		if p.Base != nil && *p.Base != 0 && *p.Base != current.Sequence {
+			return c, conflict(*p.Base, current.Sequence, p.Source, current.Source)
+		}
+		return shard.PutTemplate(c, p.Source), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return revision(p.Template, "", key, change), nil
+}
+
+// accountsFit refuses a template that an account in force could not instantiate.
+func (s *Service) accountsFit(ctx context.Context, t *config.Template) error {
+	for _, key := range config.AccountKeys(t.Name()) {
+		_, shard, err := s.read(ctx, key)
+		if err != nil {
+			return err
+		}
+		for name, a := range shard.Accounts {
+			if _, err := t.Instantiate(name, a.Parameters); err != nil {
+				return fault(result.Invalid, "account "+name+" would no longer fit: "+err.Error())
+			}
+		}
+	}
+	return nil
+}
+
+// SetAccount implements the generated service.
+func (s *Service) SetAccount(ctx context.Context, p *adminapi.SetAccountPayload) (*adminapi.Revision, error) {
+	if err := mayChange(ctx, p.Template); err != nil {
+		return nil, err
+	}
+	_, shard, err := s.read(ctx, config.TemplateKey(p.Template))
+	if err != nil {
+		return nil, err
+	}
+	version, ok := shard.Current()
+	if !ok {
+		return nil, fault(result.Missing, "there is no template "+p.Template)
+	}
+	t, err := config.ParseTemplate(p.Template, []byte(version.Source))
+	if err != nil {
+		return nil, fault(result.Invalid, err.Error())
+	}
+	if _, err := t.Instantiate(p.Account, p.Parameters); err != nil {
+		return nil, fault(result.Invalid, err.Error())
+	}
+	key := config.AccountKey(p.Template, p.Account)
+	change, err := s.publish(ctx, key, p.PublishID, func(_ context.Context, shard *config.Shard, c config.Change) (config.Change, error) {
+		now := shard.Accounts[p.Account]
+		if p.Base != nil && *p.Base != 0 && *p.Base != now.Sequence {
+			return c, conflict(*p.Base, now.Sequence, fmt.Sprint(p.Parameters), fmt.Sprint(now.Parameters))
+		}
+		return shard.PutAccount(c, p.Account, p.Parameters), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return revision(p.Template, p.Account, key, change), nil
+}
+
+// RemoveAccount implements the generated service.
+func (s *Service) RemoveAccount(ctx context.Context, p *adminapi.RemoveAccountPayload) (*adminapi.Revision, error) {
+	if err := mayChange(ctx, p.Template); err != nil {
+		return nil, err
+	}
+	key := config.AccountKey(p.Template, p.Account)
+	change, err := s.publish(ctx, key, p.PublishID, func(_ context.Context, shard *config.Shard, c config.Change) (config.Change, error) {
+		if _, ok := shard.Accounts[p.Account]; !ok {
+			return c, fault(result.Missing, "there is no account "+p.Account)
+		}
+		return shard.RemoveAccount(c, p.Account), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return revision(p.Template, p.Account, key, change), nil
+}
--- /dev/null
+++ b/cmd/eiderfold/main.go
@@ -0,0 +1,82 @@
+// Command eiderfold is a node of the proxy fleet.
+//
+// # Usage
+//
+//	eiderfold dev                      # everything in one process, to try it
+//	eiderfold run --settings node.yaml # a node of a fleet
+//	eiderfold check --settings node.yaml
+//	eiderfold keys authority --out ca
+//	eiderfold keys node --authority ca --name node-1 --address 10.0.0.1 --out node-1
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ctx.Done()
+		stop() // A second signal ends the process at once.
+	}()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "eiderfold:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	c := &cobra.Command{
+		Use:           "eiderfold",
+		Short:         "A node of the eiderfold proxy fleet",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	c.AddCommand(runCommand(), checkCommand(), devCommand(), keysCommand(), versionCommand())
+	return c
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			version := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version = info.Main.Version + " " + info.GoVersion
+			}
+			_, err := fmt.Fprintln(c.OutOrStdout(), version)
+			return err
+		},
+	}
+}
+
+// Equal events of one second are logged this often in full, and then one in so
+// many: a decision that flaps must not fill the operators' logs.
+const (
+	logInFull = 20
+	logOneIn  = 100
+)
+
+func logger(level, format string) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	c.Encoding = format
+	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	c.Sampling = &zap.SamplingConfig{Initial: logInFull, Thereafter: logOneIn}
+	c.DisableStacktrace = true
+	var err error
+	if c.Level, err = zap.ParseAtomicLevel(level); err != nil {
+		return nil, err
+	}
+	return c.Build()
+}
--- /dev/null
+++ b/core/operation.go
@@ -0,0 +1,254 @@
+package core
+
+import "time"
+
+// Key names an operation: a hash of template, client account and the caller's
+// Idempotency-Key.
+type Key [16]byte
+
+// Holder is one attempt of one run of a node at an operation. A node that was
+// restarted is another holder, and so is its next attempt.
+type Holder struct {
+	Node        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Attempt     uint64 `cbor:"3,keyasint"`
+}
+
+// covers reports whether an attempt that gave up says so for another: a node
+// begins an attempt only when all its earlier ones are known not to have started.
+func (h Holder) covers(o Holder) bool {
+	return h.Node == o.Node && h.Incarnation == o.Incarnation && o.Attempt <= h.Attempt && h.Attempt != 0
+}
+
+// Verdict is the coordinator's word on a claim.
+type Verdict uint8
+
+// The verdicts on a claim.
+const (
+	Refused   Verdict = iota // Not the coordinator, or not yet: nothing is recorded.
+	Granted                  // The holder, and nobody else, may start the operation.
+	HeldBy                   // Another holder was granted it.
+	OtherBody                // The key names an operation with another body.
+	Unsure                   // It may have been granted by a coordinator whose memory is lost.
+)
+
+// Claim asks for the right to start an operation.
+type Claim struct {
+	At     time.Time
+	Key    Key
+	Body   uint64 // Hash of method, path and body.
+	Holder Holder
+	// Instead names a holder that has promised never to start. It is empty for a
+	// first claim.
+	Instead Holder
+}
+
+// Answer is the coordinator's answer to a claim.
+type Answer struct {
+	Verdict Verdict `cbor:"1,keyasint"`
+	Epoch   uint64  `cbor:"2,keyasint"`
+	Holder  Holder  `cbor:"3,keyasint,omitempty"`
+}
+
+// Held is a granted operation as its holder, or a witness, knows it.
+type Held struct {
+	Key    Key    `cbor:"1,keyasint"`
+	Body   uint64 `cbor:"2,keyasint"`
+	Holder Holder `cbor:"3,keyasint"`
+}
+
+// TakeOver starts an epoch of this coordinator. From lists the nodes that may
+// hold operations of earlier epochs and have not told them yet. Lost is until
+// when memories that are gone for good might still be asked for.
+type TakeOver struct {
+	At    time.Time
+	Epoch uint64
+	From  []string
+	Lost  time.Time
+}
+
+// Collected is what a node holds, told with its promise to take no grant of an
+// earlier epoch.
+type Collected struct {
+	At   time.Time
+	Node string
+	Held []Held
+	Lost time.Time // Until when a memory that this node knows to be lost may be asked for.
+}
+
+// NodeGone says that the platform no longer lists a node.
+type NodeGone struct {
+	At   time.Time
+	Node string
+}
+
+// Moved says that a stopping node gave what it held to another.
+type Moved struct {
+	From, To Holder // Attempt is not used.
+}
+
+func (Claim) message()     {}
+func (TakeOver) message()  {}
+func (Collected) message() {}
+func (NodeGone) message()  {}
+func (Moved) message()     {}
+
+// Claims is the coordinator's memory of who may start which operation. The holder
+// remembers its own, so each operation is in two memories, and one crash loses
+// none. It is not safe for several goroutines.
+type Claims struct {
+	window  time.Duration
+	epoch   uint64
+	active  bool
+	entries map[Key]*claimed
+	waiting map[string]bool // Nodes that have not told what they hold.
+	lost    time.Time       // Until when an unknown key may be one of a lost memory.
+	moved   map[Holder]Holder
+	order   []expiry // In order of time, as the window is the same for all.
+}
+
+type claimed struct {
+	body    uint64
+	holder  Holder
+	expires time.Time
+}
+
+type expiry struct {
+	key Key
+	at  time.Time
+}
+
+// NewClaims returns a memory that forgets an operation a window after its claim.
+func NewClaims(window time.Duration) *Claims {
+	return &Claims{window: window, entries: map[Key]*claimed{}, moved: map[Holder]Holder{}}
+}
+
+// Len returns how many operations are remembered.
+func (c *Claims) Len() int { return len(c.entries) }
+
+// Held lists every grant, for a coordinator that takes over by plan.
+func (c *Claims) Held() []Held {
+	held := make([]Held, 0, len(c.entries))
+	for k, e := range c.entries {
+		held = append(held, Held{Key: k, Body: e.body, Holder: e.holder})
+	}
+	return held
+}
+
+// Waiting returns how many nodes have still to tell what they hold.
+func (c *Claims) Waiting() int { return len(c.waiting) }
+
+// Lost returns until when unknown keys are answered with Unsure.
+func (c *Claims) Lost() time.Time { return c.lost }
+
+// Update takes a message; only Claim has an answer of interest.
+func (c *Claims) Update(m Message) Answer {
+	switch m := m.(type) {
+	case Claim:
+		return c.claim(m)
+	case TakeOver:
+		c.takeOver(m)
+	case Collected:
+		c.collect(m)
+	case NodeGone:
+		c.gone(m)
+	case Moved:
+		c.move(m)
+	case Dismissed:
+		c.active = false
+	case Tick:
+		c.expire(m.At)
+	}
+	return Answer{Verdict: Refused, Epoch: c.epoch}
+}
+
+func (c *Claims) takeOver(m TakeOver) {
+	*c = *NewClaims(c.window)
+	c.epoch, c.active, c.lost = m.Epoch, true, m.Lost
+	c.waiting = make(map[string]bool, len(m.From))
+	for _, n := range m.From {
+		c.waiting[n] = true
+	}
+}
+
+func (c *Claims) collect(m Collected) {
+	for _, h := range m.Held {
+		if c.entries[h.Key] == nil {
+			c.remember(h.Key, h.Body, h.Holder, m.At)
+		}
+	}
+	delete(c.waiting, m.Node)
+	if m.Lost.After(c.lost) {
+		c.lost = m.Lost
+	}
+}
+
+// gone gives up on a node's memory: whatever it alone knew may be asked for as
+// long as the window lasts.
+func (c *Claims) gone(m NodeGone) {
+	if !c.waiting[m.Node] {
+		return
+	}
+	delete(c.waiting, m.Node)
+	if end := m.At.Add(c.window); end.After(c.lost) {
+		c.lost = end
+	}
+}
+
+func (c *Claims) move(m Moved) {
+	c.moved[Holder{Node: m.From.Node, Incarnation: m.From.Incarnation}] = m.To
+}
+
+func (c *Claims) claim(m Claim) Answer {
+	if !c.active {
+		return Answer{Verdict: Refused, Epoch: c.epoch}
+	}
+	e := c.entries[m.Key]
+	if e == nil {
+		if len(c.waiting) > 0 || m.At.Before(c.lost) {
+			return Answer{Verdict: Unsure, Epoch: c.epoch}
+		}
+		c.remember(m.Key, m.Body, m.Holder, m.At)
+		return Answer{Verdict: Granted, Epoch: c.epoch, Holder: m.Holder}
+	}
+	if e.body != m.Body {
+		return Answer{Verdict: OtherBody, Epoch: c.epoch}
+	}
+	if e.holder == m.Holder || m.Instead.covers(e.holder) {
+		// The same claim again, as its answer was lost; or the holder gave its
+		// right back unused.
+		e.holder = m.Holder
+		return Answer{Verdict: Granted, Epoch: c.epoch, Holder: m.Holder}
+	}
+	return Answer{Verdict: HeldBy, Epoch: c.epoch, Holder: c.whereabouts(e.holder)}
+}
+
+// whereabouts follows a holder that stopped by plan to who has its memory now.
+func (c *Claims) whereabouts(h Holder) Holder {
+	for range len(c.moved) {
+		to, ok := c.moved[Holder{Node: h.Node, Incarnation: h.Incarnation}]
+		if !ok {
+			break
+		}
+		h = Holder{Node: to.Node, Incarnation: to.Incarnation, Attempt: h.Attempt}
+	}
+	return h
+}
+
+func (c *Claims) remember(k Key, body uint64, h Holder, at time.Time) {
+	e := &claimed{body: body, holder: h, expires: at.Add(c.window)}
+	c.entries[k] = e
+	c.order = append(c.order, expiry{k, e.expires})
+}
+
+func (c *Claims) expire(at time.Time) {
+	n := 0
+	for n < len(c.order) && !at.Before(c.order[n].at) {
+		k := c.order[n].key
+		if e := c.entries[k]; e != nil && !at.Before(e.expires) {
+			delete(c.entries, k)
+		}
+		n++
+	}
+	c.order = c.order[n:]
+}
--- /dev/null
+++ b/core/score.go
@@ -0,0 +1,262 @@
+package core
+
+import (
+	"math"
+	"time"
+)
+
+// The sequential test. For every upstream a cumulative sum of log-likelihood
+// ratios (CUSUM, Page 1954) asks whether it has become worse than the service's
+// other upstreams. A sum that reaches h is a false alarm at most once in e^h
+// observations (Lorden 1971), which is what gives `sensitivity` its meaning.
+const (
+	healthyFailures = 0.005 // Assumed of a healthy upstream, as a floor: rarer failures teach nothing.
+	healthySlow     = 0.10  // Twice the share that the cut of the slow answers leaves by its making.
+	certain         = 0.98  // Rates are kept away from 0 and 1, whose logarithms are not finite.
+	// worseBy is how much worse than the others an alternative must be to be a
+	// fault of the upstream rather than of the service.
+	worseBy = 1.5
+)
+
+// alternative is one way to be sick: a rate of failures or of slow answers.
+type alternative struct {
+	slow bool
+	rate float64
+}
+
+var alternatives = [...]alternative{
+	{slow: false, rate: 0.5},
+	{slow: false, rate: 0.08},
+	{slow: true, rate: 0.5},
+	{slow: true, rate: 0.25},
+}
+
+// Rates follow the observations, not the clock, so that a service with one
+// request a minute is judged by the same arithmetic as one with a thousand.
+const (
+	quickWeight  = 0.25
+	steadyWeight = 0.05
+)
+
+// rate is a share of observations, followed quickly and steadily at once.
+type rate struct{ quick, steady float64 }
+
+func (r *rate) add(hits, total uint32) {
+	if total == 0 {
+		return
+	}
+	share := float64(hits) / float64(total)
+	r.quick = blend(r.quick, share, quickWeight, total)
+	r.steady = blend(r.steady, share, steadyWeight, total)
+}
+
+// upper is the larger of both: it rises at once when a service gets worse.
+func (r *rate) upper() float64 { return max(r.quick, r.steady) }
+
+func blend(old, share, weight float64, n uint32) float64 {
+	kept := math.Pow(1-weight, float64(n))
+	return old*kept + share*(1-kept)
+}
+
+// row is what is known of one upstream.
+type row struct {
+	failures rate
+	slow     rate
+	seen     uint64 // Observations in all.
+	bad      uint64 // Of them failed or slow.
+	lastSeen time.Time
+	scores   [len(alternatives)]float64
+	// since holds every row's counters from when this upstream's score last left
+	// zero, so that it is compared with the others over the same time.
+	since map[string]mark
+	// by holds each reporter's share of the present score.
+	by map[string]float64
+}
+
+type mark struct{ seen, bad uint64 }
+
+// panel holds the rows of a service.
+type panel struct {
+	rows map[string]*row
+}
+
+func newPanel() panel { return panel{rows: map[string]*row{}} }
+
+// members makes the rows fit the live upstreams and reports who is new.
+func (p *panel) members(upstreams []string) {
+	live := make(map[string]bool, len(upstreams))
+	for _, u := range upstreams {
+		live[u] = true
+		if p.rows[u] == nil {
+			p.rows[u] = &row{by: map[string]float64{}}
+		}
+	}
+	for u := range p.rows {
+		if !live[u] {
+			delete(p.rows, u)
+		}
+	}
+}
+
+// observe takes one node's counts. All rates change first and the scores after,
+// because a failure of the whole service shows in the same counts.
+func (p *panel) observe(at time.Time, reporter string, counts []Count) {
+	for _, c := range counts {
+		if r := p.rows[c.Upstream]; r != nil {
+			r.failures.add(c.Failed, c.total())
+			r.slow.add(c.Slow, c.Fast+c.Slow)
+			r.seen += uint64(c.total())
+			r.bad += uint64(c.Failed) + uint64(c.Slow)
+			r.lastSeen = at
+		}
+	}
+	for _, c := range counts {
+		if r := p.rows[c.Upstream]; r != nil && c.total() > 0 {
+			p.score(r, reporter, c)
+		}
+	}
+}
+
+func (p *panel) score(r *row, reporter string, c Count) {
+	failures, slow := p.others(r)
+	before := r.score()
+	for i, a := range alternatives {
+		r.scores[i] = max(0, r.scores[i]+evidence(a, c, failures, slow))
+	}
+	after := r.score()
+	switch {
+	case after == 0:
+		r.since = nil
+		clear(r.by)
+	case before == 0:
+		r.since = p.marks(c)
+		r.by[reporter] = after
+	default:
+		r.by[reporter] = max(0, r.by[reporter]+after-before)
+	}
+}
+
+// evidence is the log-likelihood ratio of the counts: sick in the way of a,
+// against as healthy as the others.
+func evidence(a alternative, c Count, failures, slow float64) float64 {
+	hits, misses, healthy := c.Failed, c.Fast+c.Slow, max(failures, healthyFailures)
+	if a.slow {
+		hits, misses, healthy = c.Slow, c.Fast, max(slow, healthySlow)
+	}
+	healthy = min(healthy, certain)
+	if a.rate < healthy*worseBy {
+		// The whole service does as badly: nothing is held against this one.
+		return -float64(hits+misses) * math.Ln2
+	}
+	return float64(hits)*math.Log(a.rate/healthy) + float64(misses)*math.Log((1-a.rate)/(1-healthy))
+}
+
+// score is the largest sum over the alternatives.
+func (r *row) score() float64 {
+	most := 0.0
+	for _, s := range r.scores {
+		most = max(most, s)
+	}
+	return most
+}
+
+// slowness reports whether the present score is one of slow answers.
+func (r *row) slowness() bool {
+	best := 0
+	for i, s := range r.scores {
+		if s > r.scores[best] {
+			best = i
+		}
+	}
+	return alternatives[best].slow
+}
+
+// lower takes all scores down to at most s.
+func (r *row) lower(s float64) {
+	for i := range r.scores {
+		r.scores[i] = min(r.scores[i], s)
+	}
+	if s == 0 {
+		r.since = nil
+		clear(r.by)
+	}
+}
+
+// others gives the rates a row is compared with: those of the better quarter of
+// the other upstreams, so that two sick ones of three do not excuse each other.
+func (p *panel) others(r *row) (failures, slow float64) {
+	var f, s []float64
+	for _, o := range p.rows {
+		if o != r {
+			f = append(f, o.failures.upper())
+			s = append(s, o.slow.upper())
+		}
+	}
+	return lowerQuartile(f), lowerQuartile(s)
+}
+
+func lowerQuartile(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	// A selection by hand would be longer; a service has few upstreams.
+	sorted := append([]float64(nil), values...)
+	for i := range sorted {
+		for k := i; k > 0 && sorted[k] < sorted[k-1]; k-- {
+			sorted[k], sorted[k-1] = sorted[k-1], sorted[k]
+		}
+	}
+	return sorted[(len(sorted)-1)/4]
+}
+
+func (p *panel) marks(c Count) map[string]mark {
+	marks := make(map[string]mark, len(p.rows))
+	for name, r := range p.rows {
+		m := mark{seen: r.seen, bad: r.bad}
+		if name == c.Upstream {
+			m.seen -= uint64(c.total())
+			m.bad -= uint64(c.Failed) + uint64(c.Slow)
+		}
+		marks[name] = m
+	}
+	return marks
+}
+
+const (
+	leastComparison = 3    // Observations of another upstream that make it comparable.
+	muchBetter      = 0.34 // Its share of bad answers against the suspect's.
+)
+
+// stands reports whether enough other upstreams did much better over the same
+// time. Without that, a whole service that turns bad would look like one sick
+// upstream to whoever happens to see that one first.
+func (p *panel) stands(name string) bool {
+	r := p.rows[name]
+	if r == nil || r.since == nil {
+		return false
+	}
+	own := share(mark{r.seen, r.bad}, r.since[name])
+	better, comparable := 0, 0
+	for other, o := range p.rows {
+		if other == name {
+			continue
+		}
+		before := r.since[other]
+		if o.seen-before.seen < leastComparison {
+			continue
+		}
+		comparable++
+		if share(mark{o.seen, o.bad}, before) <= own*muchBetter {
+			better++
+		}
+	}
+	return better > 0 && better*4 >= comparable
+}
+
+func share(now, before mark) float64 {
+	seen := now.seen - before.seen
+	if seen == 0 {
+		return 0
+	}
+	return float64(now.bad-before.bad) / float64(seen)
+}
--- /dev/null
+++ b/memory/store.go
@@ -0,0 +1,110 @@
+// Package memory keeps a store and an instance list in the process. It serves
+// "eiderfold dev" and tests; nothing of it outlives the process.
+//
+// # Usage
+//
+//	s := memory.NewStore()
+//	ok, err := s.CompareAndSwap(ctx, port.Entry{Key: "a", Value: []byte("1")})
+package memory
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"eiderfold/port"
+)
+
+// Store is a port.Store in memory. Its zero value is not usable; see NewStore.
+type Store struct {
+	mu      sync.Mutex
+	entries map[string]port.Entry
+	index   uint64
+	changed chan struct{}
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{entries: map[string]port.Entry{}, index: 1, changed: make(chan struct{})}
+}
+
+// Get implements port.Store.
+func (s *Store) Get(_ context.Context, key string) (port.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	if !ok {
+		return port.Entry{Key: key}, port.ErrMissing
+	}
+	return e, nil
+}
+
+// List implements port.Store.
+func (s *Store) List(_ context.Context, prefix string) ([]port.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, _ := s.below(prefix)
+	return found, nil
+}
+
+// Keys implements port.Store.
+func (s *Store) Keys(ctx context.Context, prefix string) ([]string, error) {
+	found, err := s.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	keys := make([]string, 0, len(found))
+	for _, e := range found {
+		keys = append(keys, e.Key)
+	}
+	return keys, nil
+}
+
+// CompareAndSwap implements port.Store.
+func (s *Store) CompareAndSwap(_ context.Context, e port.Entry) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[e.Key].Version != e.Version {
+		return false, nil
+	}
+	s.index++
+	e.Version = s.index
+	e.Value = slices.Clone(e.Value)
+	s.entries[e.Key] = e
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true, nil
+}
+
+// Watch implements port.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, index uint64) ([]port.Entry, uint64, error) {
+	for {
+		s.mu.Lock()
+		found, newest := s.below(prefix)
+		wake := s.changed
+		s.mu.Unlock()
+		if newest > index {
+			return found, newest, nil
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return found, max(newest, index), nil
+		}
+	}
+}
+
+// below returns the entries under prefix in key order, and the newest version.
+func (s *Store) below(prefix string) ([]port.Entry, uint64) {
+	var found []port.Entry
+	newest := uint64(1)
+	for k, e := range s.entries {
+		if strings.HasPrefix(k, prefix) {
+			found = append(found, e)
+			newest = max(newest, e.Version)
+		}
+	}
+	slices.SortFunc(found, func(a, b port.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return found, newest
+}
--- /dev/null
+++ b/node/dump.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"expvar"
+	"runtime"
+	"time"
+
+	"eiderfold/core"
+	"eiderfold/peer"
+)
+
+// Dump is the whole decision state of a node, for people and tests.
+type Dump struct {
+	Node        string               `json:"node"`
+	Incarnation uint64               `json:"incarnation"`
+	Stopping    bool                 `json:"stopping"`
+	Sequences   map[string]uint64    `json:"sequences"`
+	Accounts    int                  `json:"accounts"`
+	Groups      map[string]GroupDump `json:"groups"`
+	HeapBytes   uint64               `json:"heap_bytes"`
+	SentBytes   int64                `json:"sent_bytes"`
+	Received    int64                `json:"received_bytes"`
+}
+
+// GroupDump is the state of a group as one node has it.
+type GroupDump struct {
+	Coordinator peer.Leader            `json:"coordinator"`
+	Leading     bool                   `json:"leading"`
+	Deciding    bool                   `json:"deciding"`
+	Epoch       uint64                 `json:"promised_epoch"`
+	HeardAgo    string                 `json:"coordinator_heard_ago"`
+	LeaseLeft   string                 `json:"lease_left"`
+	Nodes       []peer.Member          `json:"nodes"`
+	Claims      int                    `json:"claims"`
+	Waiting     int                    `json:"nodes_to_promise"`
+	Ledger      int                    `json:"operations"`
+	Services    map[string]ServiceDump `json:"services"`
+}
+
+// ServiceDump is the state of a service.
+type ServiceDump struct {
+	Floor     int            `json:"floor"`
+	Threshold float64        `json:"threshold"`
+	Upstreams []UpstreamDump `json:"upstreams"`
+}
+
+// UpstreamDump is the state of an upstream.
+type UpstreamDump struct {
+	Name     string  `json:"name"`
+	Address  string  `json:"address"`
+	Phase    string  `json:"phase"`
+	Avoid    float64 `json:"own_weight"`
+	Score    float64 `json:"score"`
+	InFlight int     `json:"in_flight"`
+}
+
+// Dump returns the state of this node.
+func (n *Node) Dump() Dump {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	snapshot := n.holder.Now()
+	d := Dump{
+		Node:        n.identity.Node,
+		Incarnation: n.identity.Incarnation,
+		Stopping:    n.stopping.Load(),
+		Sequences:   snapshot.Sequences(),
+		Accounts:    snapshot.Accounts(),
+		Groups:      map[string]GroupDump{},
+		HeapBytes:   memory.HeapAlloc,
+	}
+	d.SentBytes, d.Received = n.peers.Traffic()
+	for name, g := range n.groups {
+		d.Groups[name] = g.dump()
+	}
+	return d
+}
+
+func (g *Group) dump() GroupDump {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	d := GroupDump{
+		Coordinator: g.leader,
+		Leading:     g.leading(),
+		Deciding:    g.leading() && g.lead.installed,
+		Epoch:       max(g.view.Epoch(), g.ledger.Promised()),
+		HeardAgo:    now.Sub(g.heard).Round(time.Millisecond).String(),
+		LeaseLeft:   max(g.view.Deadline().Sub(now), 0).Round(time.Millisecond).String(),
+		Nodes:       g.roster.Nodes,
+		Claims:      g.claims.Len(),
+		Waiting:     g.claims.Waiting(),
+		Ledger:      g.ledger.Len(),
+		Services:    map[string]ServiceDump{},
+	}
+	for name, s := range g.services {
+		d.Services[name] = g.dumpService(name, s, now)
+	}
+	return d
+}
+
+func (g *Group) dumpService(name string, s *service, now time.Time) ServiceDump {
+	d := ServiceDump{Floor: s.balancer.Policy().Floor(), Threshold: s.judge.Threshold()}
+	phases := map[string]core.Phase{}
+	if now.Before(g.view.Deadline()) {
+		for _, standing := range g.view.Set(name) {
+			phases[standing.Upstream] = standing.Phase
+		}
+	}
+	for _, u := range s.balancer.Upstreams() {
+		d.Upstreams = append(d.Upstreams, UpstreamDump{
+			Name:     u.Name(),
+			Address:  u.Address(),
+			Phase:    phases[u.Name()].String(),
+			Avoid:    s.avoider.Weight(u.Name()),
+			Score:    s.judge.Score(u.Name()),
+			InFlight: u.InFlight(),
+		})
+	}
+	return d
+}
+
+// Metrics returns the node's counters by name.
+func (n *Node) Metrics() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("results", n.handler.Results())
+	m.Set("decisions", n.decisions)
+	m.Set("heartbeats", n.heartbeats)
+	m.Set("platform_calls", n.platform)
+	return m
+}
--- /dev/null
+++ b/node/heartbeat.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"eiderfold/core"
+	"eiderfold/peer"
+)
+
+const (
+	heartbeatPeriod  = 250 * time.Millisecond
+	heartbeatSpacing = 40 * time.Millisecond // Between urgent ones.
+	heartbeatTimeout = time.Second
+	// relayAfter is how long the coordinator may be unheard before configuration
+	// is fetched from any other node.
+	relayAfter = time.Second
+)
+
+// runHeartbeats tells the coordinator what this node sees and takes its word.
+func (g *Group) runHeartbeats(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-g.urgent:
+			if !sleep(ctx, heartbeatSpacing) {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+		g.beat(ctx)
+		timer.Reset(heartbeatPeriod + rand.N(heartbeatPeriod/8))
+	}
+}
+
+func (g *Group) beat(ctx context.Context) {
+	g.mu.Lock()
+	leader, leading := g.leader, g.leading()
+	unheard := time.Since(g.heard)
+	g.mu.Unlock()
+	if leading {
+		return
+	}
+	if leader.Address != "" {
+		g.exchange(ctx, leader.Address)
+	}
+	if leader.Address != "" && unheard < relayAfter {
+		return
+	}
+	// Nobody to hear it from directly: any other node's configuration and
+	// roster are better than none.
+	if others := g.others(); len(others) > 0 {
+		g.exchange(ctx, others[0].Address)
+		return
+	}
+	if seeds := g.node.settings.Seeds(); len(seeds) > 0 {
+		g.exchange(ctx, seeds[rand.IntN(len(seeds))])
+	}
+}
+
+// exchange sends one heartbeat and takes the reply.
+func (g *Group) exchange(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	asked := time.Now()
+	reply, err := g.node.call(ctx, address, &peer.Request{Template: g.template, Heartbeat: g.heartbeat()})
+	if err != nil || reply.Heartbeat == nil {
+		g.node.heartbeats.Add("failed", 1)
+		return
+	}
+	g.node.heartbeats.Add("answered", 1)
+	g.take(reply.Heartbeat, asked)
+}
+
+// heartbeat drains the pending evidence. Should the heartbeat get lost, so is the
+// evidence: told twice, it would count twice.
+func (g *Group) heartbeat() *peer.Heartbeat {
+	sequences := g.node.sequences(g.template)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h := &peer.Heartbeat{
+		Beside: g.node.settings.Beside(),
+		Load:   g.load(),
+		Digest: digest(sequences),
+		Roster: g.roster.Version,
+		Epoch:  max(g.view.Epoch(), g.ledger.Promised()),
+	}
+	if g.wantFull {
+		h.Sequences = sequences
+	}
+	for name, s := range g.services {
+		if len(s.pending) == 0 {
+			continue
+		}
+		if h.Evidence == nil {
+			h.Evidence = map[string][]core.Count{}
+		}
+		for _, c := range s.pending {
+			h.Evidence[name] = append(h.Evidence[name], c)
+		}
+		clear(s.pending)
+	}
+	h.Refused = slices.Collect(maps.Keys(g.refused))
+	return h
+}
+
+// load lists what this node has in flight.
+func (g *Group) load() map[string]uint32 {
+	load := map[string]uint32{}
+	for _, s := range g.services {
+		for name, m := range s.upstreams {
+			if n := m.upstream.InFlight(); n > 0 {
+				load[name] = uint32(n)
+			}
+		}
+	}
+	return load
+}
+
+func (g *Group) take(r *peer.HeartbeatReply, asked time.Time) {
+	for key, value := range r.Shards {
+		g.node.apply(key, value)
+	}
+	if r.Roster != nil {
+		g.setRoster(r.Roster)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wantFull = r.WantFull
+	if r.Leader.Epoch > g.leader.Epoch {
+		g.follow(r.Leader)
+	}
+	if !r.Coordinator || r.Stamped == nil {
+		return
+	}
+	news := g.view.Told(*r.Stamped, asked)
+	if r.Stamped.Epoch == g.view.Epoch() {
+		g.heard, g.asked = time.Now(), asked
+	}
+	if r.CrashedAgo > 0 {
+		if at := time.Now().Add(-time.Duration(r.CrashedAgo)); at.After(g.crashed) {
+			g.crashed = at
+		}
+	}
+	g.setLoads(r.Load)
+	if news {
+		for name, s := range g.services {
+			g.rotate(name, s)
+		}
+	}
+}
+
+func (g *Group) setLoads(total map[string]uint32) {
+	for _, s := range g.services {
+		for name, m := range s.upstreams {
+			m.upstream.SetOthers(int(total[name]))
+		}
+	}
+}
+
+// follow takes a newer assignment. Call it with mu held.
+func (g *Group) follow(l peer.Leader) {
+	if l.Epoch <= g.leader.Epoch {
+		return
+	}
+	g.log.Info("coordinator", zap.String("node", l.Node), zap.Uint64("epoch", l.Epoch))
+	g.before, g.leader = g.leader.Node, l
+	g.heard = time.Now() // It gets as long to be heard as the last one had.
+	mine := l.Node == g.node.identity.Node && l.Incarnation == g.node.identity.Incarnation
+	if !mine {
+		g.stepDown()
+		return
+	}
+	g.takeOver()
+}
+
+// digest is one number for all sequences of a template.
+func digest(sequences map[string]uint64) uint64 {
+	d := xxhash.New()
+	var number [8]byte
+	for _, key := range slices.Sorted(maps.Keys(sequences)) {
+		_, _ = d.WriteString(key)
+		for i := range number {
+			number[i] = byte(sequences[key] >> (8 * i))
+		}
+		_, _ = d.Write(number[:])
+	}
+	return d.Sum64()
+}
+
+func mix(a, b string) uint64 { return xxhash.Sum64String(a + "/" + b) }
+
+// sleep waits and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/proxy/handler.go
@@ -0,0 +1,188 @@
+package proxy
+
+import (
+	"expvar"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"eiderfold/config"
+	"eiderfold/result"
+)
+
+// Limits bound what a caller may ask of a node.
+type Limits struct {
+	Body      int64 // Bytes of a request's body.
+	KeyedBody int64 // Bytes of a keyed operation's body, which is read whole.
+}
+
+// Handler serves callers. It is safe for several goroutines.
+type Handler struct {
+	holder     *config.Holder
+	directory  Directory
+	operations Operations
+	node       string
+	limits     Limits
+	blame      *blame
+	usual      sync.Map // *Usual by name of template, service and route.
+	stopping   atomic.Bool
+	suspects   func(*Upstream) bool
+	results    *expvar.Map
+}
+
+// Option changes a Handler at its making.
+type Option func(*Handler)
+
+// WithLimits sets the limits towards callers.
+func WithLimits(l Limits) Option { return func(h *Handler) { h.limits = l } }
+
+// WithNode sets the name shown in answers.
+func WithNode(name string) Option { return func(h *Handler) { h.node = name } }
+
+// WithSuspects sets what tells whose answer times must not teach what is usual.
+func WithSuspects(f func(*Upstream) bool) Option { return func(h *Handler) { h.suspects = f } }
+
+const (
+	standardBody      = 16 << 20
+	standardKeyedBody = 1 << 20
+	rewindBytes       = 64 << 10 // A retryable body up to this is kept for a retry.
+)
+
+// NewHandler returns a handler over the configuration in force.
+func NewHandler(holder *config.Holder, d Directory, o Operations, options ...Option) *Handler {
+	h := &Handler{
+		holder:     holder,
+		directory:  d,
+		operations: o,
+		limits:     Limits{Body: standardBody, KeyedBody: standardKeyedBody},
+		blame:      newBlame(),
+		suspects:   func(*Upstream) bool { return false },
+		results:    new(expvar.Map).Init(),
+	}
+	for _, option := range options {
+		option(h)
+	}
+	return h
+}
+
+// Results returns how often each result was given, by its number.
+func (h *Handler) Results() expvar.Var { return h.results }
+
+// Stop makes every answer close its connection, so that callers turn to other
+// nodes before this one goes.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if h.node != "" {
+		w.Header().Set(NodeHeader, h.node)
+	}
+	c, refused := h.admit(r)
+	if refused != nil {
+		h.refuse(w, refused)
+		return
+	}
+	if refused := h.readBody(w, c); refused != nil {
+		h.refuse(w, refused)
+		return
+	}
+	c.service.earn()
+	if c.route.Operation() == config.Retryable {
+		h.serveRetryable(w, c)
+		return
+	}
+	h.serveOnce(w, c)
+}
+
+// admit finds the account, the route and the deadline.
+func (h *Handler) admit(r *http.Request) (*call, *result.Error) {
+	now := time.Now()
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	snapshot := h.holder.Now()
+	template, account, route := snapshot.Find(name, r.Method, "/"+rest)
+	switch {
+	case template == nil && len(snapshot.Sequences()) == 0:
+		return nil, result.New(result.NoConfiguration, "nothing is in force on this node yet").WithRetryAfter(leastRetry)
+	case account == nil:
+		return nil, result.New(result.NoAccount, "no account "+name)
+	case route == nil:
+		return nil, result.New(result.NoRoute, r.Method+" /"+rest)
+	}
+	service := h.directory.Service(template.Name(), route.Service().Name())
+	if service == nil {
+		return nil, result.New(result.NoConfiguration, "the service is being set up").WithRetryAfter(leastRetry)
+	}
+	timeout := account.Timeout(route)
+	if text := r.Header.Get(TimeoutHeader); text != "" {
+		wanted, err := time.ParseDuration(text)
+		if err != nil || wanted <= 0 {
+			return nil, result.New(result.BadRequest, TimeoutHeader+": "+text+" is no duration such as 800ms")
+		}
+		timeout = min(timeout, wanted)
+	}
+	return &call{
+		template: template.Name(),
+		account:  account,
+		route:    route,
+		service:  service,
+		usual:    h.usualOf(template, route),
+		request:  r,
+		path:     "/" + rest,
+		deadline: now.Add(timeout),
+		received: now,
+	}, nil
+}
+
+// usualOf outlives a new version of the template, whose routes are new objects.
+func (h *Handler) usualOf(t *config.Template, r *config.Route) *Usual {
+	key := routeKey{t.Name(), r.Service().Name(), r.Name()}
+	if u, ok := h.usual.Load(key); ok {
+		return u.(*Usual)
+	}
+	u, _ := h.usual.LoadOrStore(key, &Usual{})
+	return u.(*Usual)
+}
+
+type routeKey struct{ template, service, route string }
+
+// readBody reads what must be whole before anything is sent: the body of a keyed
+// operation, and one short enough to be sent again.
+func (h *Handler) readBody(w http.ResponseWriter, c *call) *result.Error {
+	r := c.request
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	once := c.route.Operation() == config.AtMostOnce
+	limit := h.limits.Body
+	if once && r.Header.Get(KeyHeader) != "" {
+		limit = h.limits.KeyedBody
+	}
+	if r.ContentLength > limit {
+		return result.New(result.BodyTooLarge, "the body is over the limit")
+	}
+	body := http.MaxBytesReader(w, r.Body, limit)
+	if r.ContentLength > rewindBytes && limit != h.limits.KeyedBody {
+		c.stream = body
+		return nil
+	}
+	text, err := io.ReadAll(body)
+	if err == nil {
+		c.body = text
+		return nil
+	}
+	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
+		return result.New(result.BodyTooLarge, "the body is over the limit")
+	}
+	return result.New(result.CallerGone, "the caller's body broke off")
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, e *result.Error) {
+	h.results.Add(e.Code().String(), 1)
+	result.Write(w, e)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,389 @@
+// Package settings reads a node's settings: a YAML file, overridden by the
+// environment, overridden by flags. Everything wrong is reported at once.
+//
+// # Usage
+//
+//	s, err := settings.Load("node.yaml", os.LookupEnv, map[string]string{"node": "node-7"})
+//	fmt.Println(s.Node(), s.Callers())
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"eiderfold/config"
+	"eiderfold/keys"
+)
+
+// EnvironmentPrefix starts every variable that overrides a field.
+const EnvironmentPrefix = "EIDERFOLD_"
+
+// Standard values of fields that may be left out.
+const (
+	standardCalls       = 20
+	standardBody        = 16 << 20
+	standardKeyedBody   = 1 << 20
+	standardHeader      = 64 << 10
+	standardConnections = 10_000
+	standardSlowCaller  = 10 * time.Second
+	standardGrace       = 2 * time.Second
+	standardStop        = 30 * time.Second
+	maxConnections      = 1_000_000
+	maxBody             = 1 << 30
+	leastHeader         = 4 << 10
+)
+
+// file is the YAML of the settings.
+type file struct {
+	Node       string    `yaml:"node"`
+	DataCentre string    `yaml:"data_centre"`
+	Beside     string    `yaml:"beside"`
+	Templates  []string  `yaml:"templates"`
+	Seeds      []string  `yaml:"seeds"`
+	Listen     listen    `yaml:"listen"`
+	Platform   platform  `yaml:"platform"`
+	Keys       keyFiles  `yaml:"keys"`
+	CallerKeys keyFiles  `yaml:"caller_keys"`
+	Teams      []Team    `yaml:"teams"`
+	Limits     limits    `yaml:"limits"`
+	Stop       stop      `yaml:"stop"`
+	Log        logFields `yaml:"log"`
+}
+
+type listen struct {
+	Callers string `yaml:"callers"`
+	Admin   string `yaml:"admin"`
+	Peers   string `yaml:"peers"`
+}
+
+type platform struct {
+	Address        string  `yaml:"address"`
+	Token          string  `yaml:"token"`
+	CallsPerSecond float64 `yaml:"calls_per_second"`
+}
+
+type keyFiles struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
+}
+
+// Team is who may use the admin API.
+type Team struct {
+	Name      string   `yaml:"name"`
+	Token     string   `yaml:"token"`
+	Templates []string `yaml:"templates"` // What it may change; "*" for all.
+	ReadOnly  bool     `yaml:"read_only"`
+}
+
+type limits struct {
+	BodyBytes      int64         `yaml:"body_bytes"`
+	KeyedBodyBytes int64         `yaml:"keyed_body_bytes"`
+	HeaderBytes    int           `yaml:"header_bytes"`
+	Connections    int           `yaml:"connections"`
+	SlowCaller     time.Duration `yaml:"slow_caller"`
+}
+
+type stop struct {
+	Grace    time.Duration `yaml:"grace"`
+	Deadline time.Duration `yaml:"deadline"`
+}
+
+type logFields struct {
+	Level  string `yaml:"level"`
+	Format string `yaml:"format"`
+}
+
+// Settings are checked settings of a node.
+type Settings struct{ file }
+
+// Node returns the node's name, the same as in the platform's list.
+func (s *Settings) Node() string { return s.file.Node }
+
+// DataCentre returns the data centre the node is in.
+func (s *Settings) DataCentre() string { return s.file.DataCentre }
+
+// Beside returns the upstream that runs on the same instance; may be empty.
+func (s *Settings) Beside() string { return s.file.Beside }
+
+// Templates returns the templates the node serves.
+func (s *Settings) Templates() []string { return s.file.Templates }
+
+// Seeds returns peers to start from while the platform is out.
+func (s *Settings) Seeds() []string { return s.file.Seeds }
+
+// Callers returns the IP:port for callers.
+func (s *Settings) Callers() string { return s.Listen.Callers }
+
+// Admin returns the IP:port of the admin API.
+func (s *Settings) Admin() string { return s.Listen.Admin }
+
+// Peers returns the IP:port for other nodes.
+func (s *Settings) Peers() string { return s.Listen.Peers }
+
+// PlatformAddress returns the base URL of the store and the instance list.
+func (s *Settings) PlatformAddress() string { return s.Platform.Address }
+
+// PlatformToken returns the access token towards the platform.
+func (s *Settings) PlatformToken() string { return s.Platform.Token }
+
+// CallsPerSecond returns this node's own bound on calls to the platform.
+func (s *Settings) CallsPerSecond() float64 { return s.Platform.CallsPerSecond }
+
+// Teams returns who may use the admin API.
+func (s *Settings) Teams() []Team { return s.file.Teams }
+
+// Body returns the largest body of a request in bytes, and of a keyed operation.
+func (s *Settings) Body() (any, keyed int64) {
+	return s.Limits.BodyBytes, s.Limits.KeyedBodyBytes
+}
+
+// Header returns the largest header of a request in bytes.
+func (s *Settings) Header() int { return s.Limits.HeaderBytes }
+
+// Connections returns how many callers may be connected at a time.
+func (s *Settings) Connections() int { return s.Limits.Connections }
+
+// SlowCaller returns how long a caller may take to send a request's header.
+func (s *Settings) SlowCaller() time.Duration { return s.Limits.SlowCaller }
+
+// Grace returns how long a stopping node still takes requests while callers
+// learn to go elsewhere.
+func (s *Settings) Grace() time.Duration { return s.Stop.Grace }
+
+// StopDeadline returns how long a stop may take in all.
+func (s *Settings) StopDeadline() time.Duration { return s.Stop.Deadline }
+
+// LogLevel returns the least level that is logged.
+func (s *Settings) LogLevel() string { return s.Log.Level }
+
+// LogFormat returns json or console.
+func (s *Settings) LogFormat() string { return s.Log.Format }
+
+// PeerKeys loads the keys for mutual TLS between nodes.
+func (s *Settings) PeerKeys() (*keys.Material, error) { return s.Keys.load() }
+
+// CallerTLS loads the keys towards callers and operators; nil if there are none.
+func (s *Settings) CallerTLS() (*keys.Material, error) {
+	if s.CallerKeys.Certificate == "" {
+		return nil, nil
+	}
+	return s.CallerKeys.load()
+}
+
+func (k keyFiles) load() (*keys.Material, error) {
+	if inline(k.Certificate) {
+		return keys.New(keys.Pair{Certificate: []byte(k.Certificate), Key: []byte(k.Key)}, []byte(k.Authority))
+	}
+	return keys.Load(k.Certificate, k.Key, k.Authority)
+}
+
+func inline(text string) bool { return strings.Contains(text, "-----BEGIN") }
+
+// Load reads a file and the overrides, and checks the whole.
+func Load(path string, environment func(string) (string, bool), flags map[string]string) (*Settings, error) {
+	s := &Settings{}
+	if path != "" {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "settings")
+		}
+		if err := yaml.UnmarshalWithOptions(text, &s.file, yaml.Strict()); err != nil {
+			return nil, errors.Errorf("%s: %s", path, yaml.FormatError(err, false, true))
+		}
+	}
+	s.override(environment, flags)
+	s.defaults()
+	if faults := s.check(); len(faults) > 0 {
+		return nil, errors.Errorf("%s: %s", name(path), strings.Join(faults, "\n"+name(path)+": "))
+	}
+	return s, nil
+}
+
+func name(path string) string {
+	if path == "" {
+		return "settings"
+	}
+	return path
+}
+
+// Overridable lists the fields that the environment and flags may set.
+func Overridable() []string {
+	return []string{"node", "data_centre", "beside", "templates", "seeds", "listen.callers", "listen.admin", "listen.peers", "platform.address", "platform.token", "log.level", "log.format"}
+}
+
+func (s *Settings) override(environment func(string) (string, bool), flags map[string]string) {
+	for _, field := range Overridable() {
+		variable := EnvironmentPrefix + strings.ToUpper(strings.ReplaceAll(field, ".", "_"))
+		if value, ok := environment(variable); ok {
+			s.set(field, value)
+		}
+		if value, ok := flags[field]; ok {
+			s.set(field, value)
+		}
+	}
+}
+
+func (s *Settings) set(field, value string) {
+	switch field {
+	case "node":
+		s.file.Node = value
+	case "data_centre":
+		s.file.DataCentre = value
+	case "beside":
+		s.file.Beside = value
+	case "templates":
+		s.file.Templates = strings.Split(value, ",")
+	case "seeds":
+		s.file.Seeds = strings.Split(value, ",")
+	case "listen.callers":
+		s.Listen.Callers = value
+	case "listen.admin":
+		s.Listen.Admin = value
+	case "listen.peers":
+		s.Listen.Peers = value
+	case "platform.address":
+		s.Platform.Address = value
+	case "platform.token":
+		s.Platform.Token = value
+	case "log.level":
+		s.Log.Level = value
+	case "log.format":
+		s.Log.Format = value
+	}
+}
+
+func (s *Settings) defaults() {
+	fill(&s.Limits.HeaderBytes, standardHeader)
+	fill(&s.Limits.Connections, standardConnections)
+	if s.Limits.BodyBytes == 0 {
+		s.Limits.BodyBytes = standardBody
+	}
+	if s.Limits.KeyedBodyBytes == 0 {
+		s.Limits.KeyedBodyBytes = standardKeyedBody
+	}
+	if s.Platform.CallsPerSecond == 0 {
+		s.Platform.CallsPerSecond = standardCalls
+	}
+	for field, standard := range map[*time.Duration]time.Duration{
+		&s.Limits.SlowCaller: standardSlowCaller,
+		&s.Stop.Grace:        standardGrace,
+		&s.Stop.Deadline:     standardStop,
+	} {
+		if *field == 0 {
+			*field = standard
+		}
+	}
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+	if s.Log.Format == "" {
+		s.Log.Format = "json"
+	}
+}
+
+func fill(field *int, standard int) {
+	if *field == 0 {
+		*field = standard
+	}
+}
+
+func (s *Settings) check() []string {
+	var faults []string
+	fault := func(field, format string, arguments ...any) {
+		faults = append(faults, field+": "+fmt.Sprintf(format, arguments...))
+	}
+	for field, value := range map[string]string{"node": s.file.Node, "data_centre": s.file.DataCentre} {
+		if err := config.CheckName(value); err != nil {
+			fault(field, "%v", err)
+		}
+	}
+	if len(s.file.Templates) == 0 {
+		fault("templates", "a node serves at least one template")
+	}
+	for i, t := range s.file.Templates {
+		if err := config.CheckName(t); err != nil {
+			fault(fmt.Sprintf("templates[%d]", i), "%v", err)
+		}
+	}
+	for field, value := range map[string]string{"listen.callers": s.Listen.Callers, "listen.admin": s.Listen.Admin, "listen.peers": s.Listen.Peers} {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			fault(field, "%q is no IP:port", value)
+		}
+	}
+	for i, seed := range s.file.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			fault(fmt.Sprintf("seeds[%d]", i), "%q is no IP:port", seed)
+		}
+	}
+	if u, err := url.Parse(s.Platform.Address); err != nil || u.Host == "" {
+		fault("platform.address", "%q is no URL such as http://10.0.0.1:8500", s.Platform.Address)
+	}
+	if s.Platform.CallsPerSecond < 0 {
+		fault("platform.calls_per_second", "%v is under 0", s.Platform.CallsPerSecond)
+	}
+	for field, k := range map[string]keyFiles{"keys": s.Keys, "caller_keys": s.CallerKeys} {
+		if field == "caller_keys" && k == (keyFiles{}) {
+			continue
+		}
+		if k.Certificate == "" || k.Key == "" || k.Authority == "" {
+			fault(field, "certificate, key and authority are needed, as paths or inline PEM")
+		}
+	}
+	s.checkTeams(fault)
+	s.checkLimits(fault)
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level) {
+		fault("log.level", "%q is none of debug, info, warn, error", s.Log.Level)
+	}
+	if !slices.Contains([]string{"json", "console"}, s.Log.Format) {
+		fault("log.format", "%q is neither json nor console", s.Log.Format)
+	}
+	slices.Sort(faults)
+	return faults
+}
+
+const leastToken = 16
+
+func (s *Settings) checkTeams(fault func(field, format string, arguments ...any)) {
+	seen := map[string]bool{}
+	for i, t := range s.file.Teams {
+		field := fmt.Sprintf("teams[%d]", i)
+		if err := config.CheckName(t.Name); err != nil {
+			fault(field+".name", "%v", err)
+		}
+		if len(t.Token) < leastToken {
+			fault(field+".token", "is under %d characters", leastToken)
+		}
+		if seen[t.Token] {
+			fault(field+".token", "is used by another team")
+		}
+		seen[t.Token] = true
+	}
+}
+
+func (s *Settings) checkLimits(fault func(field, format string, arguments ...any)) {
+	l := s.Limits
+	if l.BodyBytes < 0 || l.BodyBytes > maxBody {
+		fault("limits.body_bytes", "%d is not between 0 and %d", l.BodyBytes, maxBody)
+	}
+	if l.KeyedBodyBytes < 0 || l.KeyedBodyBytes > l.BodyBytes {
+		fault("limits.keyed_body_bytes", "%d is not between 0 and body_bytes", l.KeyedBodyBytes)
+	}
+	if l.HeaderBytes < leastHeader || l.HeaderBytes > standardBody {
+		fault("limits.header_bytes", "%d is not between %d and %d", l.HeaderBytes, leastHeader, standardBody)
+	}
+	if l.Connections < 1 || l.Connections > maxConnections {
+		fault("limits.connections", "%d is not between 1 and %d", l.Connections, maxConnections)
+	}
+	if l.SlowCaller < 0 || s.Stop.Grace < 0 || s.Stop.Deadline < s.Stop.Grace {
+		fault("stop", "grace and deadline must not be negative, nor the deadline before the grace")
+	}
+}
