--- a/admin/publish.go
+++ b/admin/publish.go
@@ -70,11 +70,9 @@
 // changes of others. False means that it did not, and now cannot any more: its
 // compare-and-swap is for a version that the next try replaces.
 func (s *Service) settle(ctx context.Context, key, publishID string) (bool, error) {
-	err := error(port.ErrUnknown)
 	for range settleTries {
 		time.Sleep(publishPause)
-		var shard *config.Shard
-		if _, shard, err = s.read(ctx, key); err == nil {
+		if _, shard, err := s.read(ctx, key); err == nil {
 			_, ok := shard.Published(publishID)
 			return ok, nil
 		}
--- /dev/null
+++ b/bench/fleet/fleet.go
@@ -0,0 +1,496 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"eiderfold/bench/standin"
+	"eiderfold/keys"
+	"eiderfold/node"
+	"eiderfold/port"
+)
+
+// Deployment says what runs where; it is read from a data file.
+type Deployment struct {
+	Name        string        `yaml:"name"`
+	Template    string        `yaml:"template"` // YAML file beside the deployment's.
+	DataCentres []string      `yaml:"data_centres"`
+	OneWay      time.Duration `yaml:"one_way"` // Between data centres.
+	Work        time.Duration `yaml:"work"`
+	Sigma       float64       `yaml:"sigma"`
+	Slots       int           `yaml:"slots"`
+	Services    []struct {
+		Name      string `yaml:"name"`
+		Upstreams int    `yaml:"upstreams"`
+	} `yaml:"services"`
+	Nodes    int                          `yaml:"nodes"` // 0 for one beside each upstream.
+	Accounts map[string]map[string]string `yaml:"accounts"`
+	source   string
+}
+
+// ReadDeployment reads a deployment's file and its template's.
+func ReadDeployment(path string) (*Deployment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "deployment")
+	}
+	d := &Deployment{}
+	if err := yaml.UnmarshalWithOptions(text, d, yaml.Strict()); err != nil {
+		return nil, errors.Errorf("%s: %s", path, yaml.FormatError(err, false, true))
+	}
+	d.source = filepath.Join(filepath.Dir(path), d.Template)
+	return d, nil
+}
+
+// Options change how a deployment is run.
+type Options struct {
+	Dir  string // For logs and settings.
+	Seed uint64
+	Base byte // Third number of the nodes' IP numbers, so that two fleets can run at a time.
+	// Linked puts the cutter between nodes, and between nodes and upstreams.
+	Linked bool
+	// Log is the nodes' log level; info by default.
+	Log string
+}
+
+// Node is a running node.
+type Node struct {
+	*Process
+	Name    string
+	IP      string
+	Callers string
+	Admin   string
+	Peers   string // As the platform lists it.
+	centre  string
+	file    string
+}
+
+// Upstream is a running stand-in.
+type Upstream struct {
+	*Process
+	Name    string
+	Service string
+	Address string // Its own.
+	Listed  string // As the platform lists it.
+	Starts  string // Log of every start of work.
+	centre  string
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Deployment *Deployment
+	Nodes      []*Node
+	Upstreams  []*Upstream
+	binaries   Binaries
+	options    Options
+	platform   *Process
+	Platform   string
+	cutter     *Process
+	Cutter     string
+	base       []standin.Rule
+	authority  *keys.Authority
+	token      string
+	generation int
+}
+
+// Start runs a deployment and publishes its template and accounts.
+func Start(ctx context.Context, b Binaries, d *Deployment, o Options) (*Fleet, error) {
+	f := &Fleet{Deployment: d, binaries: b, options: o, token: "operators-token-0001"}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	var err error
+	if f.authority, err = keys.NewAuthority(f.Deployment.Name); err != nil {
+		return err
+	}
+	if f.platform, f.Platform, err = f.standin(ctx, "platform"); err != nil {
+		return err
+	}
+	if f.cutter, f.Cutter, err = f.standin(ctx, "cutter"); err != nil {
+		return err
+	}
+	if err := f.startUpstreams(ctx); err != nil {
+		return err
+	}
+	count := f.Deployment.Nodes
+	if count == 0 {
+		count = len(f.Upstreams)
+	}
+	for i := range count {
+		if err := f.startNode(ctx, i); err != nil {
+			return err
+		}
+	}
+	f.base = f.delays()
+	if err := f.SetRules(nil); err != nil {
+		return err
+	}
+	if err := f.publish(); err != nil {
+		return err
+	}
+	return f.WaitReady(ctx)
+}
+
+func (f *Fleet) standin(ctx context.Context, kind string, arguments ...string) (*Process, string, error) {
+	name := kind
+	if len(arguments) > 1 {
+		name = arguments[1]
+	}
+	p, err := start(name, filepath.Join(f.options.Dir, name+".log"), f.binaries.Standin, append([]string{kind}, arguments...), parseListening)
+	if err != nil {
+		return nil, "", err
+	}
+	found, err := p.wait(ctx)
+	return p, found["address"], err
+}
+
+func (f *Fleet) startUpstreams(ctx context.Context) error {
+	for _, s := range f.Deployment.Services {
+		for i := 1; i <= s.Upstreams; i++ {
+			u := &Upstream{Name: s.Name + "-" + strconv.Itoa(i), Service: s.Name, centre: f.centre(len(f.Upstreams))}
+			if err := f.startUpstream(ctx, u); err != nil {
+				return err
+			}
+			f.Upstreams = append(f.Upstreams, u)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startUpstream(ctx context.Context, u *Upstream) error {
+	d := f.Deployment
+	f.generation++
+	u.Starts = filepath.Join(f.options.Dir, u.Name+".starts")
+	var err error
+	u.Process, u.Address, err = f.standin(ctx, "upstream", "--name", u.Name,
+		"--slots", strconv.Itoa(d.Slots), "--work", d.Work.String(), "--sigma", fmt.Sprint(d.Sigma),
+		"--log", u.Starts, "--seed", strconv.FormatUint(f.options.Seed+uint64(f.generation), 10))
+	if err != nil {
+		return err
+	}
+	u.Listed = u.Address
+	if f.options.Linked {
+		if u.Listed, err = f.link(standin.Link{Name: u.Name, Network: "tcp", Listen: "127.0.0.1:0", Target: u.Address}); err != nil {
+			return err
+		}
+	}
+	return f.Register(u.Service, u.Name, u.Listed, u.centre, port.Live)
+}
+
+func (f *Fleet) centre(i int) string {
+	return f.Deployment.DataCentres[i%len(f.Deployment.DataCentres)]
+}
+
+func (f *Fleet) startNode(ctx context.Context, i int) error {
+	n := &Node{Name: "node-" + strconv.Itoa(i+1), IP: fmt.Sprintf("127.0.%d.%d", f.options.Base+1, i+1), centre: f.centre(i)}
+	beside := ""
+	if i < len(f.Upstreams) && f.Deployment.Nodes == 0 {
+		beside = f.Upstreams[i].Name
+	}
+	text, err := f.settings(n, beside)
+	if err != nil {
+		return err
+	}
+	n.file = filepath.Join(f.options.Dir, n.Name+".yaml")
+	if err := os.WriteFile(n.file, text, 0o600); err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	if err := f.run(ctx, n); err != nil {
+		return err
+	}
+	f.Nodes = append(f.Nodes, n)
+	return nil
+}
+
+// run starts a node's process and puts it on the platform's list.
+func (f *Fleet) run(ctx context.Context, n *Node) error {
+	p, err := start(n.Name, filepath.Join(f.options.Dir, n.Name+".log"), f.binaries.Node, []string{"run", "--settings", n.file}, parseServing)
+	if err != nil {
+		return err
+	}
+	n.Process = p
+	found, err := p.wait(ctx)
+	if err != nil {
+		return err
+	}
+	n.Callers, n.Admin, n.Peers = found["callers"], found["admin"], found["peers"]
+	if f.options.Linked {
+		if n.Peers, err = f.link(standin.Link{Name: n.Name, Network: "udp", Listen: "127.0.0.1:0", Target: n.Peers}); err != nil {
+			return err
+		}
+	}
+	return f.Register(node.NodeList(f.Deployment.Name), n.Name, n.Peers, n.centre, port.Live)
+}
+
+// Restart runs a node again that has ended.
+func (f *Fleet) Restart(ctx context.Context, n *Node) error { return f.run(ctx, n) }
+
+func (f *Fleet) settings(n *Node, beside string) ([]byte, error) {
+	pair, err := f.authority.Issue(n.Name, []string{n.IP})
+	if err != nil {
+		return nil, err
+	}
+	level := f.options.Log
+	if level == "" {
+		level = "info"
+	}
+	return yaml.Marshal(map[string]any{
+		"node":        n.Name,
+		"data_centre": n.centre,
+		"beside":      beside,
+		"templates":   []string{f.Deployment.Name},
+		"listen":      map[string]string{"callers": n.IP + ":0", "admin": n.IP + ":0", "peers": n.IP + ":0"},
+		"platform":    map[string]string{"address": "http://" + f.Platform},
+		"keys":        map[string]string{"certificate": string(pair.Certificate), "key": string(pair.Key), "authority": string(f.authority.Certificate())},
+		"teams":       []map[string]any{{"name": "operators", "token": f.token, "templates": []string{"*"}}},
+		"stop":        map[string]string{"grace": "500ms"},
+		"log":         map[string]string{"level": level},
+	})
+}
+
+// delays are the rules that put the data centres apart.
+func (f *Fleet) delays() []standin.Rule {
+	var rules []standin.Rule
+	for _, n := range f.Nodes {
+		for _, u := range f.Upstreams {
+			if u.centre != n.centre {
+				rules = append(rules, standin.Rule{From: n.IP, To: u.Name, Delay: f.Deployment.OneWay})
+			}
+		}
+		for _, m := range f.Nodes {
+			if m.centre != n.centre {
+				rules = append(rules, standin.Rule{From: n.IP, To: m.Name, Delay: f.Deployment.OneWay})
+			}
+		}
+	}
+	return rules
+}
+
+// publish puts the template and its accounts in force through a node's admin API.
+func (f *Fleet) publish() error {
+	if output, err := f.Control(0, "template", "publish", f.Deployment.source); err != nil {
+		return errors.Wrap(err, output)
+	}
+	names := make([]string, 0, len(f.Deployment.Accounts))
+	for name := range f.Deployment.Accounts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		arguments := []string{"account", "set", f.Deployment.Name, name}
+		for parameter, value := range f.Deployment.Accounts[name] {
+			arguments = append(arguments, parameter+"="+value)
+		}
+		if output, err := f.Control(0, arguments...); err != nil {
+			return errors.Wrap(err, output)
+		}
+	}
+	return nil
+}
+
+// Control runs eiderctl against a node.
+func (f *Fleet) Control(node int, arguments ...string) (string, error) {
+	c := exec.Command(f.binaries.Control, arguments...)
+	c.Env = append(os.Environ(), "EIDERCTL_ADDRESS=http://"+f.Nodes[node].Admin, "EIDERCTL_TOKEN="+f.token)
+	output, err := c.CombinedOutput()
+	return string(output), err
+}
+
+// WaitReady waits until every node has the configuration and a coordinator that
+// decides.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if f.ready() {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.Errorf("the fleet is not ready; see %s", f.options.Dir)
+}
+
+func (f *Fleet) ready() bool {
+	deciding := 0
+	for _, n := range f.Nodes {
+		if !n.Running() {
+			continue
+		}
+		d, err := f.Dump(n)
+		if err != nil || d.Accounts < len(f.Deployment.Accounts) {
+			return false
+		}
+		g := d.Groups[f.Deployment.Name]
+		if g.Coordinator.Epoch == 0 || g.LeaseLeft == "0s" || len(g.Services) != len(f.Deployment.Services) {
+			return false
+		}
+		for _, s := range f.Deployment.Services {
+			if len(g.Services[s.Name].Upstreams) != s.Upstreams {
+				return false
+			}
+		}
+		if g.Deciding {
+			deciding++
+		}
+	}
+	return deciding == 1
+}
+
+// Dump asks a node for its state.
+func (f *Fleet) Dump(n *Node) (node.Dump, error) {
+	var d node.Dump
+	r, err := http.NewRequest(http.MethodGet, "http://"+n.Admin+"/v1/dump", nil)
+	if err != nil {
+		return d, err
+	}
+	r.Header.Set("Authorization", "Bearer "+f.token)
+	answer, err := (&http.Client{Timeout: 2 * time.Second}).Do(r)
+	if err != nil {
+		return d, err
+	}
+	defer answer.Body.Close() //nolint:errcheck // Only read from.
+	return d, json.NewDecoder(answer.Body).Decode(&d)
+}
+
+// Coordinator returns the node that coordinates, nil if there is none.
+func (f *Fleet) Coordinator() *Node {
+	for _, n := range f.Nodes {
+		if !n.Running() {
+			continue
+		}
+		if d, err := f.Dump(n); err == nil && d.Groups[f.Deployment.Name].Leading {
+			return n
+		}
+	}
+	return nil
+}
+
+// Upstream returns an upstream by name.
+func (f *Fleet) Upstream(name string) *Upstream {
+	for _, u := range f.Upstreams {
+		if u.Name == name {
+			return u
+		}
+	}
+	return nil
+}
+
+// SetMode changes how an upstream behaves.
+func (f *Fleet) SetMode(name string, m standin.Mode) error {
+	return control(f.Upstream(name).Address, m)
+}
+
+// SetPlatform changes what is wrong with the platform.
+func (f *Fleet) SetPlatform(faults standin.PlatformFaults) error {
+	return control(f.Platform, faults)
+}
+
+// SetRules bends links, besides the delays between data centres.
+func (f *Fleet) SetRules(rules []standin.Rule) error {
+	return send(http.MethodPut, "http://"+f.Cutter+"/rules", append(slices.Clone(rules), f.base...), nil)
+}
+
+// Counts returns what an upstream did.
+func (f *Fleet) Counts(name string) (standin.UpstreamCounts, error) {
+	var c standin.UpstreamCounts
+	err := fetch("http://"+f.Upstream(name).Address+"/control", &c)
+	return c, err
+}
+
+// PlatformCounts returns what was asked of the platform.
+func (f *Fleet) PlatformCounts() (standin.PlatformCounts, error) {
+	var c standin.PlatformCounts
+	err := fetch("http://"+f.Platform+"/control", &c)
+	return c, err
+}
+
+// Register puts an instance on the platform's list, or changes its state.
+func (f *Fleet) Register(service, name, address, centre string, state port.State) error {
+	text := standin.Registration(service, name, address, centre, strconv.Itoa(f.generation), state)
+	return send(http.MethodPut, "http://"+f.Platform+"/v1/agent/service/register", json.RawMessage(text), nil)
+}
+
+// Deregister takes an instance off the platform's list.
+func (f *Fleet) Deregister(name string) error {
+	return send(http.MethodPut, "http://"+f.Platform+"/v1/agent/service/deregister/"+name, struct{}{}, nil)
+}
+
+func (f *Fleet) link(l standin.Link) (string, error) {
+	var where bytes.Buffer
+	err := send(http.MethodPost, "http://"+f.Cutter+"/link", l, &where)
+	return where.String(), err
+}
+
+func control(address string, value any) error {
+	return send(http.MethodPut, "http://"+address+"/control", value, nil)
+}
+
+func send(method, url string, value any, into io.Writer) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequest(method, url, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close() //nolint:errcheck // Only read from.
+	if answer.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(answer.Body)
+		return errors.Errorf("%s: %s", url, strings.TrimSpace(string(text)))
+	}
+	if into != nil {
+		_, err = io.Copy(into, answer.Body)
+	}
+	return err
+}
+
+func fetch(url string, into any) error {
+	answer, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close() //nolint:errcheck // Only read from.
+	return json.NewDecoder(answer.Body).Decode(into)
+}
+
+// Close ends every process.
+func (f *Fleet) Close() {
+	for _, n := range f.Nodes {
+		if n.Process != nil {
+			n.Kill()
+		}
+	}
+	for _, u := range f.Upstreams {
+		if u.Process != nil {
+			u.Kill()
+		}
+	}
+	for _, p := range []*Process{f.cutter, f.platform} {
+		if p != nil {
+			p.Kill()
+		}
+	}
+}
--- a/node/group.go
+++ b/node/group.go
@@ -171,7 +171,7 @@
 		}
 		m := before[u.Name]
 		if m == nil || m.upstream.Address() != u.Address || m.generation != u.Generation {
-			m = &member{upstream: proxy.NewUpstream(name, u.Name, u.Address, g.connections(policy)), generation: u.Generation}
+			m = &member{upstream: proxy.NewUpstream(name, u.Name, u.Address, g.connections(policy), g.node.local()), generation: u.Generation}
 		}
 		s.upstreams[u.Name] = m
 		live = append(live, u.Name)
@@ -260,6 +260,15 @@
 	return ""
 }
 
+// leaderAddress is where the coordinator is reached: as the platform lists it, or
+// as it said itself when it is not listed here yet. Call it with mu held.
+func (g *Group) leaderAddress() string {
+	if address := g.addressOf(g.leader.Node); address != "" {
+		return address
+	}
+	return g.leader.Address
+}
+
 // others returns the group's nodes but for this one, in random order.
 func (g *Group) others() []peer.Member {
 	g.mu.Lock()
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -44,16 +44,16 @@
 
 func (g *Group) beat(ctx context.Context) {
 	g.mu.Lock()
-	leader, leading := g.leader, g.leading()
+	leader, leading := g.leaderAddress(), g.leading()
 	unheard := time.Since(g.heard)
 	g.mu.Unlock()
 	if leading {
 		return
 	}
-	if leader.Address != "" {
-		g.exchange(ctx, leader.Address)
+	if leader != "" {
+		g.exchange(ctx, leader)
 	}
-	if leader.Address != "" && unheard < relayAfter {
+	if leader != "" && unheard < relayAfter {
 		return
 	}
 	// Nobody to hear it from directly: any other node's configuration and
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -126,6 +127,15 @@
 	return false
 }
 
+// local returns the IP number this node's connections come from.
+func (n *Node) local() net.IP {
+	where, err := netip.ParseAddrPort(n.settings.Peers())
+	if err != nil {
+		return nil
+	}
+	return where.Addr().AsSlice()
+}
+
 // call sends a request as this node.
 func (n *Node) call(ctx context.Context, address string, r *peer.Request) (*peer.Reply, error) {
 	r.From = n.identity
--- a/node/operations.go
+++ b/node/operations.go
@@ -116,7 +116,7 @@
 	c := &peer.Claim{Key: key, Body: body, Holder: g.holder(attempt), Instead: instead}
 	for try := 0; ; try++ {
 		g.mu.Lock()
-		leading, address := g.leading(), g.leader.Address
+		leading, address := g.leading(), g.leaderAddress()
 		g.mu.Unlock()
 		if leading {
 			return *g.answerClaim(g.node.identity, c), nil
--- a/node/stop.go
+++ b/node/stop.go
@@ -105,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	g.mu.Lock()
-	entries, coordinator := g.ledger.Entries(), g.leader.Address
+	entries, coordinator := g.ledger.Entries(), g.leaderAddress()
 	g.mu.Unlock()
 	if len(entries) == 0 {
 		return
--- a/proxy/blame.go
+++ b/proxy/blame.go
@@ -13,7 +13,6 @@
 type blame struct {
 	mu       sync.Mutex // Taken on errors, and on successes while there are suspects.
 	suspects map[*config.Account]*suspect
-	quiet    bool
 }
 
 type suspect struct {
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -52,9 +52,13 @@
 	countedFailed
 )
 
-// NewUpstream returns an upstream at an IP:port.
-func NewUpstream(service, name, address string, connections int) *Upstream {
+// NewUpstream returns an upstream at an IP:port. Connections to it come from the
+// IP number of local, which is nil for whatever the system takes.
+func NewUpstream(service, name, address string, connections int, local net.IP) *Upstream {
 	dialer := &net.Dialer{Timeout: connectTimeout}
+	if local != nil && !local.IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: local}
+	}
 	return &Upstream{
 		name:    name,
 		service: service,
