--- a/peer/message.go
+++ b/peer/message.go
@@ -73,11 +73,11 @@
 	Stamped     *core.Stamped     `cbor:"2,keyasint,omitempty"`
 	Shards      map[string][]byte `cbor:"3,keyasint,omitempty"`
 	Roster      *Roster           `cbor:"4,keyasint,omitempty"`
-	Load        map[string]uint32 `cbor:"5,keyasint,omitempty"` // Sum over all nodes by upstream.
-	WantFull    bool              `cbor:"6,keyasint,omitempty"` // The digests differ: send the sequences.
-	CrashedAgo  int64             `cbor:"7,keyasint,omitempty"` // Nanoseconds since a node was last lost unplanned, 0 for never.
-	Leader      Leader            `cbor:"8,keyasint,omitempty"` // Whom the answering node takes for coordinator.
-	HeardLeader bool              `cbor:"9,keyasint,omitempty"` // It heard that one a moment ago.
+	Load        map[string]uint32 `cbor:"5,keyasint,omitempty"`  // Sum over all nodes by upstream.
+	WantFull    bool              `cbor:"6,keyasint,omitempty"`  // The digests differ: send the sequences.
+	CrashedAgo  int64             `cbor:"7,keyasint,omitempty"`  // Nanoseconds since a node was last lost unplanned, 0 for never.
+	Leader      Leader            `cbor:"8,keyasint,omitempty"`  // Whom the answering node takes for coordinator.
+	HeardLeader bool              `cbor:"9,keyasint,omitempty"`  // It heard that one a moment ago.
 	Sequences   map[string]uint64 `cbor:"10,keyasint,omitempty"` // With WantFull.
 }
 
