--- a/core/judge.go
+++ b/core/judge.go
@@ -39,8 +39,9 @@
 	leastPerDay  = 1_000
 	mostPerDay   = 100_000_000
 	singleShare  = 0.6 // What one reporter alone can bring of the threshold.
-	trialAccept  = -3.4
+	trialAccept  = -6.0
 	trialReject  = 4.0
+	trialRate    = 0.5
 	relapseShare = 0.5 // A recently ejected upstream starts with this much of the threshold.
 	fullWeight   = 1.0
 	dayInSeconds = 86_400
@@ -241,7 +242,7 @@
 
 func (j *Judge) take(e Evidence) []Command {
 	j.countRate(e)
-	j.panel.observe(e.At, e.Reporter, e.Counts)
+	j.panel.observe(e.Reporter, e.Counts)
 	if !j.deciding {
 		return nil
 	}
@@ -281,7 +282,7 @@
 func (j *Judge) judgeSuspect(e Evidence, u string, s *standing) []Command {
 	limit := j.Threshold()
 	r := j.rows[u]
-	if r.score() < limit || !j.corroborated(u, e, limit) || !j.panel.stands(u) {
+	if r.score() < limit || !j.corroborated(u, e, limit) || !j.panel.stands(u, limit) {
 		return nil
 	}
 	if j.out(e.At) >= j.budget() {
@@ -328,12 +329,13 @@
 	return d
 }
 
-// judgeTrial is Wald's sequential test the other way round: healthy or still sick.
+// judgeTrial is Wald's sequential test the other way round: as good as the others,
+// or still sick. It compares too, or an upstream could not come back while the
+// whole service does badly.
 func (j *Judge) judgeTrial(at time.Time, c Count, s *standing) []Command {
-	const sick = 0.5
-	s.trial += float64(c.Failed) * math.Log(sick/healthyFailures)
-	s.trial += float64(c.Slow) * math.Log(sick/healthySlow)
-	s.trial += float64(c.Fast) * math.Log(1-sick)
+	failures, slow := j.panel.others(j.rows[c.Upstream])
+	s.trial += evidence(alternative{rate: trialRate}, c, failures, slow)
+	s.trial += evidence(alternative{rate: trialRate, slow: true}, Count{Fast: c.Fast, Slow: c.Slow}, failures, slow)
 	if s.trial >= trialReject {
 		s.phase = Out
 		s.ejections++
--- a/core/operation.go
+++ b/core/operation.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Key names an operation: a hash of template, client account and the caller's
 // Idempotency-Key.
@@ -74,6 +77,9 @@
 	Node string
 	Held []Held
 	Lost time.Time // Until when a memory that this node knows to be lost may be asked for.
+	// Complete says that the node was the last coordinator and tells all it knew,
+	// with nothing missing: no other loss matters then.
+	Complete bool
 }
 
 // NodeGone says that the platform no longer lists a node.
@@ -103,13 +109,18 @@
 	entries map[Key]*claimed
 	waiting map[string]bool // Nodes that have not told what they hold.
 	lost    time.Time       // Until when an unknown key may be one of a lost memory.
-	moved   map[Holder]Holder
-	order   []expiry // In order of time, as the window is the same for all.
+	// complete says that the last coordinator itself told all it knew.
+	complete bool
+	moved    map[Holder]Holder
+	order    []expiry // In order of time, as the window is the same for all.
 }
 
+// claimed is an operation with the holders that may have started it. There is one,
+// but for what a new coordinator collects: a witness may still name a holder that
+// gave its right back, beside the one that got it instead.
 type claimed struct {
 	body    uint64
-	holder  Holder
+	holders []Holder
 	expires time.Time
 }
 
@@ -130,7 +141,9 @@
 func (c *Claims) Held() []Held {
 	held := make([]Held, 0, len(c.entries))
 	for k, e := range c.entries {
-		held = append(held, Held{Key: k, Body: e.body, Holder: e.holder})
+		for _, h := range e.holders {
+			held = append(held, Held{Key: k, Body: e.body, Holder: h})
+		}
 	}
 	return held
 }
@@ -139,7 +152,15 @@
 func (c *Claims) Waiting() int { return len(c.waiting) }
 
 // Lost returns until when unknown keys are answered with Unsure.
-func (c *Claims) Lost() time.Time { return c.lost }
+func (c *Claims) Lost() time.Time {
+	if c.complete {
+		return time.Time{}
+	}
+	return c.lost
+}
+
+// Complete reports whether every grant of the window is remembered here.
+func (c *Claims) Complete(at time.Time) bool { return c.active && !c.unsure(at) }
 
 // Update takes a message; only Claim has an answer of interest.
 func (c *Claims) Update(m Message) Answer {
@@ -163,8 +184,9 @@
 }
 
 func (c *Claims) takeOver(m TakeOver) {
-	*c = *NewClaims(c.window)
-	c.epoch, c.active, c.lost = m.Epoch, true, m.Lost
+	// What this node remembers from an earlier time as coordinator stays: it may
+	// be the only one who does.
+	c.epoch, c.active, c.complete, c.lost = m.Epoch, true, false, m.Lost
 	c.waiting = make(map[string]bool, len(m.From))
 	for _, n := range m.From {
 		c.waiting[n] = true
@@ -173,14 +195,13 @@
 
 func (c *Claims) collect(m Collected) {
 	for _, h := range m.Held {
-		if c.entries[h.Key] == nil {
-			c.remember(h.Key, h.Body, h.Holder, m.At)
-		}
+		c.remember(h.Key, h.Body, h.Holder, m.At)
 	}
 	delete(c.waiting, m.Node)
 	if m.Lost.After(c.lost) {
 		c.lost = m.Lost
 	}
+	c.complete = c.complete || m.Complete
 }
 
 // gone gives up on a node's memory: whatever it alone knew may be asked for as
@@ -205,7 +226,7 @@
 	}
 	e := c.entries[m.Key]
 	if e == nil {
-		if len(c.waiting) > 0 || m.At.Before(c.lost) {
+		if c.unsure(m.At) {
 			return Answer{Verdict: Unsure, Epoch: c.epoch}
 		}
 		c.remember(m.Key, m.Body, m.Holder, m.At)
@@ -214,15 +235,23 @@
 	if e.body != m.Body {
 		return Answer{Verdict: OtherBody, Epoch: c.epoch}
 	}
-	if e.holder == m.Holder || m.Instead.covers(e.holder) {
-		// The same claim again, as its answer was lost; or the holder gave its
-		// right back unused.
-		e.holder = m.Holder
-		return Answer{Verdict: Granted, Epoch: c.epoch, Holder: m.Holder}
+	// What is left are holders that may have started: not the claimant itself,
+	// whose answer was lost, and not one that gave its right back unused.
+	e.holders = slices.DeleteFunc(e.holders, func(h Holder) bool { return h == m.Holder || m.Instead.covers(h) })
+	if len(e.holders) > 0 {
+		return Answer{Verdict: HeldBy, Epoch: c.epoch, Holder: c.whereabouts(e.holders[0])}
+	}
+	e.holders = append(e.holders, m.Holder)
+	if c.unsure(m.At) {
+		return Answer{Verdict: Unsure, Epoch: c.epoch}
 	}
-	return Answer{Verdict: HeldBy, Epoch: c.epoch, Holder: c.whereabouts(e.holder)}
+	return Answer{Verdict: Granted, Epoch: c.epoch, Holder: m.Holder}
 }
 
+// unsure reports whether an operation may have been granted that is not
+// remembered here.
+func (c *Claims) unsure(at time.Time) bool { return len(c.waiting) > 0 || at.Before(c.Lost()) }
+
 // whereabouts follows a holder that stopped by plan to who has its memory now.
 func (c *Claims) whereabouts(h Holder) Holder {
 	for range len(c.moved) {
@@ -236,7 +265,13 @@
 }
 
 func (c *Claims) remember(k Key, body uint64, h Holder, at time.Time) {
-	e := &claimed{body: body, holder: h, expires: at.Add(c.window)}
+	if e := c.entries[k]; e != nil {
+		if !slices.Contains(e.holders, h) {
+			e.holders = append(e.holders, h)
+		}
+		return
+	}
+	e := &claimed{body: body, holders: []Holder{h}, expires: at.Add(c.window)}
 	c.entries[k] = e
 	c.order = append(c.order, expiry{k, e.expires})
 }
--- /dev/null
+++ b/core/operation_test.go
@@ -0,0 +1,417 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// plant is a fault put into the model on purpose, to show that the check finds it.
+type plant int
+
+const (
+	sound     plant = iota
+	noPromise       // Nodes keep taking grants of earlier coordinators.
+	noWitness       // The coordinator starts its own operations unwitnessed.
+	noWaiting       // A new coordinator grants before it has asked everybody.
+	forgetful       // A ledger lets a key begin again that is uncertain.
+)
+
+const (
+	modelNodes = 3
+	modelKeys  = 2
+	modelSteps = 60
+)
+
+// model is a group whose messages are lost, doubled, reordered and delayed for as
+// long as it takes, whose coordinators change at any moment without the last one
+// knowing, and whose nodes crash.
+type model struct {
+	plant     plant
+	now       time.Time
+	nodes     [modelNodes]*modelNode
+	assigned  int // Whom the store names.
+	epoch     uint64
+	messages  []modelMessage
+	started   [modelKeys]int // Starts that were not refused with proof.
+	starts    int
+	broken    string
+	steps     int
+	unplanned bool         // The last change of coordinator was no handover.
+	trace     func(string) // For finding out what a broken schedule did; may be nil.
+}
+
+func (m *model) note(format string, arguments ...any) {
+	if m.trace != nil {
+		m.trace(fmt.Sprintf(format, arguments...))
+	}
+}
+
+type modelNode struct {
+	incarnation uint64
+	ledger      *Ledger
+	claims      *Claims
+	believes    int
+	epoch       uint64 // Of the belief.
+	leads       bool
+	crashed     bool // Some other node of this one's time was lost.
+	born        int  // Step in which it started.
+}
+
+// modelMessage is a message on its way; do is what its arrival does.
+type modelMessage struct {
+	what string
+	do   func()
+}
+
+const modelWindow = time.Hour
+
+func newModel(p plant) *model {
+	m := &model{plant: p, now: time.Unix(1_000_000, 0), epoch: 1}
+	for i := range m.nodes {
+		m.nodes[i] = &modelNode{incarnation: 1, ledger: NewLedger(modelWindow, 1<<20), claims: NewClaims(modelWindow), epoch: 1}
+	}
+	m.nodes[0].leads = true
+	m.nodes[0].claims.Update(TakeOver{At: m.now, Epoch: 1})
+	return m
+}
+
+func modelKey(k int) Key { return Key{byte(k)} }
+
+// step does one thing; draw picks a number below n.
+func (m *model) step(draw func(n int) int) {
+	m.steps++
+	switch x := draw(30); {
+	case x < 5:
+		m.request(draw(modelNodes), draw(modelKeys))
+	case x < 24:
+		m.deliver(draw, false)
+	case x < 26:
+		m.deliver(draw, true)
+	case x < 27:
+		m.takeOver(draw(modelNodes))
+	case x < 28:
+		m.crash(draw(modelNodes))
+	case len(m.messages) > 0:
+		m.drop(draw(len(m.messages)))
+	}
+}
+
+func (m *model) drop(i int) {
+	m.messages = append(m.messages[:i:i], m.messages[i+1:]...)
+}
+
+func (m *model) deliver(draw func(int) int, keep bool) {
+	if len(m.messages) == 0 {
+		return
+	}
+	i := len(m.messages) - 1 // Half of the time in order, or hardly anything would get done.
+	if draw(2) == 0 {
+		i = draw(len(m.messages))
+	}
+	message := m.messages[i]
+	if !keep {
+		m.drop(i)
+	}
+	m.note("deliver %s", message.what)
+	message.do()
+}
+
+func (m *model) send(what string, do func()) {
+	m.messages = append(m.messages, modelMessage{what, do})
+}
+
+// request is a caller's request with a key, at some node.
+func (m *model) request(at, k int) {
+	m.note("request for key %d at node %d", k, at)
+	n := m.nodes[at]
+	r := n.ledger.Update(Begin{At: m.now, Key: modelKey(k), Body: 1})
+	if m.plant == forgetful && !r.Accepted && r.Stage == Uncertain {
+		delete(n.ledger.entries, modelKey(k))
+		r = n.ledger.Update(Begin{At: m.now, Key: modelKey(k), Body: 1})
+	}
+	if !r.Accepted {
+		return
+	}
+	var instead Holder
+	if r.Previous != 0 {
+		instead = m.holder(at, r.Previous)
+	}
+	m.claim(at, k, r.Attempt, instead)
+}
+
+func (m *model) holder(at int, attempt uint64) Holder {
+	return Holder{Node: fmt.Sprint(at), Incarnation: m.nodes[at].incarnation, Attempt: attempt}
+}
+
+func (m *model) claim(at, k int, attempt uint64, instead Holder) {
+	leader := m.nodes[at].believes
+	holder := m.holder(at, attempt)
+	// The caller may give up waiting at any moment.
+	m.send("give up", func() {
+		m.alive(holder, func(n *modelNode) { n.ledger.Update(GiveUp{Key: modelKey(k), Attempt: attempt}) })
+	})
+	m.send("claim", func() {
+		l := m.nodes[leader]
+		if !l.leads {
+			return
+		}
+		answer := l.claims.Update(Claim{At: m.now, Key: modelKey(k), Body: 1, Holder: holder, Instead: instead})
+		m.send("answer", func() { m.answered(at, leader, k, holder, answer) })
+	})
+}
+
+// alive runs do if the holder's process still runs.
+func (m *model) alive(h Holder, do func(*modelNode)) {
+	for i, n := range m.nodes {
+		if fmt.Sprint(i) == h.Node && n.incarnation == h.Incarnation {
+			do(n)
+		}
+	}
+}
+
+func (m *model) answered(at, leader, k int, h Holder, answer Answer) {
+	m.alive(h, func(n *modelNode) {
+		switch answer.Verdict {
+		case Granted:
+			if at == leader && m.plant != noWitness {
+				m.witness(at, k, h, answer.Epoch)
+				return
+			}
+			m.permit(n, k, h, answer.Epoch)
+		case HeldBy:
+			n.ledger.Update(GiveUp{Key: modelKey(k), Attempt: h.Attempt})
+			m.inquire(at, k, answer.Holder)
+		default:
+			n.ledger.Update(GiveUp{Key: modelKey(k), Attempt: h.Attempt})
+		}
+	})
+}
+
+func (m *model) witness(at, k int, h Holder, epoch uint64) {
+	for other := range m.nodes {
+		if other == at {
+			continue
+		}
+		m.send("witness", func() {
+			o := m.nodes[other]
+			if epoch < o.ledger.Promised() {
+				return
+			}
+			o.ledger.Update(Promise{Epoch: epoch})
+			o.ledger.Update(Witness{At: m.now, Held: Held{Key: modelKey(k), Body: 1, Holder: h}})
+			m.send("witnessed", func() { m.alive(h, func(n *modelNode) { m.permit(n, k, h, epoch) }) })
+		})
+	}
+}
+
+func (m *model) permit(n *modelNode, k int, h Holder, epoch uint64) {
+	r := n.ledger.Update(Permit{Key: modelKey(k), Attempt: h.Attempt, Epoch: epoch})
+	if !r.Accepted {
+		return
+	}
+	m.note("node %s attempt %d starts key %d by epoch %d", h.Node, h.Attempt, k, epoch)
+	m.started[k]++
+	m.starts++
+	if m.started[k] > 1 {
+		m.broken = fmt.Sprintf("key %d started %d times", k, m.started[k])
+	}
+	m.send("end", func() {
+		m.alive(h, func(n *modelNode) {
+			n.ledger.Update(Finish{At: m.now, Key: modelKey(k), Attempt: h.Attempt, Stage: Uncertain})
+		})
+	})
+	if k > 0 {
+		return
+	}
+	m.send("refused by the upstream", func() {
+		m.alive(h, func(n *modelNode) {
+			f := Finish{At: m.now, Key: modelKey(k), Attempt: h.Attempt, Stage: NotStarted}
+			if n.ledger.Update(f).Accepted {
+				m.started[k]--
+			}
+		})
+	})
+}
+
+func (m *model) inquire(at, k int, of Holder) {
+	m.send("inquire", func() {
+		stage := Absent
+		m.alive(of, func(n *modelNode) { stage = n.ledger.Update(Inquire{Key: modelKey(k), Holder: of}).Stage })
+		if stage != NotStarted {
+			return
+		}
+		m.send("free", func() {
+			r := m.nodes[at].ledger.Update(Begin{At: m.now, Key: modelKey(k), Body: 1})
+			if r.Accepted {
+				m.claim(at, k, r.Attempt, of)
+			}
+		})
+	})
+}
+
+// takeOver makes a node coordinator, as a swap in the store does. The last one is
+// not told.
+func (m *model) takeOver(at int) {
+	if m.assigned == at && m.nodes[at].leads {
+		return
+	}
+	m.note("node %d takes over", at)
+	before := m.assigned
+	m.epoch++
+	m.assigned = at
+	n := m.nodes[at]
+	n.leads, n.believes, n.epoch = true, at, m.epoch
+	n.ledger.Update(Promise{Epoch: m.epoch})
+	var from []string
+	for i := range m.nodes {
+		if i != at && i != before {
+			from = append(from, fmt.Sprint(i))
+		}
+	}
+	if before != at {
+		from = append(from, fmt.Sprint(before)) // It is still listed.
+	}
+	if m.plant == noWaiting {
+		from = nil
+	}
+	lost := time.Time{}
+	if n.crashed || m.unplanned {
+		lost = m.now.Add(modelWindow)
+	}
+	// The store's assignment remembers that the coordinator was changed unplanned.
+	m.unplanned = true
+	n.claims.Update(TakeOver{At: m.now, Epoch: m.epoch, From: from, Lost: lost})
+	n.claims.Update(Collected{At: m.now, Node: fmt.Sprint(at), Held: n.ledger.Held(m.holder(at, 0))})
+	for other := range m.nodes {
+		if other != at {
+			m.collect(at, other, before)
+		}
+	}
+}
+
+func (m *model) collect(at, other, before int) {
+	epoch, run, took := m.epoch, m.nodes[at].incarnation, m.steps
+	previous := m.nodes[before].incarnation
+	m.send("collect", func() {
+		o := m.nodes[other]
+		if epoch < o.ledger.Promised() {
+			return
+		}
+		if m.plant != noPromise {
+			o.ledger.Update(Promise{Epoch: epoch})
+		}
+		if epoch > o.epoch {
+			o.believes, o.epoch = at, epoch
+		}
+		held, lost, complete := o.ledger.Held(m.holder(other, 0)), time.Time{}, false
+		if o.leads && o.claims.epoch < epoch {
+			held = append(held, o.claims.Held()...)
+			complete = other == before && o.incarnation == previous && o.claims.epoch == epoch-1 && o.claims.Complete(m.now)
+			o.leads = false
+			o.claims.Update(Dismissed{})
+		}
+		if o.crashed || o.born >= took {
+			lost = m.now.Add(modelWindow)
+		}
+		m.send("collected", func() {
+			n := m.nodes[at]
+			if n.leads && n.claims.epoch == epoch && n.incarnation == run {
+				n.claims.Update(Collected{At: m.now, Node: fmt.Sprint(other), Held: held, Lost: lost, Complete: complete})
+			}
+		})
+	})
+}
+
+// crash replaces a node by one that knows nothing. A crash that follows another
+// within the window is known to the nodes that remain, as the coordinator tells
+// them; that is modelled as instant.
+func (m *model) crash(at int) {
+	m.note("node %d crashes", at)
+	was := m.nodes[at]
+	m.nodes[at] = &modelNode{
+		incarnation: was.incarnation + 1,
+		ledger:      NewLedger(modelWindow, 1<<20),
+		claims:      NewClaims(modelWindow),
+		born:        m.steps,
+		believes:    m.assigned,
+		epoch:       m.epoch,
+	}
+	if at == m.assigned {
+		// One crash is what two memories are for. The next change of coordinator
+		// puts it into the store.
+		return
+	}
+	for i, n := range m.nodes {
+		if i != at {
+			n.crashed = true
+		}
+	}
+}
+
+// TestOperationsRunOnce looks for a schedule in which a key starts twice.
+func TestOperationsRunOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(sound)
+		number := rapid.IntRange(0, 1<<20)
+		for range modelSteps {
+			m.step(func(n int) int { return number.Draw(t, "choice") % n })
+			if m.broken != "" {
+				t.Fatal(m.broken)
+			}
+		}
+	})
+}
+
+// TestOperationsRunOnceLong is the same with many more schedules from fixed seeds.
+func TestOperationsRunOnceLong(t *testing.T) {
+	const schedules = 30_000
+	for seed := range uint64(schedules) {
+		require.Empty(t, explore(sound, seed), "seed %d", seed)
+	}
+}
+
+// explore runs one schedule and returns what broke.
+func explore(p plant, seed uint64) string {
+	random := rand.New(rand.NewPCG(seed, 1))
+	m := newModel(p)
+	for range 2 * modelSteps {
+		m.step(random.IntN)
+		if m.broken != "" {
+			return m.broken
+		}
+	}
+	return ""
+}
+
+// TestCheckFindsPlantedFaults shows that the check above can fail.
+func TestCheckFindsPlantedFaults(t *testing.T) {
+	const schedules = 30_000
+	for _, p := range []plant{noPromise, noWitness, noWaiting, forgetful} {
+		found := false
+		for seed := uint64(0); seed < schedules && !found; seed++ {
+			found = explore(p, seed) != ""
+		}
+		assert.True(t, found, "planted fault %d was not found", p)
+	}
+}
+
+// TestModelMakesProgress shows that the check does not hold because nothing starts.
+func TestModelMakesProgress(t *testing.T) {
+	const schedules = 1000
+	started := 0
+	for seed := range uint64(schedules) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		m := newModel(sound)
+		for range 2 * modelSteps {
+			m.step(random.IntN)
+		}
+		started += m.starts
+	}
+	assert.Greater(t, started, schedules)
+}
--- a/core/score.go
+++ b/core/score.go
@@ -1,9 +1,6 @@
 package core
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 // The sequential test. For every upstream a cumulative sum of log-likelihood
 // ratios (CUSUM, Page 1954) asks whether it has become worse than the service's
@@ -62,18 +59,33 @@
 type row struct {
 	failures rate
 	slow     rate
-	seen     uint64 // Observations in all.
-	bad      uint64 // Of them failed or slow.
-	lastSeen time.Time
+	sum      tally // Of all observations.
 	scores   [len(alternatives)]float64
-	// since holds every row's counters from when this upstream's score last left
-	// zero, so that it is compared with the others over the same time.
-	since map[string]mark
+	// since holds every row's tally from when this upstream's score last was low,
+	// so that it is compared with the others over the same time.
+	since map[string]tally
 	// by holds each reporter's share of the present score.
 	by map[string]float64
 }
 
-type mark struct{ seen, bad uint64 }
+// tally counts observations of an upstream.
+type tally struct{ seen, failed, slow uint64 }
+
+func (t tally) minus(o tally) tally {
+	return tally{t.seen - o.seen, t.failed - o.failed, t.slow - o.slow}
+}
+
+func (t tally) plus(c Count) tally {
+	return tally{t.seen + uint64(c.total()), t.failed + uint64(c.Failed), t.slow + uint64(c.Slow)}
+}
+
+// bad counts the observations of one kind.
+func (t tally) bad(slow bool) float64 {
+	if slow {
+		return float64(t.slow)
+	}
+	return float64(t.failed)
+}
 
 // panel holds the rows of a service.
 type panel struct {
@@ -100,14 +112,11 @@
 
 // observe takes one node's counts. All rates change first and the scores after,
 // because a failure of the whole service shows in the same counts.
-func (p *panel) observe(at time.Time, reporter string, counts []Count) {
+func (p *panel) observe(reporter string, counts []Count) {
 	for _, c := range counts {
 		if r := p.rows[c.Upstream]; r != nil {
 			r.failures.add(c.Failed, c.total())
 			r.slow.add(c.Slow, c.Fast+c.Slow)
-			r.seen += uint64(c.total())
-			r.bad += uint64(c.Failed) + uint64(c.Slow)
-			r.lastSeen = at
 		}
 	}
 	for _, c := range counts {
@@ -115,6 +124,11 @@
 			p.score(r, reporter, c)
 		}
 	}
+	for _, c := range counts {
+		if r := p.rows[c.Upstream]; r != nil {
+			r.sum = r.sum.plus(c)
+		}
+	}
 }
 
 func (p *panel) score(r *row, reporter string, c Count) {
@@ -124,16 +138,14 @@
 		r.scores[i] = max(0, r.scores[i]+evidence(a, c, failures, slow))
 	}
 	after := r.score()
-	switch {
-	case after == 0:
-		r.since = nil
+	if after == 0 {
 		clear(r.by)
-	case before == 0:
-		r.since = p.marks(c)
-		r.by[reporter] = after
-	default:
+	} else {
 		r.by[reporter] = max(0, r.by[reporter]+after-before)
 	}
+	if before < lowScore {
+		r.since = p.tallies()
+	}
 }
 
 // evidence is the log-likelihood ratio of the counts: sick in the way of a,
@@ -177,7 +189,6 @@
 		r.scores[i] = min(r.scores[i], s)
 	}
 	if s == 0 {
-		r.since = nil
 		clear(r.by)
 	}
 }
@@ -209,54 +220,69 @@
 	return sorted[(len(sorted)-1)/4]
 }
 
-func (p *panel) marks(c Count) map[string]mark {
-	marks := make(map[string]mark, len(p.rows))
+func (p *panel) tallies() map[string]tally {
+	tallies := make(map[string]tally, len(p.rows))
 	for name, r := range p.rows {
-		m := mark{seen: r.seen, bad: r.bad}
-		if name == c.Upstream {
-			m.seen -= uint64(c.total())
-			m.bad -= uint64(c.Failed) + uint64(c.Slow)
-		}
-		marks[name] = m
+		tallies[name] = r.sum
 	}
-	return marks
+	return tallies
 }
 
 const (
-	leastComparison = 3    // Observations of another upstream that make it comparable.
-	muchBetter      = 0.34 // Its share of bad answers against the suspect's.
+	// lowScore is where a rise of the score begins to be a suspicion.
+	lowScore = 3.0
+	// contrastShare is how much of the threshold the contrast to the others must
+	// reach: at a threshold of 22, six failures of six against none of twelve.
+	contrastShare = 0.5
 )
 
-// stands reports whether enough other upstreams did much better over the same
-// time. Without that, a whole service that turns bad would look like one sick
+// stands reports whether the other upstreams did clearly better over the same
+// time: all of them together, or a quarter of them each, for when more than one
+// is sick. Without that, a whole service that turns bad would look like one sick
 // upstream to whoever happens to see that one first.
-func (p *panel) stands(name string) bool {
+func (p *panel) stands(name string, limit float64) bool {
 	r := p.rows[name]
 	if r == nil || r.since == nil {
 		return false
 	}
-	own := share(mark{r.seen, r.bad}, r.since[name])
-	better, comparable := 0, 0
+	slow := r.slowness()
+	own := r.sum.minus(r.since[name])
+	var all tally
+	better, others := 0, 0
 	for other, o := range p.rows {
 		if other == name {
 			continue
 		}
-		before := r.since[other]
-		if o.seen-before.seen < leastComparison {
-			continue
-		}
-		comparable++
-		if share(mark{o.seen, o.bad}, before) <= own*muchBetter {
+		others++
+		theirs := o.sum.minus(r.since[other])
+		all = tally{all.seen + theirs.seen, all.failed + theirs.failed, all.slow + theirs.slow}
+		if differ(own, theirs, slow) >= contrastShare*limit {
 			better++
 		}
 	}
-	return better > 0 && better*4 >= comparable
+	return differ(own, all, slow) >= contrastShare*limit || better > 0 && better*4 >= others
 }
 
-func share(now, before mark) float64 {
-	seen := now.seen - before.seen
-	if seen == 0 {
+// differ is the log-likelihood ratio of two upstreams having two rates of bad
+// answers against having one, 0 unless the first is worse (the G-test).
+func differ(worse, better tally, slow bool) float64 {
+	x, n := worse.bad(slow), float64(worse.seen)
+	y, m := better.bad(slow), float64(better.seen)
+	if n == 0 || m == 0 || x/n <= y/m {
 		return 0
 	}
-	return float64(now.bad-before.bad) / float64(seen)
+	both := (x + y) / (n + m)
+	return likelihood(x, n, x/n) + likelihood(y, m, y/m) - likelihood(x, n, both) - likelihood(y, m, both)
+}
+
+// likelihood is the logarithm of how likely x of n are at a rate.
+func likelihood(x, n, rate float64) float64 {
+	sum := 0.0
+	if x > 0 {
+		sum += x * math.Log(rate)
+	}
+	if n > x {
+		sum += (n - x) * math.Log(1-rate)
+	}
+	return sum
 }
--- a/node/group.go
+++ b/node/group.go
@@ -33,9 +33,11 @@
 	roster   peer.Roster
 	leader   peer.Leader
 	before   string    // The coordinator before the present one.
+	lost     time.Time // Until when operations that only two lost coordinators knew may be asked for.
 	heard    time.Time // When the coordinator was last heard.
 	asked    time.Time // When the last heartbeat that was answered had been sent.
 	lead     *leadership
+	deposed  deposed
 	loads    map[string]map[string]uint32 // By node and upstream; the coordinator's.
 	crashed  time.Time                    // When a node was last lost unplanned.
 	refused  map[string]bool              // Upstreams that said they are leaving, by name and generation.
--- a/node/leader.go
+++ b/node/leader.go
@@ -24,6 +24,10 @@
 	collectPause   = 500 * time.Millisecond
 	assignmentKey  = "assignment"
 	silentAfter    = 2 * time.Second
+	clockSkew      = time.Minute
+	// unnoticed is how long before a change of coordinator a node may have been
+	// replaced without the last one's having told the others.
+	unnoticed = 15 * time.Second
 	// settleAfter is how long after the last promise an old lease may still be
 	// acted on: its node counts by a clock that may run slow.
 	settleAfter = core.Lease + core.Lease/4
@@ -32,6 +36,7 @@
 // leadership is what only the coordinator has.
 type leadership struct {
 	epoch     uint64
+	began     time.Time
 	sequence  uint64
 	sets      map[string][]core.Standing
 	promised  time.Time            // When the last node promised; zero while some have not.
@@ -43,6 +48,13 @@
 	cancel    context.CancelFunc
 }
 
+// deposed is what this node last coordinated, and whether it then knew of every
+// grant. Its successor asks for that.
+type deposed struct {
+	epoch    uint64
+	complete bool
+}
+
 func assignment(template string) string { return config.TemplatePrefix(template) + assignmentKey }
 
 // runElections looks after there being a coordinator.
@@ -90,6 +102,12 @@
 		return
 	}
 	next := g.node.asLeader(current.Epoch + 1)
+	if current.Epoch > 0 {
+		next.ChangedAt = time.Now().UnixMilli()
+	}
+	g.mu.Lock()
+	g.lost = lostSince(current.ChangedAt)
+	g.mu.Unlock()
 	if g.swapAssignment(ctx, entry, next) {
 		g.mu.Lock()
 		g.follow(next)
@@ -164,6 +182,7 @@
 	now := time.Now()
 	g.lead = &leadership{
 		epoch:     epoch,
+		began:     now,
 		sets:      map[string][]core.Standing{},
 		heard:     map[string]time.Time{},
 		runs:      map[string]uint64{},
@@ -179,9 +198,9 @@
 			from = append(from, m.Node)
 		}
 	}
-	lost := time.Time{}
-	if !g.crashed.IsZero() {
-		lost = g.crashed.Add(defaultWindow)
+	lost := g.lost
+	if at := g.crashed; !at.IsZero() && at.Add(defaultWindow).After(lost) {
+		lost = at.Add(defaultWindow)
 	}
 	if epoch > 1 && len(from) == 0 {
 		lost = now.Add(defaultWindow) // Nobody else was there to remember.
@@ -235,6 +254,15 @@
 	g.claims.Update(core.NodeGone{At: now, Node: node})
 }
 
+// lostSince says until when the loss of two coordinators in a row may matter: the
+// one before the present assignment, and the one it names.
+func lostSince(changedAt int64) time.Time {
+	if changedAt == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(changedAt).Add(defaultWindow + clockSkew)
+}
+
 func (g *Group) collected(epoch uint64, node string, c *peer.Collected) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -251,7 +279,11 @@
 	if c.CrashedAgo > 0 {
 		lost = now.Add(defaultWindow - time.Duration(c.CrashedAgo))
 	}
-	g.claims.Update(core.Collected{At: now, Node: node, Held: c.Held, Lost: lost})
+	if started := now.Add(-time.Duration(c.Age)); epoch > 1 && started.After(g.lead.began.Add(-unnoticed)) {
+		// It may have been replaced without the last coordinator's noticing.
+		lost = now.Add(defaultWindow)
+	}
+	g.claims.Update(core.Collected{At: now, Node: node, Held: c.Held, Lost: lost, Complete: c.Complete})
 	g.lead.confirmed = now
 }
 
@@ -335,6 +367,7 @@
 	if !g.leading() {
 		return
 	}
+	g.deposed = deposed{epoch: g.lead.epoch, complete: g.claims.Complete(time.Now())}
 	g.lead.cancel()
 	g.lead = nil
 	g.claims.Update(core.Dismissed{At: time.Now()})
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,7 @@
 	groups   map[string]*Group // Fixed at the start.
 	callers  *http.Server
 	admin    *http.Server
+	born     time.Time
 	life     context.Context // Ends when the node has stopped.
 	end      context.CancelFunc
 	stopping atomic.Bool
@@ -71,6 +72,7 @@
 		settings:   s,
 		identity:   peer.Identity{Node: s.Node(), Incarnation: uint64(time.Now().UnixNano())},
 		log:        zap.NewNop(),
+		born:       time.Now(),
 		holder:     config.NewHolder(),
 		groups:     map[string]*Group{},
 		decisions:  new(expvar.Map).Init(),
--- a/node/peers.go
+++ b/node/peers.go
@@ -194,10 +194,14 @@
 	}
 	own := core.Holder{Node: g.node.identity.Node, Incarnation: g.node.identity.Incarnation}
 	reply := &peer.Collected{Promised: true, Held: g.ledger.Held(own), Nodes: g.roster.Nodes}
+	reply.Age = int64(time.Since(g.node.born))
 	if g.leading() && g.lead.epoch < c.Epoch {
-		reply.Held = append(reply.Held, g.claims.Held()...)
 		g.stepDown()
 	}
+	if g.deposed.epoch == c.Epoch-1 {
+		reply.Held = append(reply.Held, g.claims.Held()...)
+		reply.Complete = g.deposed.complete
+	}
 	if !g.crashed.IsZero() {
 		reply.CrashedAgo = int64(time.Since(g.crashed))
 	}
--- a/node/stop.go
+++ b/node/stop.go
@@ -76,6 +76,7 @@
 			continue
 		}
 		entry, current, err := g.readAssignment(ctx)
+		next.ChangedAt = current.ChangedAt
 		if err != nil || current.Epoch != epoch || !g.swapAssignment(ctx, entry, next) {
 			g.log.Warn("could not hand over the coordination")
 			return
--- a/peer/message.go
+++ b/peer/message.go
@@ -87,6 +87,9 @@
 	Incarnation uint64 `cbor:"2,keyasint" json:"incarnation"`
 	Address     string `cbor:"3,keyasint" json:"address"`
 	Epoch       uint64 `cbor:"4,keyasint" json:"epoch"`
+	// ChangedAt is when the coordinator was last changed without a handover, in
+	// Unix milliseconds; 0 for never.
+	ChangedAt int64 `cbor:"5,keyasint,omitempty" json:"changed_at,omitempty"`
 }
 
 // Roster is who is there: the platform's list, refined by what nodes heard.
@@ -152,6 +155,8 @@
 	Held       []core.Held `cbor:"2,keyasint,omitempty"`
 	Nodes      []Member    `cbor:"3,keyasint,omitempty"` // Whom the node knew of.
 	CrashedAgo int64       `cbor:"4,keyasint,omitempty"`
+	Age        int64       `cbor:"5,keyasint,omitempty"` // Nanoseconds since the process started.
+	Complete   bool        `cbor:"6,keyasint,omitempty"` // The node is the last coordinator, and this is all.
 }
 
 // Witness asks a node to remember a grant of the coordinator to itself.
