--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -36,6 +36,9 @@
 	Services    []struct {
 		Name      string `yaml:"name"`
 		Upstreams int    `yaml:"upstreams"`
+		Floor     int    `yaml:"floor"`  // As in the template, for the checks.
+		Lookup    string `yaml:"lookup"` // Path of a retryable GET.
+		Order     string `yaml:"order"`  // Path of an at-most-once POST.
 	} `yaml:"services"`
 	Nodes    int                          `yaml:"nodes"` // 0 for one beside each upstream.
 	Accounts map[string]map[string]string `yaml:"accounts"`
@@ -63,6 +66,8 @@
 	Base byte // Third number of the nodes' IP numbers, so that two fleets can run at a time.
 	// Linked puts the cutter between nodes, and between nodes and upstreams.
 	Linked bool
+	// Policy names a baseline to run in place of the product's decisions.
+	Policy string
 	// Log is the nodes' log level; info by default.
 	Log string
 }
@@ -223,7 +228,11 @@
 
 // run starts a node's process and puts it on the platform's list.
 func (f *Fleet) run(ctx context.Context, n *Node) error {
-	p, err := start(n.Name, filepath.Join(f.options.Dir, n.Name+".log"), f.binaries.Node, []string{"run", "--settings", n.file}, parseServing)
+	program, arguments := f.binaries.Node, []string{"run", "--settings", n.file}
+	if f.options.Policy != "" {
+		program, arguments = f.binaries.Baseline, append([]string{f.options.Policy}, arguments...)
+	}
+	p, err := start(n.Name, filepath.Join(f.options.Dir, n.Name+".log"), program, arguments, parseServing)
 	if err != nil {
 		return err
 	}
@@ -351,7 +360,7 @@
 			deciding++
 		}
 	}
-	return deciding == 1
+	return deciding == 1 || f.options.Policy != ""
 }
 
 // Dump asks a node for its state.
--- a/bench/fleet/process.go
+++ b/bench/fleet/process.go
@@ -32,19 +32,23 @@
 	Node    string
 	Control string
 	Standin string
+	// Baseline is a node with another policy.
+	Baseline string
 }
 
 // Build compiles the programs into a folder. Run it from inside the workspace.
 func Build(dir string) (Binaries, error) {
 	b := Binaries{
-		Node:    filepath.Join(dir, "eiderfold"),
-		Control: filepath.Join(dir, "eiderctl"),
-		Standin: filepath.Join(dir, "standin"),
+		Node:     filepath.Join(dir, "eiderfold"),
+		Control:  filepath.Join(dir, "eiderctl"),
+		Standin:  filepath.Join(dir, "standin"),
+		Baseline: filepath.Join(dir, "baseline"),
 	}
 	for path, source := range map[string]string{
-		b.Node:    "eiderfold/cmd/eiderfold",
-		b.Control: "eiderfold/cmd/eiderctl",
-		b.Standin: "eiderfold/bench/cmd/standin",
+		b.Node:     "eiderfold/cmd/eiderfold",
+		b.Control:  "eiderfold/cmd/eiderctl",
+		b.Standin:  "eiderfold/bench/cmd/standin",
+		b.Baseline: "eiderfold/bench/cmd/baseline",
 	} {
 		if output, err := exec.Command("go", "build", "-o", path, source).CombinedOutput(); err != nil {
 			return b, errors.Wrapf(err, "build %s: %s", source, output)
--- a/node/group.go
+++ b/node/group.go
@@ -52,7 +52,7 @@
 	balancer  *proxy.Service
 	upstreams map[string]*member // By name.
 	judge     *core.Judge
-	avoider   *core.Avoider
+	avoider   Local
 	pending   map[string]core.Count // Evidence not yet sent.
 	suspects  atomic.Pointer[map[string]bool]
 }
@@ -109,7 +109,7 @@
 	for _, policy := range t.Services() {
 		s := g.services[policy.Name()]
 		if s == nil {
-			s = newService(policy)
+			s = g.newService(policy)
 			g.services[policy.Name()] = s
 			g.populate(policy.Name(), s)
 		}
@@ -126,12 +126,16 @@
 	g.balancers.Store(&next)
 }
 
-func newService(policy *config.Service) *service {
+func (g *Group) newService(policy *config.Service) *service {
+	var local Local = core.NewAvoider()
+	if g.node.local != nil {
+		local = g.node.local(judgePolicy(policy))
+	}
 	return &service{
 		balancer:  proxy.NewService(policy),
 		upstreams: map[string]*member{},
 		judge:     core.NewJudge(judgePolicy(policy)),
-		avoider:   core.NewAvoider(),
+		avoider:   local,
 		pending:   map[string]core.Count{},
 	}
 }
@@ -173,7 +177,7 @@
 		}
 		m := before[u.Name]
 		if m == nil || m.upstream.Address() != u.Address || m.generation != u.Generation {
-			m = &member{upstream: proxy.NewUpstream(name, u.Name, u.Address, g.connections(policy), g.node.local()), generation: u.Generation}
+			m = &member{upstream: proxy.NewUpstream(name, u.Name, u.Address, g.connections(policy), g.node.source()), generation: u.Generation}
 		}
 		s.upstreams[u.Name] = m
 		live = append(live, u.Name)
--- a/node/leader.go
+++ b/node/leader.go
@@ -299,7 +299,7 @@
 	}
 	settled := l.epoch == 1 || now.After(l.promised.Add(settleAfter))
 	confirmed := now.Before(l.confirmed.Add(core.Lease))
-	if !l.installed && !l.promised.IsZero() && settled && confirmed {
+	if !l.installed && !l.promised.IsZero() && settled && confirmed && g.node.local == nil {
 		l.installed = true
 		for _, s := range g.services {
 			s.judge.Update(core.Installed{At: now})
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,7 @@
 	end      context.CancelFunc
 	stopping atomic.Bool
 	running  sync.WaitGroup
+	local    func(core.Policy) Local // Nil for the product's own decisions.
 
 	decisions  *expvar.Map
 	heartbeats *expvar.Map
@@ -62,6 +63,20 @@
 // WithLog sets the logger.
 func WithLog(l *zap.Logger) Option { return func(n *Node) { n.log = l } }
 
+// Local is how a node weighs upstreams by what it sees itself.
+type Local interface {
+	// Update takes Members, Evidence of this node, and Tick.
+	Update(m core.Message)
+	// Weight returns the factor for an upstream's share, 0 to send it nothing.
+	Weight(upstream string) float64
+	// Suspects reports whether answer times of an upstream must not be learnt from.
+	Suspects(upstream string) bool
+}
+
+// WithLocal replaces the avoider, and with it all ejection that is agreed on. It
+// serves to measure other policies on the same path of a request.
+func WithLocal(local func(core.Policy) Local) Option { return func(n *Node) { n.local = local } }
+
 // WithIncarnation sets the process's incarnation, which must be greater than that
 // of every earlier process under the same name.
 func WithIncarnation(i uint64) Option { return func(n *Node) { n.identity.Incarnation = i } }
@@ -129,8 +144,8 @@
 	return false
 }
 
-// local returns the IP number this node's connections come from.
-func (n *Node) local() net.IP {
+// source returns the IP number this node's connections come from.
+func (n *Node) source() net.IP {
 	where, err := netip.ParseAddrPort(n.settings.Peers())
 	if err != nil {
 		return nil
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -38,7 +38,7 @@
 const (
 	tokenUnit   = 1000
 	maxTokens   = 20 * tokenUnit
-	trialPeriod = 100 * time.Millisecond
+	trialPeriod = 500 * time.Millisecond // Of each node, so that a sick upstream gets few.
 	freedSignal = 1024
 	waitersFor  = 4 // Waiting requests allowed for each slot.
 	meanWeight  = 16
@@ -87,8 +87,10 @@
 		r.weights = append(r.weights, h.Weight)
 		r.phases = append(r.phases, h.Phase)
 		r.all = append(r.all, h.Alone)
+		// The nodes must not all try at the same moment.
+		r.trialAt[i].Store(time.Now().Add(rand.N(trialPeriod)).UnixNano())
 		for k, u := range old.upstreams {
-			if u == h.Upstream {
+			if u == h.Upstream && old.phases[k] == core.Trial {
 				r.trialAt[i].Store(old.trialAt[k].Load())
 			}
 		}
