--- a/core/ledger.go
+++ b/core/ledger.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Stage is how far a node is with an operation it claimed.
 type Stage uint8
@@ -131,7 +134,7 @@
 	promised  uint64
 	attempts  uint64
 	entries   map[Key]*attempt
-	witnessed map[Key]Held
+	witnessed map[Key][]Held // All that were told: a late one must not hide a newer.
 	order     []expiry
 	answers   []Key // In order of keeping, for making room.
 }
@@ -147,7 +150,7 @@
 // NewLedger returns a ledger that forgets an operation a window after it began
 // and keeps at most room bytes of answers.
 func NewLedger(window time.Duration, room int) *Ledger {
-	return &Ledger{window: window, room: room, entries: map[Key]*attempt{}, witnessed: map[Key]Held{}}
+	return &Ledger{window: window, room: room, entries: map[Key]*attempt{}, witnessed: map[Key][]Held{}}
 }
 
 // Len returns how many operations are remembered.
@@ -176,8 +179,7 @@
 	case Promise:
 		return l.promise(m)
 	case Witness:
-		l.witnessed[m.Held.Key] = m.Held
-		l.order = append(l.order, expiry{m.Held.Key, m.At.Add(l.window)})
+		l.witness(m)
 	case Adopt:
 		l.adopt(m)
 	case Tick:
@@ -217,6 +219,15 @@
 	}
 }
 
+func (l *Ledger) witness(m Witness) {
+	k := m.Held.Key
+	if slices.Contains(l.witnessed[k], m.Held) {
+		return
+	}
+	l.witnessed[k] = append(l.witnessed[k], m.Held)
+	l.order = append(l.order, expiry{k, m.At.Add(l.window)})
+}
+
 func (l *Ledger) begin(m Begin) Report {
 	e := l.entries[m.Key]
 	if e != nil && e.stage != NotStarted {
@@ -333,7 +344,7 @@
 		held = append(held, Held{Key: k, Body: e.body, Holder: h})
 	}
 	for _, h := range l.witnessed {
-		held = append(held, h)
+		held = append(held, h...)
 	}
 	return held
 }
--- a/core/operation_test.go
+++ b/core/operation_test.go
@@ -376,6 +376,16 @@
 	}
 }
 
+// TestOperationsOldFinds runs schedules that long searches found, and that broke
+// before they were mended.
+func TestOperationsOldFinds(t *testing.T) {
+	for _, seed := range []uint64{
+		417642, // A late witness of an earlier attempt hid the one that had started.
+	} {
+		assert.Empty(t, explore(sound, seed), "seed %d", seed)
+	}
+}
+
 // explore runs one schedule and returns what broke.
 func explore(p plant, seed uint64) string {
 	random := rand.New(rand.NewPCG(seed, 1))
