--- a/core/score.go
+++ b/core/score.go
@@ -24,6 +24,7 @@
 var alternatives = [...]alternative{
 	{slow: false, rate: 0.5},
 	{slow: false, rate: 0.08},
+	{slow: true, rate: 0.9},
 	{slow: true, rate: 0.5},
 	{slow: true, rate: 0.25},
 }
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,342 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"eiderfold/config"
+	"eiderfold/core"
+	"eiderfold/result"
+)
+
+const testTemplate = `template: t
+services:
+  - name: s
+    upstreams: 2
+    floor: 1
+    slots: 4
+    retry_budget: 0.1
+    routes:
+      - {name: get, pattern: "GET /get/{id}", operation: retryable, timeout: 3s}
+      - {name: post, pattern: "POST /post", operation: at_most_once, timeout: 3s}
+`
+
+// bed is a handler over upstreams, with a ledger that always grants.
+type bed struct {
+	*Handler
+	service *Service
+	server  *httptest.Server
+	ends    atomic.Pointer[core.Stage]
+}
+
+func (b *bed) Service(string, string) *Service { return b.service }
+
+func (b *bed) Begin(context.Context, string, core.Key, uint64, time.Time) (Operation, *core.Recorded, *result.Error) {
+	return b, nil, nil
+}
+
+func (b *bed) Finish(stage core.Stage, _ *core.Recorded) { b.ends.Store(&stage) }
+
+func newBed(t *testing.T, addresses ...string) *bed {
+	t.Helper()
+	holder, template, accounts := config.NewHolder(), &config.Shard{}, &config.Shard{}
+	template.PutTemplate(config.Change{PublishID: "a"}, testTemplate)
+	accounts.PutAccount(config.Change{PublishID: "b"}, "a", nil)
+	for key, s := range map[string]*config.Shard{config.TemplateKey("t"): template, config.AccountKey("t", "a"): accounts} {
+		value, err := s.Encode()
+		require.NoError(t, err)
+		_, err = holder.Apply(key, value)
+		require.NoError(t, err)
+	}
+	b := &bed{service: NewService(holder.Now().Template("t").Service("s"))}
+	b.Handler = NewHandler(holder, b, b)
+	var shares []Share
+	for i, a := range addresses {
+		u := NewUpstream("s", fmt.Sprintf("u%d", i), a, 100, nil)
+		t.Cleanup(u.Close)
+		shares = append(shares, Share{Upstream: u, Weight: 1, Alone: 1})
+	}
+	b.service.Rotate(shares, time.Now().Add(time.Hour))
+	b.server = httptest.NewServer(b.Handler)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// send makes a request and returns status, result number and body; err is a broken
+// connection or a body that broke off.
+func (b *bed) send(t *testing.T, method, path, key, body string) (status int, number, text string, err error) {
+	t.Helper()
+	r, err := http.NewRequest(method, b.server.URL+"/a"+path, strings.NewReader(body))
+	require.NoError(t, err)
+	if key != "" {
+		r.Header.Set(KeyHeader, key)
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer answer.Body.Close() //nolint:errcheck // Only read from.
+	content, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, answer.Header.Get(result.Header), string(content), err
+}
+
+// dropper is an upstream that answers the first request of a connection, reads the
+// second and closes: what a kept connection does that dies under a request.
+type dropper struct {
+	net.Listener
+	requests atomic.Int32
+}
+
+func newDropper(t *testing.T, answersFirst bool) *dropper {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &dropper{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go d.serve(c, answersFirst)
+		}
+	}()
+	return d
+}
+
+func (d *dropper) serve(c net.Conn, answersFirst bool) {
+	defer c.Close() //nolint:errcheck // It is to break.
+	reader := bufio.NewReader(c)
+	for answered := false; ; answered = true {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		d.requests.Add(1)
+		if answered || !answersFirst {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// TestTransportWouldReplay shows what is to be avoided: net/http itself sends a
+// keyed POST without a body a second time when its kept connection dies.
+func TestTransportWouldReplay(t *testing.T) {
+	d := newDropper(t, true)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	for range 2 {
+		r, err := http.NewRequest(http.MethodPost, "http://"+d.Addr().String()+"/post", nil)
+		require.NoError(t, err)
+		r.Header.Set(KeyHeader, "k")
+		answer, err := transport.RoundTrip(r)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+		}
+	}
+	assert.Greater(t, d.requests.Load(), int32(2), "net/http no longer replays; the care taken may go")
+}
+
+// TestOperationsAreNeverReplayed sends operations, with and without a key and a
+// body, to an upstream whose connections die under them.
+func TestOperationsAreNeverReplayed(t *testing.T) {
+	for _, answersFirst := range []bool{true, false} {
+		for _, key := range []string{"", "k"} {
+			for _, body := range []string{"", "body"} {
+				d := newDropper(t, answersFirst)
+				b := newBed(t, d.Addr().String())
+				const sent = 3
+				for range sent {
+					_, number, text, err := b.send(t, http.MethodPost, "/post", key, body)
+					require.NoError(t, err)
+					if !answersFirst {
+						assert.Equal(t, "40", number, text)
+					}
+				}
+				assert.Equal(t, int32(sent), d.requests.Load(), "key %q body %q", key, body)
+			}
+		}
+	}
+}
+
+// TestNotRunNeedsProof refuses connections: nothing was sent, and the ledger and
+// the caller are told so.
+func TestNotRunNeedsProof(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	b := newBed(t, closed.Addr().String())
+	_, number, _, err := b.send(t, http.MethodPost, "/post", "k", "body")
+	require.NoError(t, err)
+	assert.Equal(t, "36", number)
+	assert.Equal(t, core.NotStarted, *b.ends.Load())
+}
+
+// TestShedIsNotRun lets one upstream shed: the other one gets the operation.
+func TestShedIsNotRun(t *testing.T) {
+	shedding := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer shedding.Close()
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }))
+	defer good.Close()
+	b := newBed(t, shedding.Listener.Addr().String(), good.Listener.Addr().String())
+	for range 5 {
+		status, number, text, err := b.send(t, http.MethodPost, "/post", "k", "body")
+		require.NoError(t, err)
+		assert.Equal(t, "200 10 done", fmt.Sprint(status, " ", number, " ", text))
+	}
+	alone := newBed(t, shedding.Listener.Addr().String())
+	_, number, _, err := alone.send(t, http.MethodPost, "/post", "k", "body")
+	require.NoError(t, err)
+	assert.Equal(t, "35", number)
+	assert.Equal(t, core.NotStarted, *alone.ends.Load())
+}
+
+// TestCutAnswers lets answers break off: a short one becomes a retry or a code, a
+// long one breaks the caller's connection. None looks whole.
+func TestCutAnswers(t *testing.T) {
+	for _, size := range []int{100, 10 * prefixBytes} {
+		for _, chunked := range []bool{true, false} {
+			cutting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if !chunked {
+					w.Header().Set("Content-Length", fmt.Sprint(size))
+				}
+				_, _ = io.WriteString(w, strings.Repeat("x", size/2))
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}))
+			b := newBed(t, cutting.Listener.Addr().String())
+			status, _, text, err := b.send(t, http.MethodGet, "/get/1", "", "")
+			assert.True(t, err != nil || status == http.StatusBadGateway, "size %d chunked %v: %d, %d bytes", size, chunked, status, len(text))
+			status, _, _, err = b.send(t, http.MethodPost, "/post", "k", "body")
+			assert.True(t, err != nil || status == http.StatusBadGateway, "size %d chunked %v", size, chunked)
+			cutting.Close()
+		}
+	}
+}
+
+// TestRetriesAreBounded lets every upstream fail: the work is at most the stated
+// bound, however many requests there are.
+func TestRetriesAreBounded(t *testing.T) {
+	var work atomic.Int32
+	failing := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		work.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	one, two := httptest.NewServer(failing), httptest.NewServer(failing)
+	defer one.Close()
+	defer two.Close()
+	b := newBed(t, one.Listener.Addr().String(), two.Listener.Addr().String())
+	const sent = 400
+	for range sent {
+		status, _, _, err := b.send(t, http.MethodGet, "/get/1", "", "")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusInternalServerError, status)
+	}
+	bound := sent + sent/10 + maxTokens/tokenUnit
+	assert.LessOrEqual(t, int(work.Load()), bound)
+	assert.Greater(t, int(work.Load()), sent, "nothing was retried at all")
+}
+
+// TestRetryGoesElsewhere answers every lookup although one upstream fails.
+func TestRetryGoesElsewhere(t *testing.T) {
+	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }))
+	defer failing.Close()
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }))
+	defer good.Close()
+	b := newBed(t, failing.Listener.Addr().String(), good.Listener.Addr().String())
+	for range 5 {
+		_, _, text, err := b.send(t, http.MethodGet, "/get/1", "", "")
+		require.NoError(t, err)
+		assert.Equal(t, "done", text)
+	}
+	counts := map[string]core.Count{}
+	for _, u := range b.service.Upstreams() {
+		counts[u.Name()] = u.Drain()
+	}
+	assert.NotZero(t, counts["u0"].Failed, "retrying hid the evidence")
+	assert.Zero(t, counts["u1"].Failed)
+}
+
+// TestOverloadIsRefusedEarly fills all slots: what cannot be served in time is
+// told so at once, with a time to come back.
+func TestOverloadIsRefusedEarly(t *testing.T) {
+	release := make(chan struct{})
+	busy := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer busy.Close()
+	b := newBed(t, busy.Listener.Addr().String())
+	b.service.meanNano.Store(int64(time.Minute)) // As if work took a minute each.
+	var sending sync.WaitGroup
+	for range 4 {
+		sending.Go(func() { _, _, _, _ = b.send(t, http.MethodGet, "/get/1", "", "") })
+	}
+	require.Eventually(t, func() bool { return b.service.Upstreams()[0].InFlight() == 4 }, time.Minute, time.Millisecond)
+	r, err := http.Get(b.server.URL + "/a/get/2")
+	require.NoError(t, err)
+	_ = r.Body.Close()
+	assert.Equal(t, "31", r.Header.Get(result.Header))
+	assert.Equal(t, "15", r.Header.Get("Retry-After"))
+	close(release)
+	sending.Wait()
+}
+
+// TestBadCallerIsNotEvidence lets one account's requests fail everywhere.
+func TestBadCallerIsNotEvidence(t *testing.T) {
+	u, other := &Upstream{name: "u"}, &Upstream{name: "other"}
+	a := &config.Account{}
+	now := time.Unix(1000, 0)
+	bl := newBlame()
+	assert.False(t, bl.callers(a, u, now), "the first error counts")
+	assert.False(t, bl.callers(a, u, now), "so does the next of the same upstream")
+	assert.True(t, bl.callers(a, other, now), "a second upstream shows whose fault it is")
+	assert.True(t, bl.callers(a, u, now))
+	bl.cleared(a)
+	assert.False(t, bl.callers(a, other, now), "a success clears the account")
+}
+
+// TestCalledOffIsStillLate calls requests off that are past their usual time.
+func TestCalledOffIsStillLate(t *testing.T) {
+	u := &Upstream{}
+	now := time.Unix(1000, 0)
+	early := u.depart(now, time.Second, time.Minute)
+	late := u.depart(now, time.Second, time.Minute)
+	u.land(early, noEvidence, now.Add(time.Second/2))
+	u.land(late, noEvidence, now.Add(2*time.Second))
+	assert.Equal(t, core.Count{Slow: 1}, u.Drain())
+}
+
+// TestUsualFollowsHeavyTails feeds a heavy tail and checks the share above the cut.
+func TestUsualFollowsHeavyTails(t *testing.T) {
+	u := &Usual{}
+	above, total := 0, 0
+	for i := range 20_000 {
+		x := time.Duration(float64(20*time.Millisecond) / (1 - float64((i*7919)%10_000)/10_001))
+		if i > 2000 {
+			total++
+			if x > u.Cut() {
+				above++
+			}
+		}
+		u.Add(x)
+	}
+	assert.InDelta(t, 0.05, float64(above)/float64(total), 0.02)
+}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -211,12 +211,15 @@
 		return nil, s.nobody()
 	}
 	expected := s.expectedWait()
-	if now.Add(expected).After(deadline) {
+	// Work that starts with less time left than it usually takes would only come
+	// too late, and nobody could say any more that it did not run.
+	latest := deadline.Add(-time.Duration(s.meanNano.Load()))
+	if now.Add(expected).After(latest) {
 		return nil, result.New(result.Overloaded, "every slot of "+s.name+" is taken").WithRetryAfter(max(expected, leastRetry))
 	}
 	s.waiting.Add(1)
 	defer s.waiting.Add(-1)
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(time.Until(latest))
 	defer timer.Stop()
 	poll := time.NewTicker(pollWait)
 	defer poll.Stop()
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -168,6 +168,11 @@
 	case bad:
 		u.count(f, countedFailed)
 	case noEvidence:
+		// Called off, by the caller or as a hedge was faster. Being late already
+		// counts all the same, or hedges would hide a black hole.
+		if at.Sub(f.started) > f.usual {
+			u.count(f, countedSlow)
+		}
 	}
 }
 
