A start from peers while the platform is out; connection limit with a code; repeat window obeyed

Cause: a node that starts while the store is out had to take whatever a seed held; too many connections were left waiting without a word; repeat_window was checked and not used. Changes: until the store or a coordinator has been heard, another node's configuration is taken only after five seconds; a connection over the limit is told 'too-many-connections'; the longest window of a template's services counts. Measured: a killed node restarted with the platform out served with the sequences of the others, and a repeat through it got the recorded answer.

--- a/bench/e2e/faults_test.go
+++ b/bench/e2e/faults_test.go
@@ -294,6 +294,29 @@
 	return last
 }
 
+// TestStartWhileStoreOut replaces a node while the platform is out: it gets its
+// configuration, its roster and its coordinator from its seeds.
+func TestStartWhileStoreOut(t *testing.T) {
+	f := startFleet(t, small(t), fleet.Options{})
+	last := f.Nodes[2]
+	require.Equal(t, "10", ask(t, http.MethodPost, births(f.Nodes[0]), "m1", "before", "newborn").result)
+	require.NoError(t, f.SetPlatform(standin.PlatformFaults{Out: true}))
+	for f.Coordinator() == last { // With the platform out nobody could replace it.
+		last = f.Nodes[1]
+	}
+	last.Kill()
+	before, err := f.Dump(f.Coordinator())
+	require.NoError(t, err)
+	require.NoError(t, f.Restart(t.Context(), last))
+	require.Eventually(t, func() bool { return ready(f, last) }, patience, pace)
+	after, err := f.Dump(last)
+	require.NoError(t, err)
+	assert.Equal(t, before.Sequences, after.Sequences)
+	got := ask(t, http.MethodGet, "http://"+last.Callers+"/oficina-01/births/118", "m", "", "")
+	assert.Equal(t, http.StatusOK, got.status, got.body)
+	assert.Equal(t, "11", ask(t, http.MethodPost, births(last), "m2", "before", "newborn").result)
+}
+
 // TestLeavingUpstream lets an upstream say itself that it is leaving, while the
 // platform's list says nothing.
 func TestLeavingUpstream(t *testing.T) {
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -262,6 +262,7 @@
 		"data_centre": n.centre,
 		"beside":      beside,
 		"templates":   []string{f.Deployment.Name},
+		"seeds":       f.seeds(),
 		"listen":      map[string]string{"callers": n.IP + ":0", "admin": n.IP + ":0", "peers": n.IP + ":0"},
 		"platform":    map[string]string{"address": "http://" + f.Platform},
 		"keys":        map[string]string{"certificate": string(pair.Certificate), "key": string(pair.Key), "authority": string(f.authority.Certificate())},
@@ -271,6 +272,15 @@
 	})
 }
 
+// seeds are the nodes that run already.
+func (f *Fleet) seeds() []string {
+	seeds := []string{}
+	for _, n := range f.Nodes {
+		seeds = append(seeds, n.Peers)
+	}
+	return seeds
+}
+
 // delays are the rules that put the data centres apart.
 func (f *Fleet) delays() []standin.Rule {
 	var rules []standin.Rule
--- a/core/ledger.go
+++ b/core/ledger.go
@@ -153,6 +153,9 @@
 	return &Ledger{window: window, room: room, entries: map[Key]*attempt{}, witnessed: map[Key][]Held{}}
 }
 
+// SetWindow changes how long operations begun from now on are remembered.
+func (l *Ledger) SetWindow(window time.Duration) { l.window = window }
+
 // Len returns how many operations are remembered.
 func (l *Ledger) Len() int { return len(l.entries) }
 
--- a/core/operation.go
+++ b/core/operation.go
@@ -137,6 +137,9 @@
 	return &Claims{window: window, entries: map[Key]*claimed{}, moved: map[Holder]Holder{}}
 }
 
+// SetWindow changes how long operations claimed from now on are remembered.
+func (c *Claims) SetWindow(window time.Duration) { c.window = window }
+
 // Len returns how many operations are remembered.
 func (c *Claims) Len() int { return len(c.entries) }
 
--- a/node/group.go
+++ b/node/group.go
@@ -23,10 +23,12 @@
 	template  string
 	log       *zap.Logger
 	balancers atomic.Pointer[map[string]*proxy.Service]
+	synced    atomic.Bool // The store or a coordinator has been heard since the start.
 
 	mu       sync.Mutex // Guards what follows; never held over a call.
 	services map[string]*service
 	view     core.View
+	window   time.Duration // How long a key is remembered.
 	claims   *core.Claims
 	ledger   *core.Ledger
 	ended    map[core.Key]chan struct{} // Closed when an operation of ours ends.
@@ -80,19 +82,24 @@
 		refused:  map[string]bool{},
 		urgent:   make(chan struct{}, 1),
 		heard:    time.Now(),
+		window:   defaultWindow,
 	}
-	g.setWindow(defaultWindow)
+	g.claims = core.NewClaims(g.window)
+	g.ledger = core.NewLedger(g.window+ledgerMargin, ledgerRoom)
 	g.balancers.Store(&map[string]*proxy.Service{})
 	return g
 }
 
 const defaultWindow = 15 * time.Minute
 
-// setWindow makes the memories for keyed operations. It is called before the
-// first one only; a changed window counts from the next start of the process.
-func (g *Group) setWindow(window time.Duration) {
-	g.claims = core.NewClaims(window)
-	g.ledger = core.NewLedger(window+ledgerMargin, ledgerRoom)
+// setWindow takes the longest repeat window of the template's services.
+func (g *Group) setWindow(services []*config.Service) {
+	g.window = 0
+	for _, s := range services {
+		g.window = max(g.window, s.RepeatWindow())
+	}
+	g.claims.SetWindow(g.window)
+	g.ledger.SetWindow(g.window + ledgerMargin)
 }
 
 // Service returns the balancer of a service, nil before it is set up.
@@ -106,6 +113,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.setWindow(t.Services())
 	next := make(map[string]*proxy.Service, len(t.Services()))
 	for _, policy := range t.Services() {
 		s := g.services[policy.Name()]
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -126,9 +126,18 @@
 	return load
 }
 
+// soloStart is how long a starting node waits for the store or a coordinator
+// before it takes the configuration of a node that may itself be behind.
+const soloStart = 5 * time.Second
+
 func (g *Group) take(r *peer.HeartbeatReply, asked time.Time) {
-	for key, value := range r.Shards {
-		g.node.apply(key, value)
+	if r.Coordinator {
+		g.synced.Store(true)
+	}
+	if g.synced.Load() || time.Since(g.node.born) > soloStart {
+		for key, value := range r.Shards {
+			g.node.apply(key, value)
+		}
 	}
 	if r.Roster != nil {
 		g.setRoster(r.Roster)
--- a/node/leader.go
+++ b/node/leader.go
@@ -106,7 +106,7 @@
 		next.ChangedAt = time.Now().UnixMilli()
 	}
 	g.mu.Lock()
-	g.lost = lostSince(current.ChangedAt)
+	g.lost = g.lostSince(current.ChangedAt)
 	g.mu.Unlock()
 	if g.swapAssignment(ctx, entry, next) {
 		g.mu.Lock()
@@ -203,11 +203,11 @@
 		from = append(from, secondMemory)
 	}
 	lost := g.lost
-	if at := g.crashed; !at.IsZero() && at.Add(defaultWindow).After(lost) {
-		lost = at.Add(defaultWindow)
+	if at := g.crashed; !at.IsZero() && at.Add(g.window).After(lost) {
+		lost = at.Add(g.window)
 	}
 	if epoch > 1 && len(from) == 0 {
-		lost = now.Add(defaultWindow) // Nobody else was there to remember.
+		lost = now.Add(g.window) // Nobody else was there to remember.
 	}
 	g.claims.Update(core.TakeOver{At: now, Epoch: epoch, From: from, Lost: lost})
 	own := g.ledger.Held(g.holder(0))
@@ -283,11 +283,11 @@
 
 // lostSince says until when the loss of two coordinators in a row may matter: the
 // one before the present assignment, and the one it names.
-func lostSince(changedAt int64) time.Time {
+func (g *Group) lostSince(changedAt int64) time.Time {
 	if changedAt == 0 {
 		return time.Time{}
 	}
-	return time.UnixMilli(changedAt).Add(defaultWindow + clockSkew)
+	return time.UnixMilli(changedAt).Add(g.window + clockSkew)
 }
 
 func (g *Group) collected(epoch uint64, node string, c *peer.Collected) {
@@ -304,13 +304,13 @@
 	now := time.Now()
 	lost := time.Time{}
 	if c.CrashedAgo > 0 {
-		lost = now.Add(defaultWindow - time.Duration(c.CrashedAgo))
+		lost = now.Add(g.window - time.Duration(c.CrashedAgo))
 	}
 	started := now.Add(-time.Duration(c.Age))
 	if epoch > 1 && c.Previous != epoch-1 && node != g.before && started.After(g.lead.began.Add(-unnoticed)) {
 		// It began under the last coordinator, and may have replaced another
 		// process without that coordinator's noticing.
-		lost = now.Add(defaultWindow)
+		lost = now.Add(g.window)
 	}
 	g.claims.Update(core.Collected{At: now, Node: node, Held: c.Held, Lost: lost, Complete: c.Complete})
 	g.lead.confirmed = now
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,7 @@
 	life     context.Context // Ends when the node has stopped.
 	end      context.CancelFunc
 	stopping atomic.Bool
+	open     atomic.Int64 // Callers' connections.
 	running  sync.WaitGroup
 	local    func(core.Policy) Local // Nil for the product's own decisions.
 
@@ -239,7 +240,8 @@
 	if err != nil {
 		return err
 	}
-	n.callers = n.server(n.handler)
+	n.callers = n.server(n.limited(n.handler))
+	n.callers.ConnState = n.countConnections
 	n.admin = n.server(admin)
 	for _, g := range n.groups {
 		n.start(g)
@@ -272,13 +274,36 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	l = netutil.LimitListener(l, n.settings.Connections())
+	// Over the limit callers are told so; this is for when they do not listen.
+	l = netutil.LimitListener(l, 2*n.settings.Connections())
 	if material == nil {
 		return l, nil
 	}
 	return tlsListener(l, material), nil
 }
 
+// limited refuses requests of connections over the settings' limit.
+func (n *Node) limited(next http.Handler) http.Handler {
+	limit := int64(n.settings.Connections())
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.open.Load() > limit {
+			w.Header().Set("Connection", "close")
+			result.Write(w, result.New(result.TooManyConnections, "the node holds too many connections").WithRetryAfter(time.Second))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) countConnections(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		n.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		n.open.Add(-1)
+	}
+}
+
 func (n *Node) server(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
--- a/node/watch.go
+++ b/node/watch.go
@@ -63,6 +63,7 @@
 		if err != nil {
 			return 0, err
 		}
+		g.synced.Store(true)
 		g.takeEntries(entries)
 		return next, nil
 	})
