Bad answers that come together are one event

Cause: the meaning of 'sensitivity' rests on observations being independent, and they are not: an upstream that stands still for a quarter of a second makes all slow that it has in hand. Change: evidence against an upstream is taken at a bounded pace, three failures or two slow answers in a quarter of a second. A bounded pace of fewer answers was not tried.

--- a/bench/cmd/trial/main.go
+++ b/bench/cmd/trial/main.go
@@ -77,7 +77,7 @@
 	f.StringVar(&o.keep, "keep", "", "folder to keep the logs in")
 	f.IntVar(&o.parallel, "parallel", processCap, "fleets at a time")
 	c.RunE = func(c *cobra.Command, _ []string) error { return o.run(c) }
-	c.AddCommand(capacityCommand(), speedCommand())
+	c.AddCommand(capacityCommand(), speedCommand(), sensitivityCommand())
 	return c
 }
 
--- a/bench/cmd/trial/report.go
+++ b/bench/cmd/trial/report.go
@@ -172,6 +172,11 @@
 	}
 }
 
+func sortedFloats(values []float64) []float64 {
+	slices.Sort(values)
+	return values
+}
+
 func quantile(sorted []float64, q float64) float64 {
 	if len(sorted) == 0 {
 		return 0
--- a/core/avoid.go
+++ b/core/avoid.go
@@ -30,7 +30,7 @@
 	case Members:
 		a.panel.members(m.Upstreams)
 	case Evidence:
-		a.panel.observe(m.Reporter, m.Counts)
+		a.panel.observe(m.At, m.Reporter, m.Counts)
 	case Tick:
 		a.decay(m.At)
 	}
--- a/core/judge.go
+++ b/core/judge.go
@@ -242,7 +242,7 @@
 
 func (j *Judge) take(e Evidence) []Command {
 	j.countRate(e)
-	j.panel.observe(e.Reporter, e.Counts)
+	j.panel.observe(e.At, e.Reporter, e.Counts)
 	if !j.deciding {
 		return nil
 	}
--- a/core/score.go
+++ b/core/score.go
@@ -1,6 +1,9 @@
 package core
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // The sequential test. For every upstream a cumulative sum of log-likelihood
 // ratios (CUSUM, Page 1954) asks whether it has become worse than the service's
@@ -36,6 +39,23 @@
 	steadyWeight = 0.05
 )
 
+// Bad answers that come together are one event, not many independent ones: a
+// pause of the upstream makes all slow that it has in hand. So evidence against an
+// upstream is taken at a bounded pace: some three failures, or two slow answers, in
+// a quarter of a second. Evidence for it is taken as it comes.
+const (
+	failurePace = 14.0 // In a burst, and again in every burstTime.
+	slowPace    = 4.5
+	burstTime   = 250 * time.Millisecond
+)
+
+func (a alternative) pace() float64 {
+	if a.slow {
+		return slowPace
+	}
+	return failurePace
+}
+
 // rate is a share of observations, followed quickly and steadily at once.
 type rate struct{ quick, steady float64 }
 
@@ -62,6 +82,9 @@
 	slow     rate
 	sum      tally // Of all observations.
 	scores   [len(alternatives)]float64
+	// allowed is how much each score may still rise now; it grows again with time.
+	allowed   [len(alternatives)]float64
+	allowedAt time.Time
 	// since holds every row's tally from when this upstream's score last was low,
 	// so that it is compared with the others over the same time.
 	since map[string]tally
@@ -113,7 +136,7 @@
 
 // observe takes one node's counts. All rates change first and the scores after,
 // because a failure of the whole service shows in the same counts.
-func (p *panel) observe(reporter string, counts []Count) {
+func (p *panel) observe(at time.Time, reporter string, counts []Count) {
 	for _, c := range counts {
 		if r := p.rows[c.Upstream]; r != nil {
 			r.failures.add(c.Failed, c.total())
@@ -122,6 +145,7 @@
 	}
 	for _, c := range counts {
 		if r := p.rows[c.Upstream]; r != nil && c.total() > 0 {
+			r.refill(at)
 			p.score(r, reporter, c)
 		}
 	}
@@ -136,7 +160,9 @@
 	failures, slow := p.others(r)
 	before := r.score()
 	for i, a := range alternatives {
-		r.scores[i] = max(0, r.scores[i]+evidence(a, c, failures, slow))
+		gain := min(evidence(a, c, failures, slow), r.allowed[i])
+		r.allowed[i] -= max(gain, 0)
+		r.scores[i] = max(0, r.scores[i]+gain)
 	}
 	after := r.score()
 	if after == 0 {
@@ -149,6 +175,18 @@
 	}
 }
 
+// refill lets the scores rise again as time passes.
+func (r *row) refill(at time.Time) {
+	passed := at.Sub(r.allowedAt).Seconds() / burstTime.Seconds()
+	if r.allowedAt.IsZero() {
+		passed = 1
+	}
+	r.allowedAt = at
+	for i, a := range alternatives {
+		r.allowed[i] = min(r.allowed[i]+passed*a.pace(), a.pace())
+	}
+}
+
 // evidence is the log-likelihood ratio of the counts: sick in the way of a,
 // against as healthy as the others.
 func evidence(a alternative, c Count, failures, slow float64) float64 {
