--- a/bench/cmd/trial/capacity.go
+++ b/bench/cmd/trial/capacity.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"runtime"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,8 +13,6 @@
 	"gonum.org/v1/gonum/stat"
 
 	"eiderfold/bench/fleet"
-	"eiderfold/config"
-	"eiderfold/core"
 )
 
 // point is one measurement: a quantity at a size.
@@ -337,129 +333,3 @@
 	}
 	return messages, nil
 }
-
-// inProcess measures state that needs no other process.
-func inProcess() []*slope {
-	accounts := &slope{Role: "configuration", Quantity: "heap_kb", Per: "client account", Target: targetAccounts}
-	for _, n := range []int{1000, 5000, 20_000, 50_000} {
-		accounts.add(float64(n), accountHeap(n))
-	}
-	routes := &slope{Role: "configuration", Quantity: "heap_kb", Per: "route", Target: targetRoutes}
-	for _, n := range []int{50, 100, 200, 400} {
-		routes.add(float64(n), routeHeap(n))
-	}
-	claims := &slope{Role: "coordinator", Quantity: "heap_kb", Per: "keyed operation in the window", Target: targetClaims}
-	for _, n := range []int{10_000, 50_000, 100_000, 200_000} {
-		claims.add(float64(n), heapOf(func() any { return filledClaims(n) }))
-	}
-	judge := &slope{Role: "coordinator", Quantity: "us_per_heartbeat_of_evidence", Per: "upstream with counts", Target: targetUpstreams}
-	for _, n := range []int{5, 20, 50, 100} {
-		judge.add(float64(n), judgeTime(n))
-	}
-	return []*slope{accounts, routes, claims, judge}
-}
-
-const kilobyte = 1024
-
-// heapOf returns the kilobytes that what make returns holds.
-func heapOf(make func() any) float64 {
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	kept := make()
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-	runtime.KeepAlive(kept)
-	return float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)) / kilobyte
-}
-
-const accountTemplate = `template: t
-parameters:
-  - {name: timeout, type: duration, default: 2s, min: 1ms, max: 1m}
-  - {name: office, type: text, required: true}
-services:
-  - name: s
-    upstreams: 3
-    floor: 2
-    routes:
-      - {name: r, pattern: "GET /r", operation: retryable, timeout: "${timeout}", headers: {X-Office: "${office}"}}
-`
-
-func accountHeap(n int) float64 {
-	return heapOf(func() any {
-		h := config.NewHolder()
-		shards := map[string]*config.Shard{config.TemplateKey("t"): {}}
-		shards[config.TemplateKey("t")].PutTemplate(config.Change{PublishID: "p"}, accountTemplate)
-		for i := range n {
-			name := fmt.Sprintf("municipality-%d", i)
-			key := config.AccountKey("t", name)
-			if shards[key] == nil {
-				shards[key] = &config.Shard{}
-			}
-			shards[key].PutAccount(config.Change{PublishID: fmt.Sprint(i), Publisher: "team", At: time.Unix(0, 0)}, name, map[string]string{"office": fmt.Sprint(i)})
-		}
-		for _, key := range sortedKeys(shards) {
-			value, err := shards[key].Encode()
-			if err != nil {
-				break // More accounts than a value holds; the sizes here stay under that.
-			}
-			_, _ = h.Apply(key, value)
-		}
-		return h
-	})
-}
-
-func routeHeap(n int) float64 {
-	text := "template: t\nservices:\n  - name: s\n    upstreams: 3\n    floor: 2\n    routes:\n"
-	for i := range n {
-		text += fmt.Sprintf("      - {name: r%d, pattern: \"GET /part%d/{id}\", operation: retryable}\n", i, i)
-	}
-	return heapOf(func() any {
-		t, err := config.ParseTemplate("t", []byte(text))
-		if err != nil {
-			return nil
-		}
-		return t
-	})
-}
-
-func filledClaims(n int) *core.Claims {
-	c := core.NewClaims(time.Hour)
-	at := time.Unix(1000, 0)
-	c.Update(core.TakeOver{At: at, Epoch: 1})
-	for i := range n {
-		key := core.Key{byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)}
-		c.Update(core.Claim{At: at, Key: key, Body: 1, Holder: core.Holder{Node: "node-1", Incarnation: 1, Attempt: uint64(i)}})
-	}
-	return c
-}
-
-// judgeTime returns the microseconds that one node's evidence takes.
-func judgeTime(n int) float64 {
-	const times = 2000
-	j := core.NewJudge(core.Policy{Floor: n / 2, Sensitivity: 0.01})
-	at := time.Unix(1000, 0)
-	var names []string
-	var counts []core.Count
-	for i := range n {
-		names = append(names, fmt.Sprintf("upstream-%d", i))
-		counts = append(counts, core.Count{Upstream: names[i], Fast: 1})
-	}
-	j.Update(core.Members{At: at, Upstreams: names})
-	j.Update(core.Installed{At: at})
-	started := time.Now()
-	for range times {
-		at = at.Add(time.Millisecond)
-		j.Update(core.Evidence{At: at, Reporter: "n", Counts: counts})
-	}
-	return float64(time.Since(started).Microseconds()) / times
-}
-
-func sortedKeys(m map[string]*config.Shard) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
