Slow callers and an unheard coordinator are answered at once, with a code

Cause: a caller that sent half a body was waited for without end; a claim at a coordinator that nobody heard was tried for two seconds.

--- a/bench/cmd/trial/load.go
+++ b/bench/cmd/trial/load.go
@@ -89,7 +89,7 @@
 	for !n.Running() {
 		n = l.fleet.Nodes[l.random.IntN(len(l.fleet.Nodes))]
 	}
-	return "http://" + n.Callers + "/" + account + "/" + path + "?" + query
+	return "http://" + n.Callers() + "/" + account + "/" + path + "?" + query
 }
 
 // service draws a service in proportion to its upstreams.
--- a/bench/cmd/trial/run.go
+++ b/bench/cmd/trial/run.go
@@ -39,7 +39,7 @@
 }
 
 // round is a time of the run in which something was wrong.
-type round struct{ from, detected, to time.Duration }
+type round struct{ from, to time.Duration }
 
 func runOnce(ctx context.Context, b fleet.Binaries, d *fleet.Deployment, s *scenario, policy string, seed, slot int, dir string) (*outcome, error) {
 	dir, err := os.MkdirTemp(dir, fmt.Sprintf("%s-%s-%s-%d-", d.Name, s.Name, policy, seed))
--- a/bench/cmd/trial/speed.go
+++ b/bench/cmd/trial/speed.go
@@ -98,8 +98,8 @@
 	ways := []way{
 		{"direct", "http://" + f.Upstreams[0].Address + "/get/1", http.MethodGet, false, 0},
 		{"passthrough", "http://" + address + "/get/1", http.MethodGet, false, small.PID()},
-		{"node", "http://" + node.Callers + "/account-1/get/1", http.MethodGet, false, node.PID()},
-		{"node, keyed", "http://" + node.Callers + "/account-1/post", http.MethodPost, true, node.PID()},
+		{"node", "http://" + node.Callers() + "/account-1/get/1", http.MethodGet, false, node.PID()},
+		{"node, keyed", "http://" + node.Callers() + "/account-1/post", http.MethodPost, true, node.PID()},
 	}
 	return compareWays(ways, rate, rounds, length), nil
 }
--- a/bench/e2e/faults_test.go
+++ b/bench/e2e/faults_test.go
@@ -24,7 +24,7 @@
 	pace     = 50 * time.Millisecond
 )
 
-func births(n *fleet.Node) string { return "http://" + n.Callers + "/oficina-01/births" }
+func births(n *fleet.Node) string { return "http://" + n.Callers() + "/oficina-01/births" }
 
 // sendUntilKnown repeats a keyed request until its outcome is known, as a caller
 // that is told "unknown" should.
@@ -131,7 +131,7 @@
 	sick := f.Nodes[0]
 	require.Eventually(t, func() bool {
 		for i, n := range f.Nodes {
-			got := ask(t, http.MethodGet, "http://"+n.Callers+"/oficina-01/births/118", fmt.Sprint("m", i), "", "")
+			got := ask(t, http.MethodGet, "http://"+n.Callers()+"/oficina-01/births/118", fmt.Sprint("m", i), "", "")
 			assert.Equal(t, http.StatusOK, got.status, got.body)
 		}
 		return phaseOf(t, f, sick, "certificados", "certificados-1") == "out"
@@ -239,7 +239,7 @@
 		})
 	}
 	for _, n := range f.Nodes {
-		require.NoError(t, f.Register("eiderfold-montevideo", n.Name, n.Peers, "sede-central", port.Leaving))
+		require.NoError(t, f.Register("eiderfold-montevideo", n.Name, n.Peers(), "sede-central", port.Leaving))
 		n.Stop()
 		require.NoError(t, f.Restart(t.Context(), n))
 		require.Eventually(t, func() bool { return ready(f, n) }, patience, pace)
@@ -266,7 +266,7 @@
 	var last error
 	for attempt := range 200 {
 		n := f.Nodes[(caller+i+attempt)%len(f.Nodes)]
-		r, err := http.NewRequest(http.MethodGet, "http://"+n.Callers+"/oficina-01/births/118", nil)
+		r, err := http.NewRequest(http.MethodGet, "http://"+n.Callers()+"/oficina-01/births/118", nil)
 		if err != nil {
 			return err
 		}
@@ -312,7 +312,7 @@
 	after, err := f.Dump(last)
 	require.NoError(t, err)
 	assert.Equal(t, before.Sequences, after.Sequences)
-	got := ask(t, http.MethodGet, "http://"+last.Callers+"/oficina-01/births/118", "m", "", "")
+	got := ask(t, http.MethodGet, "http://"+last.Callers()+"/oficina-01/births/118", "m", "", "")
 	assert.Equal(t, http.StatusOK, got.status, got.body)
 	assert.Equal(t, "11", ask(t, http.MethodPost, births(last), "m2", "before", "newborn").result)
 }
@@ -324,7 +324,7 @@
 	require.NoError(t, f.SetMode("certificados-2", standin.Mode{Leaving: true}))
 	require.Eventually(t, func() bool {
 		for i, n := range f.Nodes {
-			got := ask(t, http.MethodGet, "http://"+n.Callers+"/oficina-01/births/118", fmt.Sprint("m", i), "", "")
+			got := ask(t, http.MethodGet, "http://"+n.Callers()+"/oficina-01/births/118", fmt.Sprint("m", i), "", "")
 			assert.Equal(t, http.StatusOK, got.status, got.body)
 		}
 		for _, n := range f.Nodes {
--- a/bench/e2e/path_test.go
+++ b/bench/e2e/path_test.go
@@ -119,19 +119,19 @@
 func TestWholePath(t *testing.T) {
 	f := startFleet(t, small(t), fleet.Options{Linked: true})
 	for i, n := range f.Nodes {
-		got := ask(t, http.MethodGet, "http://"+n.Callers+"/oficina-01/births/118", fmt.Sprintf("look-%d", i), "", "")
+		got := ask(t, http.MethodGet, "http://"+n.Callers()+"/oficina-01/births/118", fmt.Sprintf("look-%d", i), "", "")
 		require.NoError(t, got.err)
 		assert.Equal(t, http.StatusOK, got.status, got.body)
 	}
-	first := ask(t, http.MethodPost, "http://"+f.Nodes[0].Callers+"/oficina-01/births", "mark-1", "key-1", "newborn")
+	first := ask(t, http.MethodPost, "http://"+f.Nodes[0].Callers()+"/oficina-01/births", "mark-1", "key-1", "newborn")
 	require.NoError(t, first.err)
 	assert.Equal(t, "10", first.result, first.body)
 	for _, n := range f.Nodes {
-		again := ask(t, http.MethodPost, "http://"+n.Callers+"/oficina-01/births", "mark-2", "key-1", "newborn")
+		again := ask(t, http.MethodPost, "http://"+n.Callers()+"/oficina-01/births", "mark-2", "key-1", "newborn")
 		require.NoError(t, again.err)
 		assert.Equal(t, "11", again.result, again.body)
 		assert.Equal(t, first.body, again.body)
-		other := ask(t, http.MethodPost, "http://"+n.Callers+"/oficina-01/births", "mark-3", "key-1", "somebody else")
+		other := ask(t, http.MethodPost, "http://"+n.Callers()+"/oficina-01/births", "mark-3", "key-1", "somebody else")
 		assert.Equal(t, "25", other.result, other.body)
 	}
 	assert.Equal(t, 1, starts(t, f, "key-1"))
@@ -161,7 +161,7 @@
 	require.NoError(t, err, output)
 	assert.Contains(t, output, "in force on 3 of 3 nodes")
 	for _, n := range f.Nodes {
-		got := ask(t, http.MethodGet, "http://"+n.Callers+"/oficina-99/births/1", "m", "", "")
+		got := ask(t, http.MethodGet, "http://"+n.Callers()+"/oficina-99/births/1", "m", "", "")
 		assert.Equal(t, http.StatusOK, got.status, got.body)
 	}
 	output, err = f.Control(1, "account", "set", "montevideo", "oficina-99", "lookup_timeout=1h")
--- a/bench/fleet/control.go
+++ b/bench/fleet/control.go
@@ -23,7 +23,7 @@
 // Control runs eiderctl against a node.
 func (f *Fleet) Control(node int, arguments ...string) (string, error) {
 	c := exec.Command(f.binaries.Control, arguments...)
-	c.Env = append(os.Environ(), "EIDERCTL_ADDRESS=http://"+f.Nodes[node].Admin, "EIDERCTL_TOKEN="+f.token)
+	c.Env = append(os.Environ(), "EIDERCTL_ADDRESS=http://"+f.Nodes[node].Admin(), "EIDERCTL_TOKEN="+f.token)
 	output, err := c.CombinedOutput()
 	return string(output), err
 }
@@ -70,7 +70,7 @@
 // Dump asks a node for its state.
 func (f *Fleet) Dump(n *Node) (node.Dump, error) {
 	var d node.Dump
-	r, err := http.NewRequest(http.MethodGet, "http://"+n.Admin+"/v1/dump", nil)
+	r, err := http.NewRequest(http.MethodGet, "http://"+n.Admin()+"/v1/dump", nil)
 	if err != nil {
 		return d, err
 	}
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -66,18 +67,46 @@
 	Log string
 }
 
-// Node is a running node.
+// Node is a node of the fleet. Its process and addresses change when it is
+// restarted, while a load reads them.
 type Node struct {
-	*Process
-	Name    string
-	IP      string
-	Callers string
-	Admin   string
-	Peers   string // As the platform lists it.
-	centre  string
-	file    string
+	Name   string
+	IP     string
+	centre string
+	file   string
+	now    atomic.Pointer[place]
+}
+
+// place is one process of a node.
+type place struct {
+	process               *Process
+	callers, admin, peers string
 }
 
+// Callers returns the IP:port for callers.
+func (n *Node) Callers() string { return n.now.Load().callers }
+
+// Admin returns the IP:port of the admin API.
+func (n *Node) Admin() string { return n.now.Load().admin }
+
+// Peers returns the IP:port for other nodes, as the platform lists it.
+func (n *Node) Peers() string { return n.now.Load().peers }
+
+// PID returns the process id.
+func (n *Node) PID() int { return n.now.Load().process.PID() }
+
+// Running reports whether the node's process has not ended.
+func (n *Node) Running() bool { return n.now.Load().process.Running() }
+
+// Signal sends the node's process a signal.
+func (n *Node) Signal(s os.Signal) error { return n.now.Load().process.Signal(s) }
+
+// Kill ends the node's process at once.
+func (n *Node) Kill() { n.now.Load().process.Kill() }
+
+// Stop ends the node's process by plan.
+func (n *Node) Stop() { n.now.Load().process.Stop() }
+
 // Upstream is a running stand-in.
 type Upstream struct {
 	*Process
@@ -225,18 +254,20 @@
 	if err != nil {
 		return err
 	}
-	n.Process = p
 	found, err := p.wait(ctx)
 	if err != nil {
+		p.Kill()
 		return err
 	}
-	n.Callers, n.Admin, n.Peers = found["callers"], found["admin"], found["peers"]
+	peers := found["peers"]
 	if f.options.Linked {
-		if n.Peers, err = f.link(standin.Link{Name: n.Name, Network: "udp", Listen: "127.0.0.1:0", Target: n.Peers}); err != nil {
+		if peers, err = f.link(standin.Link{Name: n.Name, Network: "udp", Listen: "127.0.0.1:0", Target: peers}); err != nil {
+			p.Kill()
 			return err
 		}
 	}
-	return f.Register(node.NodeList(f.Deployment.Name), n.Name, n.Peers, n.centre, port.Live)
+	n.now.Store(&place{p, found["callers"], found["admin"], peers})
+	return f.Register(node.NodeList(f.Deployment.Name), n.Name, peers, n.centre, port.Live)
 }
 
 // Restart runs a node again that has ended.
@@ -270,7 +301,7 @@
 func (f *Fleet) seeds() []string {
 	seeds := []string{}
 	for _, n := range f.Nodes {
-		seeds = append(seeds, n.Peers)
+		seeds = append(seeds, n.Peers())
 	}
 	return seeds
 }
@@ -328,9 +359,7 @@
 // Close ends every process.
 func (f *Fleet) Close() {
 	for _, n := range f.Nodes {
-		if n.Process != nil {
-			n.Kill()
-		}
+		n.Kill()
 	}
 	for _, u := range f.Upstreams {
 		if u.Process != nil {
--- a/node/operations.go
+++ b/node/operations.go
@@ -122,13 +122,14 @@
 func (g *Group) claim(ctx context.Context, c *peer.Claim) (core.Answer, error) {
 	for try := 0; ; try++ {
 		g.mu.Lock()
-		leading, address := g.leading(), g.leaderAddress()
+		leading, address, unheard := g.leading(), g.leaderAddress(), time.Since(g.heard)
 		g.mu.Unlock()
 		if leading {
 			return *g.answerClaim(g.node.identity, c), nil
 		}
-		if address == "" {
-			return core.Answer{}, errors.New("no coordinator is known")
+		if address == "" || unheard > claimTimeout {
+			// The caller is told at once, rather than after another time-out.
+			return core.Answer{}, errors.New("no coordinator is heard")
 		}
 		call, cancel := context.WithTimeout(ctx, claimTimeout)
 		reply, err := g.node.call(call, address, &peer.Request{Template: g.template, Claim: c})
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -4,11 +4,14 @@
 	"expvar"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"eiderfold/config"
 	"eiderfold/result"
 )
@@ -171,15 +174,24 @@
 		c.stream = body
 		return nil
 	}
+	// A recorder in a test has no connection to set a deadline on; a real one has.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(c.deadline)
 	text, err := io.ReadAll(body)
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		c.body = text
 		return nil
 	}
-	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
 		return result.New(result.BodyTooLarge, "the body is over the limit")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.New(result.SlowCaller, "the body did not come in time")
+	default:
+		return result.New(result.CallerGone, "the caller's body broke off")
 	}
-	return result.New(result.CallerGone, "the caller's body broke off")
 }
 
 func (h *Handler) refuse(w http.ResponseWriter, e *result.Error) {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -234,6 +234,20 @@
 	}
 }
 
+// TestSlowCaller sends a part of a body and no more.
+func TestSlowCaller(t *testing.T) {
+	b := newBed(t, "127.0.0.1:1")
+	c, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close() //nolint:errcheck // Only read from.
+	_, err = io.WriteString(c, "POST /a/post HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\nEiderfold-Timeout: 50ms\r\n\r\nhalf")
+	require.NoError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	_ = answer.Body.Close()
+	assert.Equal(t, "24", answer.Header.Get(result.Header))
+}
+
 // TestRetriesAreBounded lets every upstream fail: the work is at most the stated
 // bound, however many requests there are.
 func TestRetriesAreBounded(t *testing.T) {
--- a/result/result.go
+++ b/result/result.go
@@ -46,6 +46,7 @@
 	NoRoute            Code = 21
 	BodyTooLarge       Code = 22
 	BadRequest         Code = 23
+	SlowCaller         Code = 24
 	KeyReused          Code = 25
 	NoConfiguration    Code = 30
 	Overloaded         Code = 31
@@ -88,6 +89,7 @@
 	NoRoute:            {"no-route", http.StatusNotFound, NotRun, "the template has no route for this method and path"},
 	BodyTooLarge:       {"body-too-large", http.StatusRequestEntityTooLarge, NotRun, "the body is over the limit of the settings"},
 	BadRequest:         {"bad-request", http.StatusBadRequest, NotRun, "a header of ours cannot be read"},
+	SlowCaller:         {"slow-caller", http.StatusRequestTimeout, NotRun, "the body did not come within the deadline; nothing was sent"},
 	KeyReused:          {"key-reused", http.StatusUnprocessableEntity, NotRun, "the Idempotency-Key names an operation with another body"},
 	NoConfiguration:    {"no-configuration", http.StatusServiceUnavailable, NotRun, "the node holds no configuration yet"},
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, NotRun, "no slot comes free within the deadline"},
