--- a/bench/cmd/trial/load.go
+++ b/bench/cmd/trial/load.go
@@ -85,9 +85,13 @@
 
 // at puts a request to some node that runs.
 func (l *load) at(account, path, query string) string {
-	n := l.fleet.Nodes[l.random.IntN(len(l.fleet.Nodes))]
-	for !n.Running() {
-		n = l.fleet.Nodes[l.random.IntN(len(l.fleet.Nodes))]
+	nodes := l.fleet.Nodes
+	n := nodes[l.random.IntN(len(nodes))]
+	for range len(nodes) { // None may run any more when a trial is ended early.
+		if n.Running() {
+			break
+		}
+		n = nodes[l.random.IntN(len(nodes))]
 	}
 	return "http://" + n.Callers() + "/" + account + "/" + path + "?" + query
 }
--- a/bench/cmd/trial/run.go
+++ b/bench/cmd/trial/run.go
@@ -166,6 +166,11 @@
 		go r.disturbNode(ctx, r.fleet.Nodes[i%len(r.fleet.Nodes)])
 	}
 	for _, v := range victims {
+		if r.scenario.Replace {
+			if err := r.fleet.ReplaceUpstream(ctx, v); err != nil {
+				return err
+			}
+		}
 		if err := r.fleet.SetMode(v, r.scenario.Mode.mode()); err != nil {
 			return err
 		}
@@ -210,7 +215,7 @@
 			rules = append(rules, standin.Rule{From: from, To: to, CutOut: cut.CutOut, CutIn: cut.CutIn, Reset: cut.Reset, Delay: cut.Delay, Half: cut.Half})
 		}
 	}
-	return r.fleet.SetRules(rules)
+	return r.fleet.SetRules(append(rules, r.fleet.CutOff(r.scenario.DataCentre)...))
 }
 
 func (r *runner) end(_ context.Context, _ int, victims []string) error {
--- a/bench/cmd/trial/scenario.go
+++ b/bench/cmd/trial/scenario.go
@@ -33,6 +33,10 @@
 	Blameless bool `yaml:"blameless"`
 	// Platform is what is wrong with the platform during the rounds.
 	Platform platformFile `yaml:"platform"`
+	// DataCentre is cut off from all others during the rounds.
+	DataCentre string `yaml:"data_centre"`
+	// Replace kills the victims and starts them again, cold.
+	Replace bool `yaml:"replace"`
 	// Node is done to nodes in turn, one a round: kill, stop or pause.
 	Node string `yaml:"node"`
 }
@@ -46,6 +50,7 @@
 	Shed       bool          `yaml:"shed"`
 	Leaving    bool          `yaml:"leaving"`
 	BadCaller  string        `yaml:"bad_caller"`
+	Cold       time.Duration `yaml:"cold"`
 }
 
 // linkCut bends links of one node: to the round's victims or to other nodes.
@@ -78,7 +83,7 @@
 func (m modeFile) mode() standin.Mode {
 	return standin.Mode{
 		FailShare: m.FailShare, SlowFactor: m.SlowFactor, Hang: m.Hang, Cut: m.Cut,
-		FlapPeriod: m.FlapPeriod, Shed: m.Shed, Leaving: m.Leaving, BadCaller: m.BadCaller,
+		FlapPeriod: m.FlapPeriod, Shed: m.Shed, Leaving: m.Leaving, BadCaller: m.BadCaller, Cold: m.Cold,
 	}
 }
 
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -219,6 +219,13 @@
 	return f.Register(u.Service, u.Name, u.Listed, u.centre, port.Live)
 }
 
+// ReplaceUpstream kills an upstream and starts another one under its name.
+func (f *Fleet) ReplaceUpstream(ctx context.Context, name string) error {
+	u := f.Upstream(name)
+	u.Kill()
+	return f.startUpstream(ctx, u)
+}
+
 func (f *Fleet) centre(i int) string {
 	return f.Deployment.DataCentres[i%len(f.Deployment.DataCentres)]
 }
@@ -324,6 +331,26 @@
 	return rules
 }
 
+// CutOff returns rules that cut a data centre off from all others, both ways; none
+// for an empty name.
+func (f *Fleet) CutOff(centre string) []standin.Rule {
+	var rules []standin.Rule
+	cut := func(n *Node, to, toCentre string) {
+		if centre != "" && (n.centre == centre) != (toCentre == centre) {
+			rules = append(rules, standin.Rule{From: n.IP, To: to, CutOut: true, CutIn: true})
+		}
+	}
+	for _, n := range f.Nodes {
+		for _, u := range f.Upstreams {
+			cut(n, u.Name, u.centre)
+		}
+		for _, m := range f.Nodes {
+			cut(n, m.Name, m.centre)
+		}
+	}
+	return rules
+}
+
 // publish puts the template and its accounts in force through a node's admin API.
 func (f *Fleet) publish() error {
 	if output, err := f.Control(0, "template", "publish", f.Deployment.source); err != nil {
--- a/node/dump.go
+++ b/node/dump.go
@@ -2,7 +2,7 @@
 
 import (
 	"expvar"
-	"runtime"
+	"runtime/metrics"
 	"time"
 
 	"eiderfold/core"
@@ -54,10 +54,12 @@
 	InFlight int     `json:"in_flight"`
 }
 
+const heapMetric = "/memory/classes/heap/objects:bytes"
+
 // Dump returns the state of this node.
 func (n *Node) Dump() Dump {
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
+	heap := []metrics.Sample{{Name: heapMetric}} // Unlike ReadMemStats it stops nothing.
+	metrics.Read(heap)
 	snapshot := n.holder.Now()
 	d := Dump{
 		Node:        n.identity.Node,
@@ -66,7 +68,7 @@
 		Sequences:   snapshot.Sequences(),
 		Accounts:    snapshot.Accounts(),
 		Groups:      map[string]GroupDump{},
-		HeapBytes:   memory.HeapAlloc,
+		HeapBytes:   heap[0].Value.Uint64(),
 	}
 	d.SentBytes, d.Received = n.peers.Traffic()
 	for name, g := range n.groups {
