--- a/bench/cmd/trial/capacity.go
+++ b/bench/cmd/trial/capacity.go
@@ -242,6 +242,7 @@
 func (m *meter) byNodes(ctx context.Context) ([]*slope, error) {
 	all, add := roles("node of the group", targetNodes)
 	force := &slope{Role: "configuration", Quantity: "ms_until_in_force_everywhere_max", Per: "node of the group", Target: targetNodes}
+	starts := &slope{Role: "group", Quantity: "platform_calls_per_restart", Per: "node of the group", Target: targetNodes}
 	for _, n := range m.nodes {
 		f, err := m.start(ctx, fleet.Shape{Nodes: n, Upstreams: fixedUpstreams, Slots: 9, Work: loadedWork, Accounts: someAccounts})
 		if err != nil {
@@ -254,12 +255,40 @@
 			worst, err = m.publish(f)
 			force.add(float64(n), worst)
 		}
+		if err == nil {
+			var calls float64
+			calls, err = m.restart(ctx, f)
+			starts.add(float64(n), calls)
+		}
 		f.Close()
 		if err != nil {
 			return nil, err
 		}
 	}
-	return append(all, force), nil
+	return append(all, force, starts), nil
+}
+
+// restart kills a node that does not coordinate, runs it again, and returns how
+// many calls of the platform that took.
+func (m *meter) restart(ctx context.Context, f *fleet.Fleet) (float64, error) {
+	n := f.Nodes[0]
+	if n == f.Coordinator() {
+		n = f.Nodes[1]
+	}
+	before, err := f.PlatformCounts()
+	if err != nil {
+		return 0, err
+	}
+	n.Kill()
+	if err := f.Restart(ctx, n); err != nil {
+		return 0, err
+	}
+	if err := f.WaitReady(ctx); err != nil {
+		return 0, err
+	}
+	time.Sleep(settleTime)
+	after, err := f.PlatformCounts()
+	return float64(after.Reads + after.Watches + after.Writes - before.Reads - before.Watches - before.Writes), err
 }
 
 // publish changes accounts one after the other and returns the longest time, in
--- a/core/judge.go
+++ b/core/judge.go
@@ -37,6 +37,7 @@
 // Bounds of the test.
 const (
 	leastPerDay  = 1_000
+	firstPerDay  = 1_000_000 // Before it has been measured; a high one is careful.
 	mostPerDay   = 100_000_000
 	singleShare  = 0.6 // What one reporter alone can bring of the threshold.
 	trialAccept  = -6.0
@@ -113,7 +114,7 @@
 
 // NewJudge returns a judge that does not decide until it is installed.
 func NewJudge(p Policy) *Judge {
-	return &Judge{panel: newPanel(), policy: p, states: map[string]*standing{}, perDay: leastPerDay}
+	return &Judge{panel: newPanel(), policy: p, states: map[string]*standing{}, perDay: firstPerDay}
 }
 
 // SetPolicy changes the policy in force.
