An adopted operation keeps its holder's name

Cause: a stopping node's operations took numbers of the node that adopted them, and could be taken for that node's own attempts, which it had given up: a claim in flight could then free a key that had started.

--- a/core/ledger.go
+++ b/core/ledger.go
@@ -54,10 +54,12 @@
 }
 
 // Inquire asks on behalf of another node. It stops an attempt that has not
-// started from ever starting.
+// started from ever starting. Own says that the holder is this process, and not
+// one whose memory this one adopted.
 type Inquire struct {
 	Key    Key
 	Holder Holder
+	Own    bool
 }
 
 // Look asks how far an operation of this node is, and changes nothing.
@@ -108,11 +110,11 @@
 
 // Entry is one operation of a ledger on its way to another node.
 type Entry struct {
-	Key     Key       `cbor:"1,keyasint"`
-	Body    uint64    `cbor:"2,keyasint"`
-	Attempt uint64    `cbor:"3,keyasint"`
-	Stage   Stage     `cbor:"4,keyasint"`
-	Answer  *Recorded `cbor:"5,keyasint,omitempty"`
+	Key    Key       `cbor:"1,keyasint"`
+	Body   uint64    `cbor:"2,keyasint"`
+	Holder Holder    `cbor:"3,keyasint"`
+	Stage  Stage     `cbor:"4,keyasint"`
+	Answer *Recorded `cbor:"5,keyasint,omitempty"`
 }
 
 // Report is what the ledger says of an operation.
@@ -144,6 +146,7 @@
 	number  uint64
 	stage   Stage
 	answer  *Recorded
+	foreign Holder // Who held it, if the entry was adopted; zero for this process.
 	expires time.Time
 }
 
@@ -191,9 +194,9 @@
 	return Report{}
 }
 
-// Entries lists everything that started here, for the node that takes over the
-// memory of a stopping one. Call it when nothing runs any more.
-func (l *Ledger) Entries() []Entry {
+// Entries lists everything that started here or was adopted, for the node that
+// takes over the memory of a stopping one. Call it when nothing runs any more.
+func (l *Ledger) Entries(self Holder) []Entry {
 	entries := make([]Entry, 0, len(l.entries))
 	for k, e := range l.entries {
 		if e.stage == Claiming || e.stage == NotStarted {
@@ -203,7 +206,7 @@
 		if stage == Running {
 			stage = Uncertain // The node stops without knowing.
 		}
-		entries = append(entries, Entry{Key: k, Body: e.body, Attempt: e.number, Stage: stage, Answer: e.answer})
+		entries = append(entries, Entry{Key: k, Body: e.body, Holder: e.holder(self), Stage: stage, Answer: e.answer})
 	}
 	return entries
 }
@@ -218,21 +221,34 @@
 }
 
 // Holdings says of a ledger's entries who held them, for the coordinator.
-func Holdings(entries []Entry, by Holder) []Held {
+func Holdings(entries []Entry) []Held {
 	held := make([]Held, 0, len(entries))
 	for _, e := range entries {
-		by.Attempt = e.Attempt
-		held = append(held, Held{Key: e.Key, Body: e.Body, Holder: by})
+		held = append(held, Held{Key: e.Key, Body: e.Body, Holder: e.Holder})
 	}
 	return held
 }
 
+// Adopted lists the processes whose memory this one has.
+func (l *Ledger) Adopted() []Holder {
+	seen := map[Holder]bool{}
+	var from []Holder
+	for _, e := range l.entries {
+		h := Holder{Node: e.foreign.Node, Incarnation: e.foreign.Incarnation}
+		if h != (Holder{}) && !seen[h] {
+			seen[h] = true
+			from = append(from, h)
+		}
+	}
+	return from
+}
+
 func (l *Ledger) adopt(m Adopt) {
 	for _, n := range m.Entries {
 		if e := l.entries[n.Key]; e != nil && e.stage != NotStarted && e.stage != Claiming {
 			continue // This node's own run; an attempt that only claims gives way.
 		}
-		e := &attempt{body: n.Body, number: n.Attempt, stage: n.Stage, expires: m.At.Add(l.window)}
+		e := &attempt{body: n.Body, foreign: n.Holder, stage: n.Stage, expires: m.At.Add(l.window)}
 		l.entries[n.Key] = e
 		l.order = append(l.order, expiry{n.Key, e.expires})
 		if n.Answer != nil {
@@ -333,11 +349,22 @@
 
 func (l *Ledger) inquire(m Inquire) Report {
 	e := l.entries[m.Key]
-	if e == nil || e.number < m.Holder.Attempt {
+	if e == nil {
 		return Report{}
 	}
-	if e.number > m.Holder.Attempt {
-		// An attempt only begins when all before it are known not to have started.
+	if !m.Own {
+		if e.foreign != m.Holder {
+			return Report{}
+		}
+		return e.report(true)
+	}
+	adopted := e.foreign != (Holder{})
+	if !adopted && e.number < m.Holder.Attempt {
+		return Report{}
+	}
+	if adopted || e.number > m.Holder.Attempt {
+		// An attempt only begins when all before it are known not to have started,
+		// and an adopted entry only takes the place of one that has not.
 		return Report{Stage: NotStarted, Attempt: m.Holder.Attempt, Body: e.body, Accepted: true}
 	}
 	if e.stage == Claiming {
@@ -362,12 +389,19 @@
 		if e.stage == Claiming || e.stage == NotStarted {
 			continue
 		}
-		h := Holder{Node: self.Node, Incarnation: self.Incarnation, Attempt: e.number}
-		held = append(held, Held{Key: k, Body: e.body, Holder: h})
+		held = append(held, Held{Key: k, Body: e.body, Holder: e.holder(self)})
 	}
 	return append(held, l.Witnessed()...)
 }
 
+// holder returns who held the operation, under its own name.
+func (e *attempt) holder(self Holder) Holder {
+	if e.foreign != (Holder{}) {
+		return e.foreign
+	}
+	return Holder{Node: self.Node, Incarnation: self.Incarnation, Attempt: e.number}
+}
+
 func (e *attempt) report(accepted bool) Report {
 	return Report{Stage: e.stage, Attempt: e.number, Body: e.body, Answer: e.answer, Accepted: accepted}
 }
--- a/core/operation.go
+++ b/core/operation.go
@@ -54,6 +54,7 @@
 	Verdict Verdict `cbor:"1,keyasint"`
 	Epoch   uint64  `cbor:"2,keyasint"`
 	Holder  Holder  `cbor:"3,keyasint,omitempty"`
+	Where   string  `cbor:"4,keyasint,omitempty"` // With HeldBy: the node that has the holder's memory.
 }
 
 // Held is a granted operation as its holder, or a witness, knows it.
@@ -248,7 +249,7 @@
 	// whose answer was lost, and not one that gave its right back unused.
 	e.holders = slices.DeleteFunc(e.holders, func(h Holder) bool { return h == m.Holder || m.Instead.covers(h) })
 	if len(e.holders) > 0 {
-		return Answer{Verdict: HeldBy, Epoch: c.epoch, Holder: c.whereabouts(e.holders[0])}
+		return Answer{Verdict: HeldBy, Epoch: c.epoch, Holder: e.holders[0], Where: c.whereabouts(e.holders[0])}
 	}
 	e.holders = append(e.holders, m.Holder)
 	if c.unsure(m.At, m.Born) {
@@ -276,16 +277,18 @@
 	return born.IsZero() || !born.After(lostAt.Add(2*KeySkew))
 }
 
-// whereabouts follows a holder that stopped by plan to who has its memory now.
-func (c *Claims) whereabouts(h Holder) Holder {
+// whereabouts follows a holder that stopped by plan to the node that has its
+// memory now.
+func (c *Claims) whereabouts(h Holder) string {
+	at := Holder{Node: h.Node, Incarnation: h.Incarnation}
 	for range len(c.moved) {
-		to, ok := c.moved[Holder{Node: h.Node, Incarnation: h.Incarnation}]
+		to, ok := c.moved[at]
 		if !ok {
 			break
 		}
-		h = Holder{Node: to.Node, Incarnation: to.Incarnation, Attempt: h.Attempt}
+		at = Holder{Node: to.Node, Incarnation: to.Incarnation}
 	}
-	return h
+	return at.Node
 }
 
 func (c *Claims) remember(k Key, body uint64, h Holder, at time.Time) {
--- a/core/operation_test.go
+++ b/core/operation_test.go
@@ -198,7 +198,7 @@
 			m.permit(n, k, h, answer.Epoch)
 		case HeldBy:
 			n.ledger.Update(GiveUp{Key: modelKey(k), Attempt: h.Attempt})
-			m.inquire(at, k, answer.Holder)
+			m.inquire(at, k, answer.Holder, answer.Where)
 		default:
 			n.ledger.Update(GiveUp{Key: modelKey(k), Attempt: h.Attempt})
 		}
@@ -251,10 +251,15 @@
 	})
 }
 
-func (m *model) inquire(at, k int, of Holder) {
+func (m *model) inquire(at, k int, of Holder, where string) {
 	m.send("inquire", func() {
 		stage := Absent
-		m.alive(of, func(n *modelNode) { stage = n.ledger.Update(Inquire{Key: modelKey(k), Holder: of}).Stage })
+		for i, n := range m.nodes {
+			if fmt.Sprint(i) == where {
+				own := of.Node == where && of.Incarnation == n.incarnation
+				stage = n.ledger.Update(Inquire{Key: modelKey(k), Holder: of, Own: own}).Stage
+			}
+		}
 		if stage != NotStarted {
 			return
 		}
@@ -365,9 +370,13 @@
 		if o.crashed || o.born >= took {
 			lost = m.now.Add(modelWindow)
 		}
+		adopted, by := o.ledger.Adopted(), m.holder(other, 0)
 		m.send("collected", func() {
 			n := m.nodes[at]
 			if n.leads && n.claims.epoch == epoch && n.incarnation == run {
+				for _, from := range adopted {
+					n.claims.Update(Moved{From: from, To: by})
+				}
 				n.claims.Update(Collected{At: m.now, Node: fmt.Sprint(other), Held: held, Lost: lost, Complete: complete})
 			}
 		})
@@ -412,15 +421,15 @@
 		heir = m.assigned
 	}
 	was, next, leader := m.nodes[at], m.nodes[heir], m.nodes[m.assigned]
-	entries := was.ledger.Entries()
-	next.ledger.Update(Adopt{At: m.now, Entries: entries})
 	from, to := m.holder(at, 0), m.holder(heir, 0)
+	entries := was.ledger.Entries(from)
+	next.ledger.Update(Adopt{At: m.now, Entries: entries})
 	others := append(was.ledger.Witnessed(), was.claims.Held()...)
 	for _, h := range others {
 		next.ledger.Update(Witness{At: m.now, Held: h})
 	}
 	// The coordinator may have asked the heir before, and this node not yet.
-	leader.claims.Update(Collected{At: m.now, Held: append(Holdings(entries, from), others...)})
+	leader.claims.Update(Collected{At: m.now, Held: append(Holdings(entries), others...)})
 	leader.claims.Update(Moved{From: from, To: to})
 	m.nodes[at] = &modelNode{
 		incarnation: was.incarnation + 1,
--- a/node/operations.go
+++ b/node/operations.go
@@ -79,7 +79,7 @@
 			return nil, nil, unconfirmed("a new coordinator is still asking the nodes")
 		case core.HeldBy:
 			g.giveUp(key, r.Attempt)
-			recorded, free, refused := g.ask(ctx, key, answer.Holder)
+			recorded, free, refused := g.ask(ctx, key, answer)
 			if !free {
 				return nil, recorded, refused
 			}
@@ -215,9 +215,9 @@
 
 // ask finds out what became of an operation that another attempt holds. free says
 // that the attempt never started, and now never will.
-func (g *Group) ask(ctx context.Context, key core.Key, h core.Holder) (recorded *core.Recorded, free bool, refused *result.Error) {
+func (g *Group) ask(ctx context.Context, key core.Key, a core.Answer) (recorded *core.Recorded, free bool, refused *result.Error) {
 	for {
-		reply, err := g.inquire(ctx, key, h)
+		reply, err := g.inquire(ctx, key, a)
 		if err != nil {
 			return nil, false, result.New(result.OutcomeUnknown, "the node that ran it cannot be asked").WithRetryAfter(comeBack)
 		}
@@ -234,13 +234,13 @@
 	}
 }
 
-func (g *Group) inquire(ctx context.Context, key core.Key, h core.Holder) (*peer.Inquired, error) {
-	i := &peer.Inquire{Key: key, Holder: h}
-	if h.Node == g.node.identity.Node {
+func (g *Group) inquire(ctx context.Context, key core.Key, a core.Answer) (*peer.Inquired, error) {
+	i := &peer.Inquire{Key: key, Holder: a.Holder}
+	if a.Where == g.node.identity.Node {
 		return g.answerInquire(i), nil
 	}
 	g.mu.Lock()
-	address := g.addressOf(h.Node)
+	address := g.addressOf(a.Where)
 	g.mu.Unlock()
 	if address == "" {
 		return nil, errors.New("the node is gone")
--- a/node/peers.go
+++ b/node/peers.go
@@ -190,6 +190,7 @@
 		return &peer.Collected{}
 	}
 	reply := &peer.Collected{Promised: true, Held: g.ledger.Held(g.holder(0)), Nodes: g.roster.Nodes, Previous: g.answered}
+	reply.Adopted, reply.By = g.ledger.Adopted(), g.holder(0)
 	g.answered = c.Epoch
 	reply.Age = int64(time.Since(g.node.born))
 	if g.leading() && g.lead.epoch < c.Epoch {
@@ -224,10 +225,8 @@
 func (g *Group) answerInquire(i *peer.Inquire) *peer.Inquired {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if i.Holder.Incarnation != g.node.identity.Incarnation {
-		return &peer.Inquired{Stage: core.Absent}
-	}
-	r := g.ledger.Update(core.Inquire{Key: i.Key, Holder: i.Holder})
+	own := i.Holder.Node == g.node.identity.Node && i.Holder.Incarnation == g.node.identity.Incarnation
+	r := g.ledger.Update(core.Inquire{Key: i.Key, Holder: i.Holder, Own: own})
 	return &peer.Inquired{Stage: r.Stage, Answer: r.Answer}
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -107,9 +107,9 @@
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	g.mu.Lock()
-	entries, coordinator, address := g.ledger.Entries(), g.leader.Node, g.leaderAddress()
+	entries, coordinator, address := g.ledger.Entries(g.holder(0)), g.leader.Node, g.leaderAddress()
 	held := append(g.ledger.Witnessed(), g.claims.Held()...)
-	all := append(core.Holdings(entries, g.holder(0)), held...)
+	all := append(core.Holdings(entries), held...)
 	g.mu.Unlock()
 	for _, m := range heirsFirst(g.others(), coordinator) {
 		next, ok := g.candidate(ctx, m, 0)
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -57,6 +57,9 @@
 	}
 	g.claims.Update(core.TakeOver{At: now, Epoch: epoch, From: from, Lost: lost})
 	own := g.ledger.Held(g.holder(0))
+	for _, from := range g.ledger.Adopted() {
+		g.claims.Update(core.Moved{From: from, To: g.holder(0)})
+	}
 	g.claims.Update(core.Collected{At: now, Node: g.node.identity.Node, Held: own})
 	if second {
 		go g.secondOwn(ctx, epoch, own)
@@ -149,6 +152,9 @@
 		// process without that coordinator's noticing.
 		lost = now.Add(g.window)
 	}
+	for _, from := range c.Adopted {
+		g.claims.Update(core.Moved{From: from, To: c.By})
+	}
 	g.claims.Update(core.Collected{At: now, Node: node, Held: c.Held, Lost: lost, Complete: c.Complete})
 	g.lead.confirmed = now
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -152,13 +152,17 @@
 
 // Collected is a node's promise with what it holds.
 type Collected struct {
-	Promised   bool        `cbor:"1,keyasint"`
-	Held       []core.Held `cbor:"2,keyasint,omitempty"`
-	Nodes      []Member    `cbor:"3,keyasint,omitempty"` // Whom the node knew of.
-	CrashedAgo int64       `cbor:"4,keyasint,omitempty"`
-	Age        int64       `cbor:"5,keyasint,omitempty"` // Nanoseconds since the process started.
-	Previous   uint64      `cbor:"7,keyasint,omitempty"` // Epoch of the last promise before, by this process.
-	Complete   bool        `cbor:"6,keyasint,omitempty"` // The node is the last coordinator, and this is all.
+	Promised bool        `cbor:"1,keyasint"`
+	Held     []core.Held `cbor:"2,keyasint,omitempty"`
+	Nodes    []Member    `cbor:"3,keyasint,omitempty"` // Whom the node knew of.
+
+	// Adopted lists the processes whose memory the node has, and By is the node.
+	Adopted    []core.Holder `cbor:"8,keyasint,omitempty"`
+	By         core.Holder   `cbor:"9,keyasint,omitempty"`
+	CrashedAgo int64         `cbor:"4,keyasint,omitempty"`
+	Age        int64         `cbor:"5,keyasint,omitempty"` // Nanoseconds since the process started.
+	Previous   uint64        `cbor:"7,keyasint,omitempty"` // Epoch of the last promise before, by this process.
+	Complete   bool          `cbor:"6,keyasint,omitempty"` // The node is the last coordinator, and this is all.
 }
 
 // Witness asks a node to remember grants that would otherwise be in one memory:
