--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -52,7 +52,7 @@
 
 func (b *bed) Finish(stage core.Stage, _ *core.Recorded) { b.ends.Store(&stage) }
 
-func newBed(t *testing.T, addresses ...string) *bed {
+func newBed(t testing.TB, addresses ...string) *bed {
 	t.Helper()
 	holder, template, accounts := config.NewHolder(), &config.Shard{}, &config.Shard{}
 	template.PutTemplate(config.Change{PublishID: "a"}, testTemplate)
@@ -356,3 +356,31 @@
 	}
 	assert.InDelta(t, 0.05, float64(above)/float64(total), 0.02)
 }
+
+// BenchmarkLookup counts what a request costs inside the node, client and upstream
+// included.
+func BenchmarkLookup(b *testing.B) {
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }))
+	defer good.Close()
+	bed := newBed(b, good.Listener.Addr().String())
+	load(b, bed.server.URL+"/a/get/1")
+}
+
+// BenchmarkDirect is the same without a node.
+func BenchmarkDirect(b *testing.B) {
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }))
+	defer good.Close()
+	load(b, good.URL)
+}
+
+func load(b *testing.B, url string) {
+	b.ReportAllocs()
+	for range b.N {
+		answer, err := http.Get(url)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+	}
+}
