--- a/bench/cmd/trial/speed.go
+++ b/bench/cmd/trial/speed.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f, err := fleet.Start(ctx, binaries, d, fleet.Options{Dir: dir, Log: "warn"})
+	f, err := fleet.Start(ctx, binaries, d, fleet.Options{Dir: dir})
 	if err != nil {
 		return nil, err
 	}
