--- a/admin/admin.go
+++ b/admin/admin.go
@@ -69,7 +69,7 @@
 	return ctx, fault(result.Forbidden, "the token belongs to no team")
 }
 
-// mayRead returns the team of a call.
+// teamOf returns the team of a call.
 func teamOf(ctx context.Context) *settings.Team {
 	t, _ := ctx.Value(teamKey{}).(*settings.Team)
 	return t
--- a/admin/publish.go
+++ b/admin/publish.go
@@ -29,7 +29,7 @@
 func (s *Service) publish(ctx context.Context, key, publishID string, e edit) (config.Change, error) {
 	for try := range publishTries {
 		if try > 0 {
-			time.Sleep(publishPause << try / 2)
+			time.Sleep((publishPause << try) / 2)
 		}
 		entry, shard, err := s.read(ctx, key)
 		if err != nil {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -107,61 +107,73 @@
 	}
 }
 
-// exchange sends one attempt to an upstream that has been taken, and gives its
-// slot back when the answer has ended. single makes it a connection of its own.
+// attempt is one sending of a call to an upstream that has been taken.
+type attempt struct {
+	call      *call
+	upstream  *Upstream
+	single    bool // On a connection of its own.
+	started   time.Time
+	flight    *flight
+	cancel    context.CancelFunc
+	connected atomic.Bool // Only kept for a single one.
+}
+
+// exchange sends one attempt, and gives the upstream's slot back when the answer
+// has ended.
 func (h *Handler) exchange(ctx context.Context, c *call, u *Upstream, single bool) (*answer, *failure) {
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
-	var connected atomic.Bool
-	if single {
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	}
-	request := c.outgoing(ctx, u, single)
-	started := time.Now()
-	f := u.depart(started, c.usual.Cut(), c.usual.Stall())
-	transport := u.shared
-	if single {
-		transport = u.single
-	}
-	response, err := transport.RoundTrip(request)
+	t := &attempt{call: c, upstream: u, single: single, started: time.Now()}
+	ctx, t.cancel = context.WithDeadline(ctx, c.deadline)
+	t.flight = u.depart(t.started, c.usual.Cut(), c.usual.Stall())
+	response, err := t.send(ctx)
 	if err != nil {
-		failed := c.classify(err)
-		u.land(f, failed.evidence(), time.Now())
-		if single && !connected.Load() {
-			// Whatever went wrong, there was never a connection to send it on.
-			failed.reason = notSent
-		}
-		c.service.done(u, time.Since(started))
-		cancel()
-		return nil, failed
+		return nil, t.fail(c.classify(err))
 	}
-	if failed := refusal(u, response); failed != nil {
-		u.land(f, noEvidence, time.Now())
-		c.service.done(u, time.Since(started))
-		_ = response.Body.Close()
-		cancel()
-		return nil, failed
+	if refused := refusal(u, response); refused != nil {
+		_ = response.Body.Close() // What a refusal says is not passed on.
+		return nil, t.fail(refused)
 	}
-	a := &answer{response: response, cancel: cancel}
-	failed := a.readPrefix(c)
-	now := time.Now()
-	if failed != nil {
-		u.land(f, failed.evidence(), now)
-		c.service.done(u, now.Sub(started))
-		a.close()
-		return nil, failed
+	a := &answer{response: response, cancel: t.cancel}
+	if failed := a.readPrefix(c); failed != nil {
+		_ = response.Body.Close() // It broke off.
+		return nil, t.fail(failed)
 	}
-	h.judge(c, u, f, response.StatusCode, now)
+	now := time.Now()
+	h.judge(c, u, t.flight, response.StatusCode, now)
 	if a.whole {
-		c.service.done(u, now.Sub(started))
+		c.service.done(u, now.Sub(t.started))
 		return a, nil
 	}
-	a.cancel = func() {
-		cancel()
-		c.service.done(u, time.Since(started))
-	}
+	a.cancel = t.end
 	return a, nil
 }
 
+// send makes the round trip. A single one notes whether it had a connection.
+func (t *attempt) send(ctx context.Context) (*http.Response, error) {
+	if !t.single {
+		return t.upstream.shared.RoundTrip(t.call.outgoing(ctx, t.upstream, false))
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	return t.upstream.single.RoundTrip(t.call.outgoing(ctx, t.upstream, true))
+}
+
+// fail ends an attempt without an answer.
+func (t *attempt) fail(f *failure) *failure {
+	t.upstream.land(t.flight, f.evidence(), time.Now())
+	if t.single && !t.connected.Load() {
+		// Whatever went wrong, there was never a connection to send it on.
+		f.reason = notSent
+	}
+	t.end()
+	return f
+}
+
+// end gives the slot back.
+func (t *attempt) end() {
+	t.cancel()
+	t.call.service.done(t.upstream, time.Since(t.started))
+}
+
 // judge decides what an answer's status says of the upstream.
 func (h *Handler) judge(c *call, u *Upstream, f *flight, status int, now time.Time) {
 	if status < http.StatusInternalServerError {
