--- a/core/judge.go
+++ b/core/judge.go
@@ -334,7 +334,7 @@
 // or still sick. It compares too, or an upstream could not come back while the
 // whole service does badly.
 func (j *Judge) judgeTrial(at time.Time, c Count, s *standing) []Command {
-	failures, slow := j.panel.others(j.rows[c.Upstream])
+	failures, slow := j.panel.standard().others(j.rows[c.Upstream])
 	s.trial += evidence(alternative{rate: trialRate}, c, failures, slow)
 	s.trial += evidence(alternative{rate: trialRate, slow: true}, Count{Fast: c.Fast, Slow: c.Slow}, failures, slow)
 	if s.trial >= trialReject {
--- a/core/score.go
+++ b/core/score.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -97,10 +98,11 @@
 			r.slow.add(c.Slow, c.Fast+c.Slow)
 		}
 	}
+	common := p.standard()
 	for _, c := range counts {
 		if r := p.rows[c.Upstream]; r != nil && c.total() > 0 {
 			r.refill(at)
-			p.score(r, reporter, c)
+			r.take(common, reporter, c)
 		}
 	}
 	for _, c := range counts {
@@ -110,8 +112,9 @@
 	}
 }
 
-func (p *panel) score(r *row, reporter string, c Count) {
-	failures, slow := p.others(r)
+// take moves a row's scores by one node's count.
+func (r *row) take(common *standard, reporter string, c Count) {
+	failures, slow := common.others(r)
 	before := r.score()
 	for i, a := range alternatives {
 		gain := min(evidence(a, c, failures, slow), r.allowed[i])
@@ -125,7 +128,7 @@
 		r.by[reporter] = max(0, r.by[reporter]+after-before)
 	}
 	if before < lowScore {
-		r.since = p.tallies()
+		r.since = common.tallies
 	}
 }
 
@@ -186,29 +189,40 @@
 	}
 }
 
+// standard holds what all rows are compared with, made once for a batch of counts.
+type standard struct {
+	failures []float64 // Sorted.
+	slow     []float64 // Sorted.
+	tallies  map[string]tally
+}
+
+func (p *panel) standard() *standard {
+	n := len(p.rows)
+	s := &standard{failures: make([]float64, 0, n), slow: make([]float64, 0, n), tallies: p.tallies()}
+	for _, r := range p.rows {
+		s.failures = append(s.failures, r.failures.upper())
+		s.slow = append(s.slow, r.slow.upper())
+	}
+	slices.Sort(s.failures)
+	slices.Sort(s.slow)
+	return s
+}
+
 // others gives the rates a row is compared with: those of the better quarter of
 // the other upstreams, so that two sick ones of three do not excuse each other.
-func (p *panel) others(r *row) (failures, slow float64) {
-	var f, s []float64
-	for _, o := range p.rows {
-		if o != r {
-			f = append(f, o.failures.upper())
-			s = append(s, o.slow.upper())
-		}
-	}
-	return lowerQuartile(f), lowerQuartile(s)
+func (s *standard) others(r *row) (failures, slow float64) {
+	return quartileWithout(s.failures, r.failures.upper()), quartileWithout(s.slow, r.slow.upper())
 }
 
-func lowerQuartile(values []float64) float64 {
-	if len(values) == 0 {
+// quartileWithout returns the lower quartile of sorted values but for one of them.
+func quartileWithout(sorted []float64, own float64) float64 {
+	others := len(sorted) - 1
+	if others < 1 {
 		return 0
 	}
-	// A selection by hand would be longer; a service has few upstreams.
-	sorted := append([]float64(nil), values...)
-	for i := range sorted {
-		for k := i; k > 0 && sorted[k] < sorted[k-1]; k-- {
-			sorted[k], sorted[k-1] = sorted[k-1], sorted[k]
-		}
+	i := (others - 1) / 4
+	if own <= sorted[i] {
+		i++ // The one left out comes before.
 	}
-	return sorted[(len(sorted)-1)/4]
+	return sorted[i]
 }
