One piece for what stood twice; state that nobody read is gone

Cause: a reading of the whole change. Two memories forgot by the same loop, two places ejected and three asked whether an upstream is ejected, two chose the weights in force, two wrote a kept answer, and the lease's margin stood in two packages. Two counters, a time, a reason and some constants were written and never read, among them two atomics on every request's way. Change: forgetting, standing.eject and ejected, rotation.inForce, Handler.give and core.Settle serve both; slices.Equal and maps.Clone take the place of loops; the rest is removed. No behaviour, bound or assertion changed. Speed was not measured again.

--- a/admin/publish.go
+++ b/admin/publish.go
@@ -21,7 +21,7 @@
 )
 
 // edit changes a shard and returns the change it made.
-type edit func(ctx context.Context, s *config.Shard, c config.Change) (config.Change, error)
+type edit func(s *config.Shard, c config.Change) (config.Change, error)
 
 // publish makes one change of one shard. Between its read and its write another
 // operator may have changed the shard: an edit with a base is refused then, and
@@ -42,7 +42,7 @@
 		// look older than what nodes hold.
 		shard.Sequence = max(shard.Sequence, s.node.Holder().Now().Sequences()[key])
 		change := config.Change{PublishID: publishID, Publisher: teamOf(ctx).Name, At: time.Now().UTC()}
-		change, err = e(ctx, shard, change)
+		change, err = e(shard, change)
 		if err != nil {
 			return config.Change{}, err
 		}
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	key := config.TemplateKey(p.Template)
-	change, err := s.publish(ctx, key, p.PublishID, func(_ context.Context, shard *config.Shard, c config.Change) (config.Change, error) {
+	change, err := s.publish(ctx, key, p.PublishID, func(shard *config.Shard, c config.Change) (config.Change, error) {
 		current, _ := shard.Current()
 		if p.Base != nil && *p.Base != 0 && *p.Base != current.Sequence {
 			return c, conflict(*p.Base, current.Sequence, p.Source, current.Source)
@@ -180,7 +180,7 @@
 		return nil, fault(result.Invalid, err.Error())
 	}
 	key := config.AccountKey(p.Template, p.Account)
-	change, err := s.publish(ctx, key, p.PublishID, func(_ context.Context, shard *config.Shard, c config.Change) (config.Change, error) {
+	change, err := s.publish(ctx, key, p.PublishID, func(shard *config.Shard, c config.Change) (config.Change, error) {
 		now := shard.Accounts[p.Account]
 		if p.Base != nil && *p.Base != 0 && *p.Base != now.Sequence {
 			return c, conflict(*p.Base, now.Sequence, fmt.Sprint(p.Parameters), fmt.Sprint(now.Parameters))
@@ -199,7 +199,7 @@
 		return nil, err
 	}
 	key := config.AccountKey(p.Template, p.Account)
-	change, err := s.publish(ctx, key, p.PublishID, func(_ context.Context, shard *config.Shard, c config.Change) (config.Change, error) {
+	change, err := s.publish(ctx, key, p.PublishID, func(shard *config.Shard, c config.Change) (config.Change, error) {
 		if _, ok := shard.Accounts[p.Account]; !ok {
 			return c, fault(result.Missing, "there is no account "+p.Account)
 		}
--- a/bench/cmd/trial/run.go
+++ b/bench/cmd/trial/run.go
@@ -81,7 +81,7 @@
 	}
 	started := time.Now()
 	spent := measure(r.fleet)
-	r.outcome.watch = newWatcher(r.fleet, r.scenario)
+	r.outcome.watch = newWatcher(r.fleet)
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
 	go r.outcome.watch.run(watching)
@@ -224,7 +224,6 @@
 			return err
 		}
 	}
-	r.outcome.watch.sick(nil)
 	if r.scenario.Platform.Out {
 		if err := r.fleet.SetPlatform(standin.PlatformFaults{}); err != nil {
 			return err
--- a/bench/cmd/trial/watch.go
+++ b/bench/cmd/trial/watch.go
@@ -14,38 +14,31 @@
 
 const (
 	watchPeriod  = 100 * time.Millisecond
-	clockTicks   = 100                     // Of the kernel, a second.
-	grace        = 1500 * time.Millisecond // A readmission may take this long to be heard of.
+	clockTicks   = 100 // Of the kernel, a second.
 	neverOutside = 0.01
 )
 
 // watcher looks at every node's dump over and over: who is out, and rightly so?
 type watcher struct {
 	fleet    *fleet.Fleet
-	scenario *scenario
 	mu       sync.Mutex
-	guilty   map[string]time.Time // Sick upstreams, and since when well again; zero while sick.
+	guilty   map[string]bool // Upstreams that are sick, or were before.
 	out      map[string]bool
 	wrong    int
 	lost     float64 // Healthy upstream-seconds, by share of the nodes that hold it out.
 	breaches int
 }
 
-func newWatcher(f *fleet.Fleet, s *scenario) *watcher {
-	return &watcher{fleet: f, scenario: s, guilty: map[string]time.Time{}, out: map[string]bool{}}
+func newWatcher(f *fleet.Fleet) *watcher {
+	return &watcher{fleet: f, guilty: map[string]bool{}, out: map[string]bool{}}
 }
 
 // sick says who is sick from now on.
 func (w *watcher) sick(names []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for u, at := range w.guilty {
-		if at.IsZero() {
-			w.guilty[u] = time.Now()
-		}
-	}
 	for _, u := range names {
-		w.guilty[u] = time.Time{}
+		w.guilty[u] = true
 	}
 }
 
@@ -111,13 +104,13 @@
 	}
 	for _, v := range views {
 		for u := range v {
-			if !w.blamed(u) {
+			if !w.guilty[u] {
 				w.lost += passed.Seconds() / float64(answered)
 			}
 		}
 	}
 	for u := range union {
-		if !w.out[u] && !w.blamed(u) {
+		if !w.out[u] && !w.guilty[u] {
 			w.wrong++
 		}
 	}
@@ -125,12 +118,6 @@
 	w.countBreaches(union)
 }
 
-// blamed reports whether an upstream is sick, or was and waits for its trial.
-func (w *watcher) blamed(u string) bool {
-	_, ever := w.guilty[u]
-	return ever
-}
-
 // countBreaches counts an upstream as out when any node holds it out.
 func (w *watcher) countBreaches(union map[string]bool) {
 	for _, s := range w.fleet.Deployment.Services {
--- a/core/judge.go
+++ b/core/judge.go
@@ -21,9 +21,10 @@
 	// Lease is how long a node may act on a decision without hearing the
 	// coordinator again, counted from when the node asked.
 	Lease = 3 * time.Second
-	// settle is how long a readmitted upstream still counts against the floor: a
-	// node that has not heard of it acts on its lease, whose clock may run slow.
-	settle = Lease + Lease/4
+	// Settle is how long after its grant a lease may still be acted on: its node
+	// counts by a clock that may run slow. So long a readmitted upstream still counts
+	// against the floor, and so long a new coordinator waits.
+	Settle = Lease + Lease/4
 
 	firstBackoff = 2 * time.Second
 	lastBackoff  = time.Minute
@@ -104,7 +105,6 @@
 // standing is the judge's state of one upstream.
 type standing struct {
 	phase     Phase
-	reason    string
 	until     time.Time // End of the back-off, the trial or the ramp.
 	countsTo  time.Time // Until when a readmitted one counts against the floor.
 	calmAt    time.Time // When earlier ejections are forgiven.
@@ -160,7 +160,7 @@
 func (j *Judge) install() {
 	j.deciding = true
 	for _, r := range j.rows {
-		r.lower(0)
+		r.reset()
 	}
 }
 
@@ -199,7 +199,7 @@
 func (j *Judge) out(at time.Time) int {
 	n := 0
 	for _, s := range j.states {
-		if s.phase == Out || s.phase == Trial || at.Before(s.countsTo) {
+		if s.ejected() || at.Before(s.countsTo) {
 			n++
 		}
 	}
@@ -220,7 +220,7 @@
 func (j *Judge) ejected() int {
 	n := 0
 	for _, s := range j.states {
-		if s.phase == Out || s.phase == Trial {
+		if s.ejected() {
 			n++
 		}
 	}
@@ -231,7 +231,7 @@
 	best := ""
 	for _, u := range slices.Sorted(maps.Keys(j.states)) {
 		s := j.states[u]
-		if s.phase != Out && s.phase != Trial {
+		if !s.ejected() {
 			continue
 		}
 		if best == "" || s.ejections < j.states[best].ejections {
@@ -309,16 +309,23 @@
 
 func (j *Judge) eject(at time.Time, u string, s *standing, limit float64) Command {
 	r := j.rows[u]
-	s.reason = "failures"
+	reason := "failures"
 	if r.slowness() {
-		s.reason = "slow answers"
+		reason = "slow answers"
 	}
+	s.eject(at)
+	d := Decided{At: at, Upstream: u, Phase: Out, Reason: reason, Score: r.score(), Limit: limit, Reports: maps.Clone(r.by)}
+	r.reset()
+	return d
+}
+
+// ejected reports whether the upstream is out of rotation, on trial or not.
+func (s *standing) ejected() bool { return s.phase == Out || s.phase == Trial }
+
+func (s *standing) eject(at time.Time) {
 	s.phase = Out
 	s.ejections++
 	s.until = at.Add(backoff(s.ejections))
-	d := Decided{At: at, Upstream: u, Phase: Out, Reason: s.reason, Score: r.score(), Limit: limit, Reports: maps.Clone(r.by)}
-	r.lower(0)
-	return d
 }
 
 // backoff doubles with every ejection that followed soon on the last.
@@ -338,9 +345,7 @@
 	s.trial += evidence(alternative{rate: trialRate}, c, failures, slow)
 	s.trial += evidence(alternative{rate: trialRate, slow: true}, Count{Fast: c.Fast, Slow: c.Slow}, failures, slow)
 	if s.trial >= trialReject {
-		s.phase = Out
-		s.ejections++
-		s.until = at.Add(backoff(s.ejections))
+		s.eject(at)
 		return []Command{Decided{At: at, Upstream: c.Upstream, Phase: Out, Reason: "trial failed", Score: s.trial, Limit: trialReject}}
 	}
 	if s.trial <= trialAccept {
@@ -351,15 +356,14 @@
 
 func (j *Judge) readmit(at time.Time, u, reason string) Command {
 	s := j.states[u]
-	s.countsTo = at.Add(settle)
+	s.countsTo = at.Add(Settle)
 	s.calmAt = at.Add(calmAfter)
-	j.rows[u].lower(0)
+	j.rows[u].reset()
 	return j.ramp(at, u, s, reason)
 }
 
 func (j *Judge) ramp(at time.Time, u string, s *standing, reason string) Command {
 	s.phase = Ramp
-	s.reason = reason
 	s.until = at.Add(rampTime)
 	return Decided{At: at, Upstream: u, Phase: Ramp, Reason: reason, Score: s.trial, Limit: trialAccept}
 }
@@ -387,7 +391,7 @@
 			commands = append(commands, Decided{At: at, Upstream: u, Phase: In, Reason: "ramp over"})
 		}
 	}
-	j.set = nil // Weights of ramps change with time alone.
+	// Weights of ramps change with time alone, so there is always a set to publish.
 	return append(commands, Command(Publish{Set: j.standings(at)}))
 }
 
--- a/core/ledger.go
+++ b/core/ledger.go
@@ -137,7 +137,7 @@
 	attempts  uint64
 	entries   map[Key]*attempt
 	witnessed map[Key][]Held // All that were told: a late one must not hide a newer.
-	order     []expiry
+	order     forgetting
 	answers   []Key // In order of keeping, for making room.
 }
 
@@ -250,7 +250,7 @@
 		}
 		e := &attempt{body: n.Body, foreign: n.Holder, stage: n.Stage, expires: m.At.Add(l.window)}
 		l.entries[n.Key] = e
-		l.order = append(l.order, expiry{n.Key, e.expires})
+		l.order.add(n.Key, e.expires)
 		if n.Answer != nil {
 			l.keep(n.Key, e, n.Answer)
 		}
@@ -263,7 +263,7 @@
 		return
 	}
 	l.witnessed[k] = append(l.witnessed[k], m.Held)
-	l.order = append(l.order, expiry{k, m.At.Add(l.window)})
+	l.order.add(k, m.At.Add(l.window))
 }
 
 func (l *Ledger) begin(m Begin) Report {
@@ -278,7 +278,7 @@
 	l.attempts++
 	e = &attempt{body: m.Body, number: l.attempts, stage: Claiming, expires: m.At.Add(l.window)}
 	l.entries[m.Key] = e
-	l.order = append(l.order, expiry{m.Key, e.expires})
+	l.order.add(m.Key, e.expires)
 	r := e.report(true)
 	r.Previous = previous
 	return r
@@ -407,12 +407,9 @@
 }
 
 func (l *Ledger) expire(at time.Time) {
-	n := 0
-	for n < len(l.order) && !at.Before(l.order[n].at) {
-		l.forget(l.order[n].key, at)
-		n++
+	for _, x := range l.order.due(at) {
+		l.forget(x.key, at)
 	}
-	l.order = l.order[n:]
 }
 
 func (l *Ledger) forget(k Key, at time.Time) {
--- a/core/operation.go
+++ b/core/operation.go
@@ -116,7 +116,7 @@
 	// complete says that the last coordinator itself told all it knew.
 	complete bool
 	moved    map[Holder]Holder
-	order    []expiry // In order of time, as the window is the same for all.
+	order    forgetting
 }
 
 // claimed is an operation with the holders that may have started it. There is one,
@@ -128,11 +128,27 @@
 	expires time.Time
 }
 
+// forgetting lists keys by when they may be forgotten, in order of time.
+type forgetting []expiry
+
 type expiry struct {
 	key Key
 	at  time.Time
 }
 
+func (f *forgetting) add(k Key, at time.Time) { *f = append(*f, expiry{k, at}) }
+
+// due takes the keys out whose time has come.
+func (f *forgetting) due(at time.Time) []expiry {
+	n := 0
+	for n < len(*f) && !at.Before((*f)[n].at) {
+		n++
+	}
+	keys := (*f)[:n]
+	*f = (*f)[n:]
+	return keys
+}
+
 // NewClaims returns a memory that forgets an operation a window after its claim.
 func NewClaims(window time.Duration) *Claims {
 	return &Claims{window: window, entries: map[Key]*claimed{}, moved: map[Holder]Holder{}}
@@ -300,17 +316,13 @@
 	}
 	e := &claimed{body: body, holders: []Holder{h}, expires: at.Add(c.window)}
 	c.entries[k] = e
-	c.order = append(c.order, expiry{k, e.expires})
+	c.order.add(k, e.expires)
 }
 
 func (c *Claims) expire(at time.Time) {
-	n := 0
-	for n < len(c.order) && !at.Before(c.order[n].at) {
-		k := c.order[n].key
-		if e := c.entries[k]; e != nil && !at.Before(e.expires) {
-			delete(c.entries, k)
+	for _, x := range c.order.due(at) {
+		if e := c.entries[x.key]; e != nil && !at.Before(e.expires) {
+			delete(c.entries, x.key)
 		}
-		n++
 	}
-	c.order = c.order[n:]
 }
--- a/core/score.go
+++ b/core/score.go
@@ -73,7 +73,7 @@
 
 func newPanel() panel { return panel{rows: map[string]*row{}} }
 
-// members makes the rows fit the live upstreams and reports who is new.
+// members makes the rows fit the live upstreams.
 func (p *panel) members(upstreams []string) {
 	live := make(map[string]bool, len(upstreams))
 	for _, u := range upstreams {
@@ -179,14 +179,10 @@
 	return alternatives[best].slow
 }
 
-// lower takes all scores down to at most s.
-func (r *row) lower(s float64) {
-	for i := range r.scores {
-		r.scores[i] = min(r.scores[i], s)
-	}
-	if s == 0 {
-		clear(r.by)
-	}
+// reset takes all scores back to nothing.
+func (r *row) reset() {
+	clear(r.scores[:])
+	clear(r.by)
 }
 
 // standard holds what all rows are compared with, made once for a batch of counts.
--- a/core/view_test.go
+++ b/core/view_test.go
@@ -115,7 +115,7 @@
 	assert.Equal(t, Ramp, phase("a"))
 	bad("b")
 	assert.Equal(t, In, phase("b"), "ejected while a node may still hold the other one out")
-	at = at.Add(settle)
+	at = at.Add(Settle)
 	bad("b")
 	assert.Equal(t, Out, phase("b"))
 }
--- a/node/group.go
+++ b/node/group.go
@@ -38,7 +38,6 @@
 	before   string    // The coordinator before the present one.
 	lost     time.Time // Until when operations that only two lost coordinators knew may be asked for.
 	heard    time.Time // When the coordinator was last heard.
-	asked    time.Time // When the last heartbeat that was answered had been sent.
 	lead     *leadership
 	deposed  deposed
 	answered uint64                       // Epoch of the last coordinator that was promised in person.
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -175,7 +175,7 @@
 	}
 	news := g.view.Told(*r.Stamped, asked)
 	if r.Stamped.Epoch == g.view.Epoch() {
-		g.heard, g.asked = time.Now(), asked
+		g.heard = time.Now()
 	}
 	if r.CrashedAgo > 0 {
 		if at := time.Now().Add(-time.Duration(r.CrashedAgo)); at.After(g.crashed) {
--- a/node/leader.go
+++ b/node/leader.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,9 +25,6 @@
 	// unnoticed is how long before a change of coordinator a node may have been
 	// replaced without the last one's having told the others.
 	unnoticed = 15 * time.Second
-	// settleAfter is how long after the last promise an old lease may still be
-	// acted on: its node counts by a clock that may run slow.
-	settleAfter = core.Lease + core.Lease/4
 )
 
 // leadership is what only the coordinator has.
@@ -53,7 +52,7 @@
 	if l.promised.IsZero() && g.claims.Waiting() == 0 {
 		l.promised = now
 	}
-	settled := l.epoch == 1 || now.After(l.promised.Add(settleAfter))
+	settled := l.epoch == 1 || now.After(l.promised.Add(core.Settle))
 	confirmed := now.Before(l.confirmed.Add(core.Lease))
 	if !l.installed && !l.promised.IsZero() && settled && confirmed && g.node.local == nil {
 		l.installed = true
@@ -139,42 +138,21 @@
 		return
 	}
 	l := g.lead
-	changed := !sameSet(l.sets[service], set)
-	if !changed {
+	if slices.Equal(l.sets[service], set) {
 		return
 	}
-	next := map[string][]core.Standing{}
-	for name, s := range l.sets {
-		next[name] = s
-	}
-	next[service] = set
-	l.sets = next
+	l.sets = maps.Clone(l.sets) // The old map may be on its way to other nodes.
+	l.sets[service] = set
 	l.sequence++
-	g.view.Told(g.stamped(), time.Time{})
-	g.spread(&peer.Push{Stamped: g.stampedCopy()})
-}
-
-func sameSet(a, b []core.Standing) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
+	stamped := g.stamped()
+	g.view.Told(stamped, time.Time{})
+	g.spread(&peer.Push{Stamped: &stamped})
 }
 
 func (g *Group) stamped() core.Stamped {
 	return core.Stamped{Epoch: g.lead.epoch, Sequence: g.lead.sequence, Sets: g.lead.sets}
 }
 
-func (g *Group) stampedCopy() *core.Stamped {
-	s := g.stamped()
-	return &s
-}
-
 // spread pushes news to every other node without waiting. Call it with mu held.
 func (g *Group) spread(p *peer.Push) {
 	for _, m := range g.roster.Nodes {
--- a/node/node.go
+++ b/node/node.go
@@ -185,12 +185,6 @@
 	return g.addressOf(n.identity.Node) != ""
 }
 
-// previous reports whether a node was the coordinator before this one. Call it
-// with the group's mu held.
-func (n *Node) previous(g *Group, node string) bool {
-	return g.before == node
-}
-
 // sequences returns the sequences in force of one template.
 func (n *Node) sequences(template string) map[string]uint64 {
 	all := n.holder.Now().Sequences()
--- a/node/peers.go
+++ b/node/peers.go
@@ -80,7 +80,8 @@
 		g.refuse(r)
 	}
 	reply.Coordinator = true
-	reply.Stamped = g.stampedCopy()
+	stamped := g.stamped()
+	reply.Stamped = &stamped
 	if !g.crashed.IsZero() {
 		reply.CrashedAgo = int64(now.Sub(g.crashed))
 	}
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -96,7 +96,7 @@
 func (g *Group) collect(ctx context.Context, epoch uint64, node string) {
 	for {
 		g.mu.Lock()
-		address, previous := g.addressOf(node), g.node.previous(g, node)
+		address, previous := g.addressOf(node), node == g.before
 		done := !g.leading() || g.lead.epoch != epoch
 		if address == "" && !done {
 			g.giveUpOn(node, previous)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -53,7 +53,6 @@
 	body     []byte // Read whole, if it was short enough.
 	stream   io.Reader
 	deadline time.Time
-	received time.Time
 }
 
 // rewindable reports whether the body can be sent again.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -138,7 +138,6 @@
 		request:  r,
 		path:     "/" + rest,
 		deadline: now.Add(timeout),
-		received: now,
 	}, nil
 }
 
--- a/proxy/once.go
+++ b/proxy/once.go
@@ -62,8 +62,7 @@
 		return
 	}
 	operation.Finish(core.Done, recorded)
-	h.results.Add(result.Answered.String(), 1)
-	h.write(w, recorded)
+	h.give(w, recorded, result.Answered)
 }
 
 // detach gives the call a context that does not end with the caller's.
@@ -135,17 +134,6 @@
 	return recorded, true
 }
 
-// write gives the caller the answer of its own run.
-func (h *Handler) write(w http.ResponseWriter, recorded *core.Recorded) {
-	header := w.Header()
-	for name, value := range recorded.Header {
-		header.Set(name, value)
-	}
-	result.Mark(header, result.Answered)
-	w.WriteHeader(recorded.Status)
-	_, _ = w.Write(recorded.Body) // The caller may be gone; the record stays.
-}
-
 // born returns when a key was made, if it is a UUID of version 7, which begins
 // with that time.
 func born(name string) time.Time {
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -38,13 +38,18 @@
 
 // replay gives the caller a recorded answer.
 func (h *Handler) replay(w http.ResponseWriter, recorded *core.Recorded) {
-	h.results.Add(result.Repeated.String(), 1)
+	w.Header().Set("Content-Length", strconv.Itoa(len(recorded.Body)))
+	h.give(w, recorded, result.Repeated)
+}
+
+// give writes a kept answer.
+func (h *Handler) give(w http.ResponseWriter, recorded *core.Recorded, c result.Code) {
+	h.results.Add(c.String(), 1)
 	header := w.Header()
 	for name, value := range recorded.Header {
 		header.Set(name, value)
 	}
-	result.Mark(header, result.Repeated)
-	header.Set("Content-Length", strconv.Itoa(len(recorded.Body)))
+	result.Mark(header, c)
 	w.WriteHeader(recorded.Status)
 	_, _ = w.Write(recorded.Body) // The caller may be gone; the record stays.
 }
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -21,8 +21,6 @@
 	waiting  atomic.Int32
 	tokens   atomic.Int64 // Retry budget in thousandths.
 	meanNano atomic.Int64 // Mean answer time, for estimating waits.
-	requests atomic.Uint64
-	retries  atomic.Uint64
 }
 
 // rotation is an immutable list of upstreams with their shares.
@@ -40,11 +38,9 @@
 	maxTokens   = 20 * tokenUnit
 	trialPeriod = 500 * time.Millisecond // Of each node, so that a sick upstream gets few.
 	freedSignal = 1024
-	waitersFor  = 4 // Waiting requests allowed for each slot.
 	meanWeight  = 16
 	pollWait    = 20 * time.Millisecond // Other nodes' slots come free unheard.
 	shedPause   = 100 * time.Millisecond
-	trialWeight = 0.0
 	leastRetry  = time.Second
 )
 
@@ -103,16 +99,12 @@
 func (s *Service) pick(now time.Time, trial bool, tried []*Upstream) *Upstream {
 	r := s.rotation.Load()
 	slots := s.Policy().Slots()
-	held := now.Before(r.deadline)
-	if trial && held {
+	if trial && now.Before(r.deadline) {
 		if u := r.onTrial(now, tried, slots); u != nil {
 			return u
 		}
 	}
-	weights := r.all
-	if held {
-		weights = r.weights
-	}
+	weights := r.inForce(now)
 	first, second := r.draw(weights, now, tried), r.draw(weights, now, tried)
 	if first < 0 {
 		return nil
@@ -126,6 +118,14 @@
 	return r.anyFree(weights, now, tried, slots)
 }
 
+// inForce returns the weights that count at a time: ejections end with their lease.
+func (r *rotation) inForce(now time.Time) []float64 {
+	if now.Before(r.deadline) {
+		return r.weights
+	}
+	return r.all
+}
+
 // draw picks an upstream at random by weight, -1 if there is none to pick.
 func (r *rotation) draw(weights []float64, now time.Time, tried []*Upstream) int {
 	sum := 0.0
@@ -252,12 +252,8 @@
 // count returns how many upstreams could take work at all.
 func (s *Service) count(now time.Time, tried []*Upstream) int {
 	r := s.rotation.Load()
-	weights := r.all
-	if now.Before(r.deadline) {
-		weights = r.weights
-	}
 	n := 0
-	for i, w := range weights {
+	for i, w := range r.inForce(now) {
 		if w > 0 && r.open(i, now, tried) {
 			n++
 		}
@@ -288,7 +284,6 @@
 
 // earn adds a request's part to the retry budget.
 func (s *Service) earn() {
-	s.requests.Add(1)
 	part := int64(s.Policy().RetryBudget() * tokenUnit)
 	if s.tokens.Load() < maxTokens {
 		s.tokens.Add(part)
@@ -304,7 +299,6 @@
 			return false
 		}
 		if s.tokens.CompareAndSwap(n, n-tokenUnit) {
-			s.retries.Add(1)
 			return true
 		}
 	}
