--- a/cmd/eiderfold/main.go
+++ b/cmd/eiderfold/main.go
@@ -41,7 +41,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(runCommand(), checkCommand(), devCommand(), keysCommand(), versionCommand())
+	c.AddCommand(meshCommand(), runCommand(), checkCommand(), devCommand(), keysCommand(), versionCommand())
 	return c
 }
 
--- /dev/null
+++ b/cmd/eiderfold/mesh.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"eiderfold/mesh"
+	"eiderfold/platform"
+	"eiderfold/settings"
+)
+
+// settingsVariable holds the path of the settings where the platform lays them.
+const settingsVariable = "EIDERFOLD_BOOT"
+
+func meshCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:     "mesh",
+		Short:   "Run the node beside an upstream on the users' platform, until SIGTERM",
+		Example: "  " + settingsVariable + "=/etc/eiderfold/boot.toml eiderfold mesh\n  eiderfold mesh --settings node.yaml --check",
+		Args:    cobra.NoArgs,
+	}
+	path := c.Flags().StringP("settings", "s", os.Getenv(settingsVariable), "YAML file with the node's settings")
+	check := c.Flags().Bool("check", false, "check the settings and end")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		s, err := settings.LoadMesh(*path)
+		if err != nil {
+			return err
+		}
+		if *check {
+			c.Println("settings of", s.Node(), "are good")
+			return nil
+		}
+		return runMesh(c, s)
+	}
+	return c
+}
+
+func runMesh(c *cobra.Command, s *settings.Mesh) error {
+	metrics := mesh.NewMetrics()
+	log, flush, err := meshLogger(s.LogLevel(), metrics)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	p := mesh.Platform{
+		Store:               platform.NewStore(s.Store(), func(call string) { metrics.Count("store_calls_" + call) }),
+		Dialect:             platform.Headers{},
+		ConfigurationKey:    platform.ConfigurationKey,
+		ReadinessPath:       platform.ReadinessPath,
+		DecodeConfiguration: platform.DecodeConfiguration,
+		IsReport:            platform.IsReport,
+		DecodeReport:        platform.DecodeReport,
+		AcknowledgeReport:   platform.AcknowledgeReport,
+	}
+	return mesh.New(s, p, metrics, log).Run(c.Context())
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,437 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eiderfold/link"
+	"eiderfold/port"
+)
+
+const (
+	// tickEvery is the pace of what depends on time alone; a tenth of the shortest
+	// time that it looks at.
+	tickEvery = 50 * time.Millisecond
+	// keptAnswers is how long an ended attempt is remembered for a question after
+	// a broken link: as long as such a cut is waited for.
+	keptAnswers = 6 * time.Second
+	// confirmPause is the pause between two tries to find out whether an upstream leaves.
+	confirmPause = 250 * time.Millisecond
+)
+
+// Sink is where the answers to an offer go: a link or the local ingress.
+type Sink interface {
+	// Send queues a message and returns false when it cannot arrive.
+	Send(f *link.Frame) bool
+}
+
+// Records remembers, beyond this process, which incarnations leave.
+type Records interface {
+	// Leaving tells whether an incarnation was recorded as leaving.
+	Leaving(ctx context.Context, upstream string) (bool, error)
+}
+
+// Counters is told what happens, for metrics.
+type Counters interface {
+	Count(name string)
+	Observe(name string, d time.Duration)
+}
+
+// call is an offer in hand, with what is needed to run and answer it.
+type call struct {
+	offer    *link.Offer
+	sink     Sink
+	deadline time.Time
+	cancel   context.CancelFunc // Set while it runs.
+}
+
+// ended is an answer that is kept for a question.
+type ended struct {
+	frame   *link.Frame
+	expires time.Time
+}
+
+// Gate runs the upstream's work. Its methods are safe for concurrent use.
+type Gate struct {
+	client    client
+	log       *zap.Logger
+	records   Records
+	counters  Counters
+	announce  func(link.Status)
+	health    func() string // The upstream's health path, "" if unknown.
+	mu        sync.Mutex
+	admission *Admission
+	calls     map[link.Key]*call
+	ended     map[link.Key]ended
+	done      chan struct{}
+}
+
+// Option changes a gate when it is made.
+type Option func(*Gate)
+
+// WithRecords tells the gate where earlier processes recorded what leaves.
+func WithRecords(r Records) Option { return func(g *Gate) { g.records = r } }
+
+// WithCounters tells the gate who counts.
+func WithCounters(c Counters) Option { return func(g *Gate) { g.counters = c } }
+
+// WithAnnounce is called with every new status, outside of any lock.
+func WithAnnounce(f func(link.Status)) Option { return func(g *Gate) { g.announce = f } }
+
+// WithHealthPath tells where the upstream answers health checks.
+func WithHealthPath(f func() string) Option { return func(g *Gate) { g.health = f } }
+
+// New returns a gate that is closed until its upstream reports.
+func New(u Upstream, dialect port.Dialect, log *zap.Logger, options ...Option) *Gate {
+	g := &Gate{
+		log:       log,
+		announce:  func(link.Status) {},
+		health:    func() string { return "" },
+		admission: NewAdmission(u.Service),
+		calls:     map[link.Key]*call{},
+		ended:     map[link.Key]ended{},
+		done:      make(chan struct{}),
+	}
+	for _, o := range options {
+		o(g)
+	}
+	g.client = client{address: u.Address, dialect: dialect, dialed: func() { g.count("upstream_connections") }}
+	return g
+}
+
+// Run lets time pass until ctx ends.
+func (g *Gate) Run(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	defer close(g.done)
+	for {
+		select {
+		case <-ctx.Done():
+			g.client.drop(true)
+			return
+		case now := <-t.C:
+			g.update(Ticked{At: now})
+			g.expire(now)
+		}
+	}
+}
+
+// Status returns the gate's state.
+func (g *Gate) Status() link.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Status()
+}
+
+// Busy returns how many offers are in hand.
+func (g *Gate) Busy() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.calls)
+}
+
+// Report takes an upstream's word about itself.
+func (g *Gate) Report(r port.Report) { g.update(Reported{At: time.Now(), Report: r}) }
+
+// Stop closes the gate for new work; what runs goes on.
+func (g *Gate) Stop() { g.update(Stopping{At: time.Now()}) }
+
+// Handle takes a message of an ingress.
+func (g *Gate) Handle(from Sink, f *link.Frame) {
+	now := time.Now()
+	switch {
+	case f.Offer != nil:
+		g.offer(now, from, f.Offer)
+	case f.Commit != nil:
+		g.commit(now, from, f.Commit)
+	case f.Withdraw != nil:
+		g.withdraw(now, f.Withdraw.Key)
+	case f.Ask != nil:
+		g.ask(from, f.Ask.Key)
+	}
+}
+
+func (g *Gate) offer(now time.Time, from Sink, o *link.Offer) {
+	g.mu.Lock()
+	if g.calls[o.Key] != nil {
+		g.mu.Unlock()
+		return // A repeated message; the first one stands.
+	}
+	c := &call{offer: o, sink: from, deadline: now.Add(o.Left)}
+	g.calls[o.Key] = c
+	g.mu.Unlock()
+	g.update(Offered{
+		At:        now,
+		Key:       o.Key,
+		Service:   o.Service,
+		Upstream:  o.Upstream,
+		Deadline:  c.deadline,
+		Priority:  o.Priority,
+		Retryable: o.Retryable,
+		Force:     o.Force,
+		Ready:     o.Content != nil,
+	})
+}
+
+func (g *Gate) commit(now time.Time, from Sink, m *link.Commit) {
+	g.mu.Lock()
+	c := g.calls[m.Key]
+	if c != nil {
+		c.offer.Content = m.Content
+		c.deadline = now.Add(m.Left)
+	}
+	g.mu.Unlock()
+	if c == nil {
+		from.Send(&link.Frame{Refused: &link.Refused{Key: m.Key, Reason: link.ReasonNeverSeen}})
+		return
+	}
+	g.update(Committed{At: now, Key: m.Key})
+}
+
+func (g *Gate) withdraw(now time.Time, k link.Key) {
+	g.update(Withdrawn{At: now, Key: k})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.calls[k]; c != nil && c.cancel == nil {
+		delete(g.calls, k)
+	}
+}
+
+// ask tells what became of a committed offer whose link broke.
+func (g *Gate) ask(from Sink, k link.Key) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.calls[k]; c != nil && c.cancel != nil {
+		c.sink = from
+		from.Send(&link.Frame{Granted: &link.Granted{Key: k, Started: true}})
+		return
+	}
+	if e, ok := g.ended[k]; ok {
+		from.Send(e.frame)
+		return
+	}
+	delete(g.calls, k) // Should it be granted still, its commit will find nothing.
+	from.Send(&link.Frame{Refused: &link.Refused{Key: k, Reason: link.ReasonNeverSeen}})
+}
+
+// Lost withdraws what came over a link that broke. Work that may run only once
+// goes on and can be asked for.
+func (g *Gate) Lost(from Sink) {
+	g.mu.Lock()
+	var keys []link.Key
+	for k, c := range g.calls {
+		if c.sink == from {
+			keys = append(keys, k)
+		}
+	}
+	g.mu.Unlock()
+	for _, k := range keys {
+		g.withdraw(time.Now(), k)
+	}
+}
+
+// update moves the admission on and carries its commands out.
+func (g *Gate) update(m Message) {
+	g.mu.Lock()
+	var announced *link.Status
+	for _, c := range g.admission.Update(m) {
+		if _, ok := c.(Announce); ok {
+			s := g.admission.Status()
+			announced = &s
+			continue
+		}
+		g.execute(c)
+	}
+	g.mu.Unlock()
+	if announced != nil {
+		g.log.Info("gate mode", zap.Stringer("mode", announced.Mode), zap.String("upstream", announced.Upstream),
+			zap.Float64("suspicion", announced.Suspect), zap.Duration("usual", announced.Usual), zap.String("cause", cause(m)))
+		g.announce(*announced)
+	}
+}
+
+// cause names the message that changed the mode, for the log.
+func cause(m Message) string {
+	switch m := m.(type) {
+	case Ended:
+		return "attempt " + outcomeNames[m.Outcome]
+	case Reported:
+		if m.Report.Leaving {
+			return "upstream leaves"
+		}
+		return "upstream reported"
+	case Confirmed:
+		return "confirmed"
+	case Stopping:
+		return "node stops"
+	default:
+		return "time passed"
+	}
+}
+
+var outcomeNames = [...]string{"good", "erred", "broken", "unreached", "shed", "replaced", "no-evidence"}
+
+// execute carries out one command with the lock held.
+func (g *Gate) execute(c Command) {
+	switch c := c.(type) {
+	case Grant:
+		g.answer(c.Key, &link.Frame{Granted: &link.Granted{Key: c.Key}})
+	case Queue:
+		g.answer(c.Key, &link.Frame{Queued: &link.Queued{Key: c.Key}})
+	case Refuse:
+		g.count("gate_refused_" + c.Reason.String())
+		g.answer(c.Key, &link.Frame{Refused: &link.Refused{Key: c.Key, Reason: c.Reason, After: c.After}})
+		delete(g.calls, c.Key)
+	case Start:
+		g.start(c.Key)
+	case Abort:
+		if call := g.calls[c.Key]; call != nil && call.cancel != nil {
+			call.cancel()
+		}
+	case Confirm:
+		go g.confirm(c.Upstream)
+	}
+}
+
+func (g *Gate) answer(k link.Key, f *link.Frame) {
+	if c := g.calls[k]; c != nil {
+		c.sink.Send(f)
+	}
+}
+
+func (g *Gate) start(k link.Key) {
+	c := g.calls[k]
+	ctx, cancel := context.WithDeadline(context.Background(), c.deadline.Add(answerGrace))
+	c.cancel = cancel
+	if c.offer.Content != nil && c.offer.Retryable {
+		g.answer(k, &link.Frame{Granted: &link.Granted{Key: k, Started: true}})
+	}
+	go g.run(ctx, c, g.admission.upstream)
+}
+
+// run sends the request to the upstream and reports how it ended.
+func (g *Gate) run(ctx context.Context, c *call, upstream string) {
+	defer c.cancel()
+	began := time.Now()
+	terms := port.OutgoingTerms{Left: c.deadline.Sub(began), Upstream: upstream, CallerService: c.offer.CallerService}
+	a, f := g.client.do(ctx, c.offer.Content, terms, !c.offer.Retryable)
+	took := time.Since(began)
+	frame, outcome := g.result(c, a, f)
+	g.log.Debug("attempt ended", zap.String("attempt", c.offer.Attempt), zap.String("upstream", upstream),
+		zap.String("outcome", outcomeNames[outcome]), zap.Duration("took", took))
+	if outcome != Good {
+		g.explain(c, f, upstream, outcome, took, a)
+	}
+	g.observe("upstream_answer", took)
+	g.finish(c, frame)
+	g.update(Ended{At: time.Now(), Key: c.offer.Key, Outcome: outcome, Took: took})
+}
+
+func (g *Gate) explain(c *call, f *failure, upstream string, o Outcome, took time.Duration, a *answer) {
+	fields := []zap.Field{zap.String("attempt", c.offer.Attempt), zap.Stringer("key", c.offer.Key), zap.String("upstream", upstream),
+		zap.String("outcome", outcomeNames[o]), zap.Duration("took", took), zap.Duration("left", time.Until(c.deadline))}
+	if f != nil {
+		fields = append(fields, zap.String("detail", f.detail))
+	}
+	if a != nil {
+		fields = append(fields, zap.Int("status", a.status))
+	}
+	g.log.Info("attempt without a good answer", fields...)
+}
+
+// result turns the upstream's answer into the message for the ingress.
+func (g *Gate) result(c *call, a *answer, f *failure) (*link.Frame, Outcome) {
+	k := c.offer.Key
+	switch {
+	case f != nil && f.reason != link.ReasonNone:
+		return &link.Frame{Refused: &link.Refused{Key: k, Reason: f.reason}}, f.outcome
+	case f != nil:
+		return &link.Frame{Failed: &link.Failed{Key: k, Detail: f.detail}}, f.outcome
+	}
+	outcome := Good
+	if a.status >= 500 {
+		outcome = Erred
+		if !time.Now().Before(c.deadline) {
+			outcome = NoEvidence // The deadline was short; that says nothing of the upstream.
+		}
+	}
+	return &link.Frame{Answer: &link.Answer{Key: k, Status: a.status, Header: a.header, Body: a.body}}, outcome
+}
+
+func (g *Gate) finish(c *call, frame *link.Frame) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.calls, c.offer.Key)
+	if !c.offer.Retryable {
+		g.ended[c.offer.Key] = ended{frame: frame, expires: time.Now().Add(keptAnswers)}
+	}
+	c.sink.Send(frame)
+}
+
+func (g *Gate) expire(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for k, e := range g.ended {
+		if now.After(e.expires) {
+			delete(g.ended, k)
+		}
+	}
+	g.client.drop(false)
+}
+
+// confirm finds out whether an incarnation leaves: from the records, and while
+// those cannot be read, from the upstream itself.
+func (g *Gate) confirm(upstream string) {
+	for {
+		leaving, source, err := g.leaves(upstream)
+		if err == nil {
+			g.log.Info("upstream confirmed", zap.String("upstream", upstream), zap.Bool("leaving", leaving), zap.String("source", source))
+			g.update(Confirmed{At: time.Now(), Upstream: upstream, Leaving: leaving})
+			return
+		}
+		g.log.Info("upstream not confirmed", zap.String("upstream", upstream), zap.Error(err))
+		select {
+		case <-g.done:
+			return
+		case <-time.After(confirmPause):
+		}
+	}
+}
+
+func (g *Gate) leaves(upstream string) (leaving bool, source string, err error) {
+	if g.records == nil {
+		return false, "no records", nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	leaving, err = g.records.Leaving(ctx, upstream)
+	if err == nil {
+		return leaving, "records", nil
+	}
+	path := g.health()
+	if path == "" {
+		return false, "", err
+	}
+	check, stop := context.WithTimeout(context.Background(), connectTimeout)
+	defer stop()
+	who, checked := g.client.checkHealth(check, path)
+	if checked != nil {
+		return false, "", checked
+	}
+	return who != upstream, "health check", nil
+}
+
+func (g *Gate) count(name string) {
+	if g.counters != nil {
+		g.counters.Count(name)
+	}
+}
+
+func (g *Gate) observe(name string, d time.Duration) {
+	if g.counters != nil {
+		g.counters.Observe(name, d)
+	}
+}
--- /dev/null
+++ b/gate/health.go
@@ -0,0 +1,114 @@
+package gate
+
+import (
+	"time"
+)
+
+const (
+	// trialAt is the suspicion at which the gate goes on trial. One reset or
+	// garbled answer reaches it: in ordinary running they do not occur, and a
+	// trial that clears the upstream lasts two answers.
+	trialAt = 1.0
+	// What each kind of bad outcome adds. An error answer may be the request's
+	// own fault, so it takes two of them without a good one between.
+	suspicionBroken    = 1.0
+	suspicionErred     = 0.6
+	suspicionShed      = 0.5
+	suspicionUnreached = 1.0
+	suspicionHang      = 0.6
+	maxSuspicion       = 8.0
+	// goodFactor is what a good answer leaves of the suspicion.
+	goodFactor = 0.5
+	// trialGoods is how many good answers in a row end a trial.
+	trialGoods = 2
+	// trialQuiet ends a trial to which nothing came: a service without retryable
+	// requests must not stay out. The next bad outcome begins it again.
+	trialQuiet = 5 * time.Second
+	// usualGain is the weight of one answer in the mean answer time.
+	usualGain = 0.1
+	// An attempt counts as hanging when it takes hangFactor times the mean and at
+	// least hangLeast: one in a thousand ordinary answers is that late.
+	hangFactor = 5
+	hangLeast  = 500 * time.Millisecond
+)
+
+// health follows from the outcomes whether the upstream does real work.
+type health struct {
+	suspicion  float64
+	trial      bool
+	goods      int
+	trialHeard time.Time // When the trial began or last saw an outcome.
+	usual      time.Duration
+}
+
+// observe takes an outcome and reports whether the mode changed.
+func (h *health) observe(at time.Time, o Outcome, took time.Duration) bool {
+	switch o {
+	case Good:
+		h.learn(took)
+		return h.good(at)
+	case Erred:
+		return h.bad(at, suspicionErred)
+	case Broken:
+		return h.bad(at, suspicionBroken)
+	case Unreached:
+		return h.bad(at, suspicionUnreached)
+	case Shed:
+		return h.bad(at, suspicionShed)
+	default:
+		return false
+	}
+}
+
+func (h *health) learn(took time.Duration) {
+	if h.usual == 0 {
+		h.usual = took
+		return
+	}
+	h.usual += time.Duration(usualGain * float64(took-h.usual))
+}
+
+func (h *health) good(at time.Time) bool {
+	h.suspicion *= goodFactor
+	if !h.trial {
+		return false
+	}
+	h.trialHeard = at
+	h.goods++
+	if h.goods < trialGoods {
+		return false
+	}
+	h.trial = false
+	h.suspicion = 0
+	return true
+}
+
+func (h *health) bad(at time.Time, weight float64) bool {
+	h.suspicion = min(h.suspicion+weight, maxSuspicion)
+	h.goods = 0
+	if h.trial {
+		h.trialHeard = at
+		return false
+	}
+	if h.suspicion < trialAt {
+		return false
+	}
+	h.trial = true
+	h.trialHeard = at
+	return true
+}
+
+// tick ends a trial to which nobody sends anything.
+func (h *health) tick(at time.Time) bool {
+	if !h.trial || at.Sub(h.trialHeard) < trialQuiet {
+		return false
+	}
+	h.trial = false
+	h.suspicion = trialAt - suspicionShed
+	return true
+}
+
+// hangs returns the age at which a running attempt counts as hanging.
+func (h *health) hangs() time.Duration {
+	return max(hangFactor*h.usual, hangLeast)
+}
--- /dev/null
+++ b/gate/message.go
@@ -0,0 +1,123 @@
+package gate
+
+import (
+	"time"
+
+	"eiderfold/link"
+	"eiderfold/port"
+)
+
+// Message is anything Admission is told.
+type Message interface{ message() }
+
+// Offered is an offer that came in.
+type Offered struct {
+	At        time.Time
+	Key       link.Key
+	Service   string
+	Upstream  string
+	Deadline  time.Time
+	Priority  int
+	Retryable bool
+	Force     bool
+	Ready     bool // It came with its content and may start at once.
+}
+
+// Committed is the go-ahead for a granted offer.
+type Committed struct {
+	At  time.Time
+	Key link.Key
+}
+
+// Withdrawn says that the one who offered gave up.
+type Withdrawn struct {
+	At  time.Time
+	Key link.Key
+}
+
+// Outcome is how a started attempt ended.
+type Outcome uint8
+
+// Outcomes, by what they say of the upstream.
+const (
+	Good       Outcome = iota // A whole answer that is no error of the upstream.
+	Erred                     // A whole answer that is an error of the upstream.
+	Broken                    // A reset, a cut or a garbled answer.
+	Unreached                 // No connection came about.
+	Shed                      // Refused without running.
+	Replaced                  // Another incarnation holds the address.
+	NoEvidence                // Broken off from our side.
+)
+
+// Ended says that an attempt is over.
+type Ended struct {
+	At      time.Time
+	Key     link.Key
+	Outcome Outcome
+	Took    time.Duration
+}
+
+// Reported is an upstream's word about itself.
+type Reported struct {
+	At     time.Time
+	Report port.Report
+}
+
+// Confirmed says whether an incarnation has been acknowledged as leaving earlier.
+type Confirmed struct {
+	At       time.Time
+	Upstream string
+	Leaving  bool
+}
+
+// Stopping says that the node is about to end.
+type Stopping struct{ At time.Time }
+
+// Ticked says that time has passed.
+type Ticked struct{ At time.Time }
+
+func (Offered) message()   {}
+func (Committed) message() {}
+func (Withdrawn) message() {}
+func (Ended) message()     {}
+func (Reported) message()  {}
+func (Confirmed) message() {}
+func (Stopping) message()  {}
+func (Ticked) message()    {}
+
+// Command is anything Admission wants done.
+type Command interface{ command() }
+
+// Grant holds a slot for an offer until it is committed.
+type Grant struct{ Key link.Key }
+
+// Start runs an offer now.
+type Start struct{ Key link.Key }
+
+// Queue tells that an offer waits.
+type Queue struct{ Key link.Key }
+
+// Refuse ends an offer that has not run.
+type Refuse struct {
+	Key    link.Key
+	Reason link.Reason
+	After  time.Duration
+}
+
+// Abort breaks a running attempt off.
+type Abort struct{ Key link.Key }
+
+// Announce tells all links of the gate's new state.
+type Announce struct{ Why string }
+
+// Confirm asks whether an incarnation was acknowledged as leaving before this
+// process began.
+type Confirm struct{ Upstream string }
+
+func (Grant) command()    {}
+func (Start) command()    {}
+func (Queue) command()    {}
+func (Refuse) command()   {}
+func (Abort) command()    {}
+func (Announce) command() {}
+func (Confirm) command()  {}
--- /dev/null
+++ b/ingress/forward.go
@@ -0,0 +1,291 @@
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eiderfold/link"
+	"eiderfold/port"
+	"eiderfold/result"
+	"eiderfold/route"
+)
+
+const (
+	// assumedPatience is how long a request is held when neither caller nor route say.
+	assumedPatience = 30 * time.Second
+	// eventsKept is how many messages of gates may wait for one request; each of
+	// its few offers brings at most three.
+	eventsKept = 64
+)
+
+// Counters is told what happens, for metrics.
+type Counters interface {
+	Count(name string)
+	Observe(name string, d time.Duration)
+}
+
+// Forwarder sees requests to their answers.
+type Forwarder struct {
+	service  string // Beside which this node stands.
+	targets  *Targets
+	budget   *Budget
+	dialect  port.Dialect
+	log      *zap.Logger
+	counters Counters
+	table    atomic.Pointer[route.Table]
+	origin   uint64
+	number   atomic.Uint64
+	mu       sync.Mutex
+	flights  map[uint64]*flight
+}
+
+// NewForwarder returns a forwarder without a configuration.
+func NewForwarder(service string, targets *Targets, budget *Budget, dialect port.Dialect, log *zap.Logger, counters Counters) *Forwarder {
+	return &Forwarder{
+		service:  service,
+		targets:  targets,
+		budget:   budget,
+		dialect:  dialect,
+		log:      log,
+		counters: counters,
+		origin:   rand.Uint64(),
+		flights:  map[uint64]*flight{},
+	}
+}
+
+// SetTable puts a configuration in force.
+func (f *Forwarder) SetTable(t *route.Table) { f.table.Store(t) }
+
+// Table returns the configuration in force, nil if there is none.
+func (f *Forwarder) Table() *route.Table { return f.table.Load() }
+
+// InFlight returns how many requests have no answer yet.
+func (f *Forwarder) InFlight() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.flights)
+}
+
+// Serve answers a request; nil if the caller has left.
+func (f *Forwarder) Serve(ctx context.Context, r *Request) *Response {
+	fl, refused := f.prepare(r)
+	if refused != nil {
+		f.explain(r, nil, refused)
+		return refused
+	}
+	f.budget.Earn()
+	response := fl.run(ctx)
+	f.explain(r, fl, response)
+	if response == nil {
+		return nil
+	}
+	return f.outgoing(response)
+}
+
+func (f *Forwarder) prepare(r *Request) (*flight, *Response) {
+	table := f.table.Load()
+	if table == nil {
+		return nil, refusal(result.New(result.NoConfiguration, "").WithRetryAfter(backLater))
+	}
+	terms := f.dialect.Request(r.Header)
+	if terms.Malformed || terms.Attempt == "" {
+		return nil, refusal(result.New(result.BadRequest, "the attempt's id or deadline cannot be read"))
+	}
+	path := r.URL.EscapedPath()
+	matched, ok := table.Match(r.Host, path)
+	if !ok {
+		return nil, refusal(result.New(result.NoRoute, path))
+	}
+	header := r.Header.Clone()
+	stripHop(header)
+	header.Del("Content-Length")
+	return &flight{
+		forwarder: f,
+		route:     matched,
+		service:   matched.Pick(),
+		attempt:   terms.Attempt,
+		content:   &link.Content{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: r.Body},
+		began:     r.Arrived,
+		deadline:  r.Arrived.Add(patience(terms.Patience, matched.Timeout)),
+		events:    make(chan event, eventsKept),
+	}, nil
+}
+
+func patience(caller, operator time.Duration) time.Duration {
+	switch {
+	case caller > 0 && operator > 0:
+		return min(caller, operator)
+	case caller > 0:
+		return caller
+	case operator > 0:
+		return operator
+	default:
+		return assumedPatience
+	}
+}
+
+// outgoing prepares an upstream's answer for the caller.
+func (f *Forwarder) outgoing(r *Response) *Response {
+	if r.own {
+		return r
+	}
+	header := http.Header(r.Header)
+	stripHop(header)
+	r.Header = header
+	return r
+}
+
+// explain logs what became of a request and why.
+func (f *Forwarder) explain(r *Request, fl *flight, answer *Response) {
+	took := time.Since(r.Arrived)
+	f.counters.Observe("request", took)
+	if answer != nil && answer.Status < http.StatusInternalServerError && fl != nil {
+		f.counters.Count("request_answered")
+		if f.log.Core().Enabled(zap.DebugLevel) {
+			f.log.Debug("request answered", zap.String("attempt", fl.attempt), zap.Int("status", answer.Status), zap.Duration("took", took))
+		}
+		return
+	}
+	fields := []zap.Field{zap.String("attempt", f.dialect.Request(r.Header).Attempt), zap.Duration("took", took)}
+	if t := f.table.Load(); t != nil {
+		fields = append(fields, zap.Uint64("configuration", t.Version()))
+	}
+	outcome := "caller gone"
+	if answer != nil {
+		outcome = "failed"
+		fields = append(fields, zap.Int("status", answer.Status), zap.String("result", answer.code.String()), zap.Bool("own", answer.own))
+	}
+	if fl != nil {
+		fields = append(fields, zap.String("route", fl.route.Name), zap.String("service", fl.service), zap.Int("offers", fl.made),
+			zap.Int("runs", fl.runs), zap.Stringer("refused", fl.last), zap.String("doubt", fl.doubt))
+	}
+	f.counters.Count("request_" + strings.ReplaceAll(outcome, " ", "_"))
+	f.log.Info("request "+outcome, fields...)
+}
+
+func (f *Forwarder) key() link.Key {
+	return link.Key{Origin: f.origin, Number: f.number.Add(1)}
+}
+
+func (f *Forwarder) register(k link.Key, fl *flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.flights[k.Number] = fl
+}
+
+func (f *Forwarder) unregister(k link.Key) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.flights, k.Number)
+}
+
+// Deliver takes a gate's message about an offer.
+func (f *Forwarder) Deliver(frame *link.Frame) {
+	k, ok := keyOf(frame)
+	if !ok || k.Origin != f.origin {
+		return
+	}
+	f.mu.Lock()
+	fl := f.flights[k.Number]
+	f.mu.Unlock()
+	if fl != nil {
+		fl.notify(event{frame: frame, key: k.Number})
+	}
+}
+
+func keyOf(f *link.Frame) (link.Key, bool) {
+	switch {
+	case f.Granted != nil:
+		return f.Granted.Key, true
+	case f.Queued != nil:
+		return f.Queued.Key, true
+	case f.Refused != nil:
+		return f.Refused.Key, true
+	case f.Answer != nil:
+		return f.Answer.Key, true
+	case f.Failed != nil:
+		return f.Failed.Key, true
+	default:
+		return link.Key{}, false
+	}
+}
+
+// notify hands an event over. The channel holds more than a request can bring; if
+// it is full nevertheless, its tick finds out by the deadlines.
+func (f *flight) notify(e event) {
+	select {
+	case f.events <- e:
+	default:
+	}
+}
+
+// Connected tells that there is a way to a target's process.
+func (f *Forwarder) Connected(t *Target, sink Sink, process uint64) {
+	t.way.Store(&way{sink: sink, process: process})
+	f.tell(event{target: t})
+}
+
+// Disconnected tells that a way is gone; one that was replaced already is not.
+func (f *Forwarder) Disconnected(t *Target, sink Sink) {
+	w := t.way.Load()
+	if w == nil || w.sink != sink || !t.way.CompareAndSwap(w, nil) {
+		return
+	}
+	f.tell(event{target: t, lost: true})
+}
+
+func (f *Forwarder) tell(e event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	told := map[*flight]bool{}
+	for _, fl := range f.flights {
+		if !told[fl] {
+			told[fl] = true
+			fl.notify(e)
+		}
+	}
+}
+
+func (f *Forwarder) count(name string) { f.counters.Count(name) }
+
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+// stripHop removes what counts for one connection only (RFC 9110, 7.6.1).
+func stripHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// Request is a caller's request, read whole.
+type Request struct {
+	Method     string
+	RequestURI string
+	URL        *url.URL
+	Host       string
+	Header     http.Header
+	Body       []byte
+	Arrived    time.Time
+}
+
+// Response is an answer to a caller.
+type Response struct {
+	Status int
+	Header map[string][]string
+	Body   []byte
+	own    bool // Made by this node, not by an upstream.
+	code   result.Code
+}
--- /dev/null
+++ b/ingress/refusal.go
@@ -0,0 +1,26 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"eiderfold/result"
+)
+
+// refusal makes a node's own answer.
+func refusal(e *result.Error) *Response {
+	h := http.Header{}
+	result.Mark(h, e.Code())
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if e.RetryAfter() > 0 {
+		h.Set("Retry-After", fraction(e.RetryAfter()))
+	}
+	return &Response{Status: e.Code().Status(), Header: h, Body: []byte(e.Error() + "\n"), own: true, code: e.Code()}
+}
+
+// fraction writes seconds with their fraction: a gate is free again long before a
+// whole second has passed.
+func fraction(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', -1, 64)
+}
--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,195 @@
+// Package link carries messages between two nodes: length-prefixed CBOR over one
+// TCP connection, in both directions. It keeps order, never blocks a sender, and
+// notices within seconds when the other side has gone silent.
+//
+// # Usage
+//
+//	l, err := link.Dial(ctx, "10.0.0.2:8146")
+//	go l.Run(func(f *link.Frame) { ... })
+//	l.Send(&link.Frame{Offer: &link.Offer{...}})
+package link
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxFrame bounds a message in bytes: the largest body an operator allows is
+	// 64 MiB, with its header.
+	maxFrame = 80 << 20
+	// outboxLength is how many messages may wait for a slow peer before the link
+	// is given up; at a thousand requests a second that is a second's worth.
+	outboxLength = 4096
+	// dialTimeout bounds a connection's making: some hundred round trips.
+	dialTimeout = 1 * time.Second
+	// silence is how long bytes may stay unacknowledged before the connection
+	// counts as broken; several retransmissions fit.
+	silence = 4 * time.Second
+	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+	tcpUserTimeout = 0x12
+	prefixLength   = 4
+	bufferBytes    = 4 << 10
+)
+
+// ErrFrameTooLarge says that a peer sent a message over the bound.
+var ErrFrameTooLarge = errors.New("message too large")
+
+// Link is one connection to another node.
+type Link struct {
+	conn     net.Conn
+	outbox   chan *Frame
+	closed   chan struct{}
+	once     sync.Once
+	received atomic.Int64 // UnixNano of the last message.
+}
+
+// Dial connects to a node.
+func Dial(ctx context.Context, address string) (*Link, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: silence / 2, Control: control}
+	conn, err := d.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	return New(conn), nil
+}
+
+func control(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		// A kernel without the option still has the pings to find a dead peer.
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
+	})
+}
+
+// New makes a link of a connection.
+func New(conn net.Conn) *Link {
+	l := &Link{conn: conn, outbox: make(chan *Frame, outboxLength), closed: make(chan struct{})}
+	l.received.Store(time.Now().UnixNano())
+	return l
+}
+
+// Send queues a message. It returns false when the link is closed, and closes it
+// when the peer does not keep up.
+func (l *Link) Send(f *Frame) bool {
+	select {
+	case <-l.closed:
+		return false
+	default:
+	}
+	select {
+	case l.outbox <- f:
+		return true
+	default:
+		l.Close()
+		return false
+	}
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.once.Do(func() {
+		close(l.closed)
+		_ = l.conn.Close() // Nothing more is wanted of it.
+	})
+}
+
+// Closed is closed with the link.
+func (l *Link) Closed() <-chan struct{} { return l.closed }
+
+// Received returns when the last message came.
+func (l *Link) Received() time.Time { return time.Unix(0, l.received.Load()) }
+
+// Remote returns the peer's address.
+func (l *Link) Remote() string { return l.conn.RemoteAddr().String() }
+
+// Run reads messages until the link ends and says why.
+func (l *Link) Run(handle func(*Frame)) error {
+	defer l.Close()
+	go l.write()
+	in := bufio.NewReaderSize(l.conn, bufferBytes)
+	for {
+		f, err := read(in)
+		if err != nil {
+			return err
+		}
+		l.received.Store(time.Now().UnixNano())
+		if f.Ping != nil {
+			if !f.Ping.Reply {
+				l.Send(&Frame{Ping: &Ping{Reply: true}})
+			}
+			continue
+		}
+		handle(f)
+	}
+}
+
+func read(in *bufio.Reader) (*Frame, error) {
+	var prefix [prefixLength]byte
+	if _, err := io.ReadFull(in, prefix[:]); err != nil {
+		return nil, errors.Wrap(err, "read")
+	}
+	n := binary.BigEndian.Uint32(prefix[:])
+	if n > maxFrame {
+		return nil, errors.WithStack(ErrFrameTooLarge)
+	}
+	text := make([]byte, n)
+	if _, err := io.ReadFull(in, text); err != nil {
+		return nil, errors.Wrap(err, "read")
+	}
+	f := &Frame{}
+	return f, errors.Wrap(cbor.Unmarshal(text, f), "decode")
+}
+
+// write sends what waits, several messages in one packet where there are.
+func (l *Link) write() {
+	defer l.Close()
+	out := bufio.NewWriterSize(l.conn, bufferBytes)
+	for {
+		select {
+		case f := <-l.outbox:
+			if l.encode(out, f) != nil {
+				return
+			}
+		case <-l.closed:
+			return
+		}
+		for more := true; more; {
+			select {
+			case f := <-l.outbox:
+				if l.encode(out, f) != nil {
+					return
+				}
+			default:
+				more = false
+			}
+		}
+		_ = l.conn.SetWriteDeadline(time.Now().Add(silence)) // Fails only on a closed connection, as the write does.
+		if out.Flush() != nil {
+			return
+		}
+	}
+}
+
+func (l *Link) encode(out *bufio.Writer, f *Frame) error {
+	text, err := cbor.Marshal(f)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	var prefix [prefixLength]byte
+	binary.BigEndian.PutUint32(prefix[:], uint32(len(text)))
+	if _, err := out.Write(prefix[:]); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	_, err = out.Write(text)
+	return errors.Wrap(err, "write")
+}
--- /dev/null
+++ b/link/message.go
@@ -0,0 +1,189 @@
+package link
+
+import (
+	"fmt"
+	"time"
+)
+
+// Key names one offer of one request: the process that made it and its number.
+type Key struct {
+	Origin uint64 `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+}
+
+// String returns the key for logs.
+func (k Key) String() string { return fmt.Sprintf("%x-%d", k.Origin, k.Number) }
+
+// Content is a request as it goes to the upstream.
+type Content struct {
+	Method string              `cbor:"1,keyasint"`
+	Target string              `cbor:"2,keyasint"` // The request line's target, as the caller sent it.
+	Host   string              `cbor:"3,keyasint"`
+	Header map[string][]string `cbor:"4,keyasint"`
+	Body   []byte              `cbor:"5,keyasint,omitempty"`
+}
+
+// Offer asks a gate for a slot.
+type Offer struct {
+	Key           Key           `cbor:"1,keyasint"`
+	Attempt       string        `cbor:"2,keyasint"` // The caller's name for the request.
+	Service       string        `cbor:"3,keyasint"`
+	Upstream      string        `cbor:"4,keyasint,omitempty"` // The incarnation that is meant.
+	CallerService string        `cbor:"5,keyasint"`
+	Left          time.Duration `cbor:"6,keyasint"` // Until the deadline.
+	Priority      int           `cbor:"7,keyasint,omitempty"`
+	Retryable     bool          `cbor:"8,keyasint,omitempty"`
+	Force         bool          `cbor:"9,keyasint,omitempty"`  // Take it though the gate is on trial.
+	Content       *Content      `cbor:"10,keyasint,omitempty"` // With it, a free slot starts at once.
+}
+
+// Granted says that a slot is held for the offer. The gate waits for the commit,
+// or has started if the offer came with its content.
+type Granted struct {
+	Key     Key  `cbor:"1,keyasint"`
+	Started bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Queued says that the offer waits for a slot.
+type Queued struct {
+	Key Key `cbor:"1,keyasint"`
+}
+
+// Reason tells why an offer was refused.
+type Reason uint8
+
+// Reasons of a refusal.
+const (
+	ReasonNone         Reason = iota
+	ReasonClosed              // The gate takes no work: unknown, leaving or stopping.
+	ReasonTrial               // It is on trial, and the offer is none that it takes.
+	ReasonBusy                // No slot comes free in time.
+	ReasonMisdirected         // Another service or upstream is meant.
+	ReasonNotConnected        // The upstream took no connection.
+	ReasonShed                // The upstream said that it did not run it.
+	ReasonNeverSeen           // Asked for, and not known: it did not start and never will.
+	ReasonExpired             // The deadline passed before it started.
+)
+
+var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired"}
+
+// String returns the reason's name.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "unknown"
+}
+
+// Refused says that the offer has not run and never will.
+type Refused struct {
+	Key    Key           `cbor:"1,keyasint"`
+	Reason Reason        `cbor:"2,keyasint"`
+	After  time.Duration `cbor:"3,keyasint,omitempty"` // When to come back, 0 for no advice.
+}
+
+// Commit starts a granted offer.
+type Commit struct {
+	Key     Key           `cbor:"1,keyasint"`
+	Left    time.Duration `cbor:"2,keyasint"`
+	Content *Content      `cbor:"3,keyasint"`
+}
+
+// Withdraw gives an offer up. What runs already is broken off if it is retryable.
+type Withdraw struct {
+	Key Key `cbor:"1,keyasint"`
+}
+
+// Answer is an upstream's whole answer.
+type Answer struct {
+	Key    Key                 `cbor:"1,keyasint"`
+	Status int                 `cbor:"2,keyasint"`
+	Header map[string][]string `cbor:"3,keyasint"`
+	Body   []byte              `cbor:"4,keyasint,omitempty"`
+}
+
+// Failed says that the request may have run and that no answer came of it.
+type Failed struct {
+	Key    Key    `cbor:"1,keyasint"`
+	Detail string `cbor:"2,keyasint"`
+}
+
+// Ask wants to know what became of a committed offer after a link broke.
+type Ask struct {
+	Key Key `cbor:"1,keyasint"`
+}
+
+// Mode is how a gate takes work.
+type Mode uint8
+
+// Modes of a gate.
+const (
+	ModeClosed Mode = iota // Nothing.
+	ModeTrial              // One retryable request at a time.
+	ModeOpen               // As much as there are slots.
+)
+
+var modeNames = [...]string{"closed", "trial", "open"}
+
+// String returns the mode's name.
+func (m Mode) String() string {
+	if int(m) < len(modeNames) {
+		return modeNames[m]
+	}
+	return "unknown"
+}
+
+// Status is a gate's word about itself.
+type Status struct {
+	Mode     Mode          `cbor:"1,keyasint"`
+	Upstream string        `cbor:"2,keyasint,omitempty"`
+	Slots    int           `cbor:"3,keyasint,omitempty"`
+	Usual    time.Duration `cbor:"4,keyasint,omitempty"` // Mean time of its answers.
+	Suspect  float64       `cbor:"5,keyasint,omitempty"` // What speaks against its upstream; for a forced choice.
+}
+
+// Hello opens a link in both directions.
+type Hello struct {
+	Member  Member `cbor:"1,keyasint"`
+	Process uint64 `cbor:"2,keyasint"` // Differs after a restart.
+	Version uint64 `cbor:"3,keyasint"` // Of the configuration it has; 0 for none.
+	Status  Status `cbor:"4,keyasint"`
+}
+
+// Member is a node as others need to know it.
+type Member struct {
+	Name       string `cbor:"1,keyasint" json:"name"`
+	Address    string `cbor:"2,keyasint" json:"address"` // IP:port for links.
+	DataCentre string `cbor:"3,keyasint" json:"data_centre"`
+	Service    string `cbor:"4,keyasint" json:"service"`
+}
+
+// Configuration carries a configuration, or only its version to say it exists.
+type Configuration struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Text    []byte `cbor:"2,keyasint,omitempty"`
+	Want    bool   `cbor:"3,keyasint,omitempty"` // The sender wants the text.
+}
+
+// Ping asks for a sign of life.
+type Ping struct {
+	Reply bool `cbor:"1,keyasint,omitempty"`
+}
+
+// Frame is one message; exactly one field is set.
+type Frame struct {
+	Hello         *Hello         `cbor:"1,keyasint,omitempty"`
+	Status        *Status        `cbor:"2,keyasint,omitempty"`
+	Offer         *Offer         `cbor:"3,keyasint,omitempty"`
+	Granted       *Granted       `cbor:"4,keyasint,omitempty"`
+	Queued        *Queued        `cbor:"5,keyasint,omitempty"`
+	Refused       *Refused       `cbor:"6,keyasint,omitempty"`
+	Commit        *Commit        `cbor:"7,keyasint,omitempty"`
+	Withdraw      *Withdraw      `cbor:"8,keyasint,omitempty"`
+	Answer        *Answer        `cbor:"9,keyasint,omitempty"`
+	Failed        *Failed        `cbor:"10,keyasint,omitempty"`
+	Ask           *Ask           `cbor:"11,keyasint,omitempty"`
+	Configuration *Configuration `cbor:"12,keyasint,omitempty"`
+	Ping          *Ping          `cbor:"13,keyasint,omitempty"`
+	Members       []Member       `cbor:"14,keyasint,omitempty"`
+}
--- /dev/null
+++ b/mesh/configuration.go
@@ -0,0 +1,135 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"eiderfold/link"
+	"eiderfold/port"
+	"eiderfold/route"
+)
+
+const (
+	// watchWait is how long a watch waits. Its answer may be lost without a sign,
+	// so it is a third of what the store would allow; peers pass a change on
+	// meanwhile.
+	watchWait = 10 * time.Second
+	// watchRetry is the pause after a failed read or watch.
+	watchRetry = 300 * time.Millisecond
+)
+
+// configuration holds the newest configuration this process has seen. It never
+// goes back.
+type configuration struct {
+	node     *Node
+	mu       sync.Mutex
+	version  uint64
+	text     []byte
+	rejected uint64 // The newest version that was refused.
+}
+
+func newConfiguration(n *Node) *configuration { return &configuration{node: n} }
+
+// run follows the operator's key until ctx ends.
+func (c *configuration) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := c.follow(ctx); err != nil && ctx.Err() == nil {
+			c.node.log.Info("configuration not followed", zap.Error(err))
+			select {
+			case <-ctx.Done():
+			case <-time.After(jitter(watchRetry)):
+			}
+		}
+	}
+}
+
+// follow reads the key and watches it until something fails. Lost history is no
+// failure: the key is read again.
+func (c *configuration) follow(ctx context.Context) error {
+	store := c.node.platform.Store
+	entry, revision, err := store.Get(ctx, c.node.platform.ConfigurationKey)
+	if err != nil && !errors.Is(err, port.ErrMissing) {
+		return err
+	}
+	if err == nil {
+		c.take(entry.Value, "store")
+	}
+	for {
+		entries, at, err := store.Watch(ctx, c.node.platform.ConfigurationKey, revision, jitter(watchWait))
+		if errors.Is(err, port.ErrCompacted) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		revision = max(at, revision)
+		for _, e := range entries {
+			if e.Key == c.node.platform.ConfigurationKey {
+				c.take(e.Value, "watch")
+			}
+		}
+	}
+}
+
+// take puts a configuration in force if it is newer than what is. One that is
+// not valid is logged, and what is in force stays.
+func (c *configuration) take(text []byte, source string) {
+	c.mu.Lock()
+	table, err := c.check(text)
+	if table == nil {
+		c.mu.Unlock()
+		if err != nil {
+			c.node.log.Warn("configuration refused", zap.String("source", source), zap.Error(err))
+		}
+		return
+	}
+	c.version = table.Version()
+	c.text = text
+	c.node.forwarder.SetTable(table)
+	c.mu.Unlock()
+	c.node.log.Info("configuration in force", zap.Uint64("version", table.Version()), zap.String("source", source))
+	c.node.links.offerVersion(table.Version())
+}
+
+// check returns the table of a newer, valid text; nil without an error if it is old.
+func (c *configuration) check(text []byte) (*route.Table, error) {
+	document, err := c.node.platform.DecodeConfiguration(text)
+	if document.Version != 0 && document.Version <= max(c.version, c.rejected) {
+		return nil, nil
+	}
+	if err == nil {
+		var table *route.Table
+		if table, err = route.New(document); err == nil {
+			return table, nil
+		}
+	}
+	c.rejected = max(c.rejected, document.Version)
+	return nil, err
+}
+
+// current returns what is in force.
+func (c *configuration) current() (uint64, []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version, c.text
+}
+
+// handle takes a peer's message about its configuration and returns the answer.
+func (c *configuration) handle(m *link.Configuration) *link.Frame {
+	version, text := c.current()
+	switch {
+	case m.Want && version > m.Version:
+		return &link.Frame{Configuration: &link.Configuration{Version: version, Text: text}}
+	case len(m.Text) > 0:
+		c.take(m.Text, "peer")
+		return nil
+	case !m.Want && m.Version > version:
+		return &link.Frame{Configuration: &link.Configuration{Version: version, Want: true}}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/mesh/directory.go
@@ -0,0 +1,212 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"eiderfold/link"
+	"eiderfold/port"
+)
+
+// Keys of the fleet's own in the store.
+const (
+	nodesPrefix   = "eiderfold/nodes/"
+	leavingPrefix = "eiderfold/leaving/"
+)
+
+const (
+	// leaseTime is how long a record outlives its node. Who is alive is seen by
+	// the links; the record only tells newcomers whom to ask.
+	leaseTime = 60 * time.Second
+	// renewEvery leaves two further tries before the lease ends.
+	renewEvery = 18 * time.Second
+	// readEvery is how often the directory is read again, for nodes that neither
+	// side could reach when they started.
+	readEvery = 60 * time.Second
+	// storeRetry is the pause after a failed call; a lapsed record must be back
+	// within two seconds of the store's return.
+	storeRetry = 700 * time.Millisecond
+	// recordRetry is the pause between tries to record a leaving upstream, whose
+	// report waits for it.
+	recordRetry = 150 * time.Millisecond
+)
+
+// directory keeps this node's record in the store and reads the others'.
+type directory struct {
+	node    *Node
+	lease   port.Lease
+	renewAt time.Time
+	readAt  time.Time
+	reached bool // The last call to the store succeeded.
+	mu      sync.Mutex
+	left    map[string]bool // Upstreams recorded as leaving by this process.
+}
+
+func newDirectory(n *Node) *directory {
+	return &directory{node: n, left: map[string]bool{}, reached: true}
+}
+
+// run registers this node and keeps it registered until ctx ends.
+func (d *directory) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := d.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// step does what is due and returns the pause until the next step.
+func (d *directory) step(ctx context.Context, now time.Time) time.Duration {
+	err := d.keep(ctx, now)
+	if err == nil && !now.Before(d.readAt) {
+		err = d.read(ctx)
+		d.readAt = now.Add(jitter(readEvery))
+	}
+	d.note(ctx, err)
+	if err != nil {
+		d.readAt = time.Time{}
+		return jitter(storeRetry)
+	}
+	return max(time.Until(earlier(d.renewAt, d.readAt)), time.Millisecond)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// jitter spreads nodes that started together: between 0.8 and 1.2 of d.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration((0.8 + 0.4*rand.Float64()) * float64(d))
+}
+
+// keep renews the lease, or registers anew if there is none any more.
+func (d *directory) keep(ctx context.Context, now time.Time) error {
+	if d.lease != 0 && now.Before(d.renewAt) {
+		return nil
+	}
+	if d.lease != 0 {
+		err := d.node.platform.Store.Renew(ctx, d.lease)
+		if err == nil {
+			d.renewAt = now.Add(jitter(renewEvery))
+			return nil
+		}
+		if !errors.Is(err, port.ErrMissing) {
+			return err
+		}
+		d.lease = 0
+	}
+	return d.register(ctx, now)
+}
+
+func (d *directory) register(ctx context.Context, now time.Time) error {
+	lease, err := d.node.platform.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(d.node.self)
+	if err != nil {
+		return errors.Wrap(err, "member")
+	}
+	if err := d.node.platform.Store.Put(ctx, nodesPrefix+d.node.self.Address, value, lease); err != nil {
+		return err
+	}
+	d.lease = lease
+	d.renewAt = now.Add(jitter(renewEvery))
+	d.node.log.Info("registered", zap.Uint64("lease", uint64(lease)))
+	return nil
+}
+
+func (d *directory) read(ctx context.Context) error {
+	entries, err := d.node.platform.Store.Range(ctx, nodesPrefix)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		var m link.Member
+		if err := json.Unmarshal(e.Value, &m); err != nil || m.Address == "" {
+			d.node.log.Warn("directory record cannot be read", zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		d.node.links.learn(m)
+	}
+	return nil
+}
+
+// note logs when the store is lost or regained.
+func (d *directory) note(ctx context.Context, err error) {
+	if (err == nil) == d.reached || ctx.Err() != nil {
+		return
+	}
+	d.reached = err == nil
+	if err != nil {
+		d.node.log.Warn("store lost", zap.Error(err))
+		return
+	}
+	d.node.log.Info("store regained")
+}
+
+// end gives up this node's record.
+func (d *directory) end(ctx context.Context) {
+	if d.lease == 0 {
+		return
+	}
+	if err := d.node.platform.Store.End(ctx, d.lease); err != nil {
+		d.node.log.Info("record not withdrawn; it lapses", zap.Error(err))
+	}
+}
+
+// Leaving tells whether an incarnation was recorded as leaving.
+func (d *directory) Leaving(ctx context.Context, upstream string) (bool, error) {
+	_, _, err := d.node.platform.Store.Get(ctx, leavingKey(upstream))
+	if errors.Is(err, port.ErrMissing) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// recordLeaving writes that an incarnation leaves, trying until ctx ends. The
+// record has no lease: it must outlast this process, whatever becomes of leases.
+func (d *directory) recordLeaving(ctx context.Context, upstream string) error {
+	d.mu.Lock()
+	known := d.left[upstream]
+	d.mu.Unlock()
+	if known {
+		return nil
+	}
+	for {
+		err := d.node.platform.Store.Put(ctx, leavingKey(upstream), []byte(d.node.self.Name), 0)
+		if err == nil {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.left[upstream] = true
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(recordRetry):
+		}
+	}
+}
+
+// maxUpstreamName keeps a key within the store's bound of 200 bytes.
+const maxUpstreamName = 150
+
+func leavingKey(upstream string) string {
+	if len(upstream) > maxUpstreamName {
+		upstream = upstream[:maxUpstreamName]
+	}
+	return leavingPrefix + strings.ReplaceAll(upstream, "/", "_")
+}
--- /dev/null
+++ b/mesh/metrics.go
@@ -0,0 +1,121 @@
+package mesh
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"eiderfold/link"
+)
+
+const (
+	// Histograms hold microseconds from one to a minute, to two digits.
+	histogramMost   = int64(time.Minute / time.Microsecond)
+	histogramDigits = 2
+)
+
+// Metrics counts events and the distribution of times.
+type Metrics struct {
+	counts     *expvar.Map
+	mu         sync.Mutex
+	histograms map[string]*hdrhistogram.Histogram
+}
+
+// NewMetrics returns metrics that are all zero.
+func NewMetrics() *Metrics {
+	return &Metrics{counts: new(expvar.Map).Init(), histograms: map[string]*hdrhistogram.Histogram{}}
+}
+
+// Count adds one to a counter.
+func (m *Metrics) Count(name string) { m.counts.Add(name, 1) }
+
+// Observe records a time.
+func (m *Metrics) Observe(name string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.histograms[name]
+	if h == nil {
+		h = hdrhistogram.New(1, histogramMost, histogramDigits)
+		m.histograms[name] = h
+	}
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), histogramMost)) // Within its range by the line itself.
+}
+
+// ServeHTTP writes a line for each counter and for each quantile of a histogram.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	m.counts.Do(func(v expvar.KeyValue) { fmt.Fprintf(w, "eiderfold_%s %s\n", v.Key, v.Value) })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name := range m.histograms {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		h := m.histograms[name]
+		for _, q := range []float64{50, 90, 99, 100} {
+			fmt.Fprintf(w, "eiderfold_%s_seconds{quantile=\"%v\"} %v\n", name, q/100, float64(h.ValueAtQuantile(q))/1e6)
+		}
+		fmt.Fprintf(w, "eiderfold_%s_seconds_count %d\n", name, h.TotalCount())
+	}
+}
+
+// Dump is a node's state for people.
+type Dump struct {
+	Node          link.Member `json:"node"`
+	Configuration uint64      `json:"configuration"`
+	Ready         bool        `json:"ready"`
+	Gate          gateDump    `json:"gate"`
+	Peers         []peerDump  `json:"peers"`
+}
+
+type gateDump struct {
+	Mode     string  `json:"mode"`
+	Upstream string  `json:"upstream"`
+	Slots    int     `json:"slots"`
+	InHand   int     `json:"in_hand"`
+	Suspect  float64 `json:"suspicion"`
+}
+
+type peerDump struct {
+	link.Member
+	Reachable bool   `json:"reachable"`
+	Mode      string `json:"mode"`
+	Upstream  string `json:"upstream"`
+}
+
+// Dump returns the node's state.
+func (n *Node) Dump() Dump {
+	s := n.gate.Status()
+	version, _ := n.config.current()
+	d := Dump{
+		Node:          n.self,
+		Configuration: version,
+		Ready:         n.ready(),
+		Gate:          gateDump{Mode: s.Mode.String(), Upstream: s.Upstream, Slots: s.Slots, InHand: n.gate.Busy(), Suspect: s.Suspect},
+	}
+	for _, p := range n.links.all() {
+		t := p.current()
+		s := t.Status()
+		d.Peers = append(d.Peers, peerDump{Member: t.Member(), Reachable: t.Reachable(), Mode: s.Mode.String(), Upstream: s.Upstream})
+	}
+	return d
+}
+
+// observability serves metrics and the dump.
+func (n *Node) observability() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", n.metrics)
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.Dump()) // The reader may be gone.
+	})
+	return mux
+}
--- /dev/null
+++ b/mesh/node.go
@@ -0,0 +1,152 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"eiderfold/gate"
+	"eiderfold/ingress"
+	"eiderfold/link"
+	"eiderfold/port"
+	"eiderfold/route"
+	"eiderfold/settings"
+)
+
+// Platform is what a node needs of the platform it runs on.
+type Platform struct {
+	Store            port.Directory
+	Dialect          port.Dialect
+	ConfigurationKey string
+	ReadinessPath    string
+	// DecodeConfiguration reads the operator's configuration.
+	DecodeConfiguration func(text []byte) (route.Document, error)
+	// IsReport tells whether a request is an upstream's report of itself.
+	IsReport func(r *http.Request) bool
+	// DecodeReport reads such a report; its errors are the sender's.
+	DecodeReport func(r *http.Request) (port.Report, error)
+	// AcknowledgeReport answers a report that was taken.
+	AcknowledgeReport func(w http.ResponseWriter)
+}
+
+// Node is one process of the fleet.
+type Node struct {
+	settings  *settings.Mesh
+	platform  Platform
+	log       *zap.Logger
+	metrics   *Metrics
+	self      link.Member
+	process   uint64 // Differs after a restart.
+	targets   *ingress.Targets
+	forwarder *ingress.Forwarder
+	budget    *ingress.Budget
+	gate      *gate.Gate
+	server    *ingress.Server
+	links     *links
+	config    *configuration
+	directory *directory
+	stopping  atomic.Bool
+}
+
+// New wires a node. Nothing is started.
+func New(s *settings.Mesh, p Platform, metrics *Metrics, log *zap.Logger) *Node {
+	n := &Node{
+		settings: s,
+		platform: p,
+		log:      log,
+		metrics:  metrics,
+		self:     link.Member{Name: s.Node(), Address: s.Links(), DataCentre: s.DataCentre(), Service: s.Service()},
+		process:  rand.Uint64(),
+		targets:  ingress.NewTargets(s.DataCentre(), s.FloorShare()),
+		budget:   ingress.NewBudget(s.Retries()),
+	}
+	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, n.budget, p.Dialect, log, metrics)
+	n.server = ingress.NewServer(n.forwarder.Serve, n.limits)
+	n.directory = newDirectory(n)
+	n.config = newConfiguration(n)
+	n.links = newLinks(n)
+	n.gate = gate.New(gate.Upstream{Address: s.Upstream(), Service: s.Service()}, p.Dialect, log,
+		gate.WithRecords(n.directory), gate.WithCounters(metrics), gate.WithAnnounce(n.links.announce), gate.WithHealthPath(n.healthPath))
+	n.links.addLocal()
+	return n
+}
+
+// limits returns what callers may send now.
+func (n *Node) limits() route.Limits {
+	if t := n.forwarder.Table(); t != nil {
+		return t.Limits()
+	}
+	return route.Limits{}
+}
+
+func (n *Node) healthPath() string {
+	if t := n.forwarder.Table(); t != nil {
+		s, _ := t.Service(n.settings.Service())
+		return s.HealthPath
+	}
+	return ""
+}
+
+// ready tells whether callers are served here.
+func (n *Node) ready() bool {
+	return n.forwarder.Table() != nil && !n.stopping.Load()
+}
+
+// Run serves until ctx ends and then stops in order.
+func (n *Node) Run(ctx context.Context) error {
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.log.Info("start", zap.String("node", n.self.Name), zap.String("service", n.self.Service), zap.Uint64("process", n.process))
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var background sync.WaitGroup
+	for _, f := range []func(context.Context){n.gate.Run, n.config.run, n.directory.run, n.links.run} {
+		background.Go(func() { f(running) })
+	}
+	go n.links.accept(listeners.links)
+	go n.server.Serve(listeners.callers) //nolint:errcheck // It ends without an error when its listener is closed.
+	go serveHTTP(listeners.reports, http.HandlerFunc(n.serveReport))
+	go serveHTTP(listeners.ready, http.HandlerFunc(n.serveReady))
+	if listeners.metrics != nil {
+		go serveHTTP(listeners.metrics, n.observability())
+	}
+	<-ctx.Done()
+	n.stop(listeners)
+	cancel()
+	background.Wait()
+	n.links.close()
+	n.log.Info("stopped", zap.String("node", n.self.Name))
+	return nil
+}
+
+// listeners are the sockets of a node.
+type listeners struct {
+	callers, links, reports, ready, metrics net.Listener
+}
+
+func (n *Node) listen() (*listeners, error) {
+	l := &listeners{}
+	s := n.settings
+	for _, e := range []struct {
+		to      *net.Listener
+		address string
+	}{{&l.callers, s.Callers()}, {&l.links, s.Links()}, {&l.reports, s.Reports()}, {&l.ready, s.Ready()}, {&l.metrics, s.Metrics()}} {
+		if e.address == "" {
+			continue
+		}
+		opened, err := net.Listen("tcp4", e.address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		*e.to = opened
+	}
+	return l, nil
+}
--- /dev/null
+++ b/mesh/peer.go
@@ -0,0 +1,141 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eiderfold/ingress"
+	"eiderfold/link"
+)
+
+// run dials the node until it has been away for long.
+func (p *peer) run(ctx context.Context) {
+	pause := dialLeast
+	for ctx.Err() == nil {
+		l, err := link.Dial(ctx, p.address)
+		if err == nil {
+			pause = dialLeast
+			p.serve(l)
+		}
+		if time.Since(p.lastSeen()) > forgetAfter {
+			p.links.forget(p)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(jitter(pause)):
+		}
+		pause = min(2*pause, dialMost)
+	}
+}
+
+func (p *peer) lastSeen() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seen
+}
+
+// serve uses a link until it ends.
+func (p *peer) serve(l *link.Link) {
+	p.mu.Lock()
+	p.link = l
+	p.pinged = time.Time{}
+	p.mu.Unlock()
+	l.Send(p.links.hello())
+	err := l.Run(func(f *link.Frame) { p.handle(l, f) })
+	p.mu.Lock()
+	p.link = nil
+	p.version = 0
+	target, name := p.target, p.member.Name
+	p.mu.Unlock()
+	p.links.node.forwarder.Disconnected(target, l)
+	p.links.node.log.Info("link lost", zap.String("node", name), zap.Error(err))
+}
+
+// handle takes a message of the node's gate.
+func (p *peer) handle(l *link.Link, f *link.Frame) {
+	n := p.links.node
+	switch {
+	case f.Hello != nil:
+		p.greet(l, f.Hello)
+	case f.Status != nil:
+		p.current().SetStatus(*f.Status)
+	case f.Configuration != nil:
+		p.know(f.Configuration.Version)
+		if answer := n.config.handle(f.Configuration); answer != nil {
+			l.Send(answer)
+		}
+	default:
+		n.forwarder.Deliver(f)
+	}
+}
+
+// greet learns who is at the address now; it may be another node than before.
+func (p *peer) greet(l *link.Link, h *link.Hello) {
+	n := p.links.node
+	p.mu.Lock()
+	p.seen = time.Now()
+	old := p.target
+	if h.Member != p.member {
+		p.member = h.Member
+		p.target = ingress.NewTarget(h.Member)
+	}
+	target := p.target
+	p.mu.Unlock()
+	if target != old {
+		n.targets.Remove(old)
+		n.targets.Add(target)
+	}
+	target.SetStatus(h.Status)
+	n.forwarder.Connected(target, l, h.Process)
+	p.know(h.Version)
+	p.links.compare(l, h.Version)
+	n.log.Info("link up", zap.String("node", h.Member.Name), zap.String("service", h.Member.Service), zap.Stringer("mode", h.Status.Mode))
+}
+
+func (p *peer) current() *ingress.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
+func (p *peer) know(version uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version = max(p.version, version)
+}
+
+func (p *peer) offerVersion(version uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link != nil && p.version < version {
+		p.link.Send(&link.Frame{Configuration: &link.Configuration{Version: version}})
+	}
+}
+
+// check pings a silent link, and ends it when no answer comes.
+func (p *peer) check(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == nil {
+		return
+	}
+	received := p.link.Received()
+	p.seen = received
+	silent := now.Sub(received)
+	bound := idlePing
+	if p.target.Busy() {
+		bound = busyPing
+	}
+	switch {
+	case p.pinged.After(received):
+		if now.Sub(p.pinged) > deadAfter {
+			p.link.Close()
+		}
+	case silent > bound:
+		p.pinged = now
+		p.link.Send(&link.Frame{Ping: &link.Ping{}})
+	}
+}
--- /dev/null
+++ b/mesh/serve.go
@@ -0,0 +1,66 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eiderfold/port"
+)
+
+const (
+	// answerWithin is how long a report's sender waits for the acknowledgement.
+	answerWithin = 900 * time.Millisecond
+	// headerTimeout bounds a request to the small servers.
+	headerTimeout = 5 * time.Second
+)
+
+func serveHTTP(l net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	_ = s.Serve(l) // It ends when the listener is closed.
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != n.platform.ReadinessPath {
+		http.NotFound(w, r)
+		return
+	}
+	if !n.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveReport takes the word of the upstream beside this node. That it leaves is
+// acted on at once and acknowledged when the store has it, because a process that
+// replaces this one must find it.
+func (n *Node) serveReport(w http.ResponseWriter, r *http.Request) {
+	if !n.platform.IsReport(r) {
+		http.NotFound(w, r)
+		return
+	}
+	report, err := n.platform.DecodeReport(r)
+	if err != nil {
+		n.log.Warn("report refused", zap.String("from", r.RemoteAddr), zap.Error(err))
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	n.gate.Report(report)
+	if report.Leaving && !n.recordLeaving(r.Context(), report) {
+		http.Error(w, "not recorded yet", http.StatusServiceUnavailable)
+		return
+	}
+	n.platform.AcknowledgeReport(w)
+}
+
+func (n *Node) recordLeaving(ctx context.Context, r port.Report) bool {
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	err := n.directory.recordLeaving(ctx, r.Upstream)
+	n.log.Info("upstream leaves", zap.String("upstream", r.Upstream), zap.Bool("final", r.Final), zap.Bool("recorded", err == nil), zap.NamedError("cause", err))
+	return err == nil
+}
--- /dev/null
+++ b/port/mesh.go
@@ -0,0 +1,89 @@
+package port
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a Directory, beside those of a Store.
+var (
+	// ErrCompacted says that the history a watch asked for is gone.
+	ErrCompacted = errors.New("history is gone")
+	// ErrConflict says that a condition of a write did not hold.
+	ErrConflict = errors.New("condition does not hold")
+)
+
+// Lease names a lease of the store; 0 is none.
+type Lease uint64
+
+// Directory is a store with leases and short watches, as `eiderfold mesh` needs it.
+type Directory interface {
+	// Get reads a key and the store's revision. It returns ErrMissing.
+	Get(ctx context.Context, key string) (Entry, uint64, error)
+	// Range reads everything below a prefix.
+	Range(ctx context.Context, prefix string) ([]Entry, error)
+	// Watch waits for what was written below prefix after a revision. It returns
+	// ErrCompacted when that is no longer known.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
+	// Put writes a key; ErrMissing says that the lease is over.
+	Put(ctx context.Context, key string, value []byte, under Lease) error
+	// Remove deletes a key.
+	Remove(ctx context.Context, key string) error
+	// Grant makes a lease.
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+	// Renew extends a lease; ErrMissing says that it is over.
+	Renew(ctx context.Context, l Lease) error
+	// End gives a lease up, with its keys.
+	End(ctx context.Context, l Lease) error
+}
+
+// RequestTerms is what a caller says about its request.
+type RequestTerms struct {
+	Attempt   string        // Names this try of the caller; a repeat has another.
+	Patience  time.Duration // How long the caller waits from now; 0 if it does not say.
+	Malformed bool          // A header of ours cannot be read.
+}
+
+// OutgoingTerms is what an upstream is told about a request.
+type OutgoingTerms struct {
+	Left          time.Duration // Until the request's deadline.
+	Upstream      string        // The incarnation that shall run it.
+	CallerService string        // The service beside which the request started.
+}
+
+// AnswerTerms is what an upstream says about its answer.
+type AnswerTerms struct {
+	Attempt  string // The request it belongs to.
+	Upstream string // The incarnation that answered, where it says so.
+	NotRun   bool   // The request was refused and has not run.
+	Genuine  bool   // The answer was made by an upstream's work.
+	Load     Load
+}
+
+// Load is how busy an upstream says it is; Slots is 0 if it does not say.
+type Load struct{ Running, Waiting, Slots int }
+
+// Dialect translates headers of requests and answers.
+type Dialect interface {
+	// AttemptHeader is the canonical name of the header that names the attempt.
+	AttemptHeader() string
+	Request(h http.Header) RequestTerms
+	SetOutgoing(h http.Header, t OutgoingTerms)
+	Answer(status int, h http.Header) AnswerTerms
+	Strip(h http.Header)
+}
+
+// Report is an upstream's word about itself.
+type Report struct {
+	Upstream string // The incarnation.
+	Service  string
+	Address  string
+	Slots    int
+	ColdLeft time.Duration // How much longer it is slow after its start.
+	Sequence uint64        // Grows with each report of an incarnation; 0 in a final one.
+	Leaving  bool          // It takes no new work.
+	Final    bool          // It is about to end.
+}
--- a/result/result.go
+++ b/result/result.go
@@ -48,6 +48,7 @@
 	BadRequest         Code = 23
 	SlowCaller         Code = 24
 	KeyReused          Code = 25
+	HeaderTooLarge     Code = 26
 	NoConfiguration    Code = 30
 	Overloaded         Code = 31
 	Stopping           Code = 32
@@ -90,6 +91,7 @@
 	BodyTooLarge:       {"body-too-large", http.StatusRequestEntityTooLarge, NotRun, "the body is over the limit of the settings"},
 	BadRequest:         {"bad-request", http.StatusBadRequest, NotRun, "a header of ours cannot be read"},
 	SlowCaller:         {"slow-caller", http.StatusRequestTimeout, NotRun, "the body did not come within the deadline; nothing was sent"},
+	HeaderTooLarge:     {"header-too-large", http.StatusRequestHeaderFieldsTooLarge, NotRun, "the header is over the limit of the configuration"},
 	KeyReused:          {"key-reused", http.StatusUnprocessableEntity, NotRun, "the Idempotency-Key names an operation with another body"},
 	NoConfiguration:    {"no-configuration", http.StatusServiceUnavailable, NotRun, "the node holds no configuration yet"},
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, NotRun, "no slot comes free within the deadline"},
--- /dev/null
+++ b/settings/mesh.go
@@ -0,0 +1,206 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+)
+
+// Standard values of fields of a mesh node that may be left out.
+const (
+	standardMeshGrace   = 6 * time.Second // Until the platform kills a stopping process.
+	standardRetryRatio  = 0.2
+	standardRetrySlack  = 20
+	standardFloorShare  = 0.7
+	standardAcknowledge = 4 * time.Second
+)
+
+// meshFile is the YAML of a node of `eiderfold mesh`.
+type meshFile struct {
+	Node       string     `yaml:"node"`
+	DataCentre string     `yaml:"data_centre"`
+	Upstream   upstream   `yaml:"upstream"`
+	Listen     meshListen `yaml:"listen"`
+	Store      string     `yaml:"store"`
+	Fleet      fleet      `yaml:"fleet"`
+	Retries    retries    `yaml:"retries"`
+	Stop       meshStop   `yaml:"stop"`
+	Log        logFields  `yaml:"log"`
+}
+
+type upstream struct {
+	Address string `yaml:"address"`
+	Service string `yaml:"service"`
+}
+
+type meshListen struct {
+	Callers string `yaml:"callers"`
+	Links   string `yaml:"links"`
+	Reports string `yaml:"reports"`
+	Ready   string `yaml:"ready"`
+	Metrics string `yaml:"metrics"`
+}
+
+type fleet struct {
+	FloorShare  float64       `yaml:"floor_share"`
+	Acknowledge time.Duration `yaml:"acknowledge"`
+}
+
+type retries struct {
+	Ratio float64 `yaml:"ratio"`
+	Slack float64 `yaml:"slack"`
+}
+
+type meshStop struct {
+	Grace time.Duration `yaml:"grace"`
+}
+
+// Mesh is the checked settings of a node of `eiderfold mesh`.
+type Mesh struct{ file meshFile }
+
+// LoadMesh reads and checks a file. Its error names every fault by field.
+func LoadMesh(path string) (*Mesh, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return ParseMesh(path, text)
+}
+
+// ParseMesh checks the text of a file.
+func ParseMesh(path string, text []byte) (*Mesh, error) {
+	m := &Mesh{}
+	if err := yaml.UnmarshalWithOptions(text, &m.file, yaml.Strict()); err != nil {
+		return nil, errors.Errorf("%s: %s", path, yaml.FormatError(err, false, true))
+	}
+	m.defaults()
+	if faults := m.check(); len(faults) > 0 {
+		return nil, errors.Errorf("%s: %s", path, strings.Join(faults, "\n"+path+": "))
+	}
+	return m, nil
+}
+
+// Node returns the node's name.
+func (m *Mesh) Node() string { return m.file.Node }
+
+// DataCentre returns the data centre the node is in.
+func (m *Mesh) DataCentre() string { return m.file.DataCentre }
+
+// Upstream returns the IP:port of the upstream beside the node.
+func (m *Mesh) Upstream() string { return m.file.Upstream.Address }
+
+// Service returns the upstream's service.
+func (m *Mesh) Service() string { return m.file.Upstream.Service }
+
+// Callers returns the IP:port for callers.
+func (m *Mesh) Callers() string { return m.file.Listen.Callers }
+
+// Links returns the IP:port for other nodes.
+func (m *Mesh) Links() string { return m.file.Listen.Links }
+
+// Reports returns the IP:port for the upstream's heartbeats.
+func (m *Mesh) Reports() string { return m.file.Listen.Reports }
+
+// Ready returns the IP:port for questions of readiness.
+func (m *Mesh) Ready() string { return m.file.Listen.Ready }
+
+// Metrics returns the IP:port for metrics and the state dump; may be empty.
+func (m *Mesh) Metrics() string { return m.file.Listen.Metrics }
+
+// Store returns the IP:port of the platform's store.
+func (m *Mesh) Store() string { return m.file.Store }
+
+// FloorShare returns the part of a service that suspicion must leave in work.
+func (m *Mesh) FloorShare() float64 { return m.file.Fleet.FloorShare }
+
+// Acknowledge returns the bound for answering an upstream's report.
+func (m *Mesh) Acknowledge() time.Duration { return m.file.Fleet.Acknowledge }
+
+// Retries returns the fleet's bound on repeats: a ratio of the requests, and a
+// number above it.
+func (m *Mesh) Retries() (ratio, slack float64) { return m.file.Retries.Ratio, m.file.Retries.Slack }
+
+// Grace returns how long after SIGTERM the process is killed.
+func (m *Mesh) Grace() time.Duration { return m.file.Stop.Grace }
+
+// LogLevel returns the least level that is logged.
+func (m *Mesh) LogLevel() string { return m.file.Log.Level }
+
+func (m *Mesh) defaults() {
+	f := &m.file
+	orDuration(&f.Stop.Grace, standardMeshGrace)
+	orDuration(&f.Fleet.Acknowledge, standardAcknowledge)
+	orNumber(&f.Fleet.FloorShare, standardFloorShare)
+	orNumber(&f.Retries.Ratio, standardRetryRatio)
+	orNumber(&f.Retries.Slack, standardRetrySlack)
+	if f.Log.Level == "" {
+		f.Log.Level = "info"
+	}
+}
+
+func orDuration(field *time.Duration, standard time.Duration) {
+	if *field == 0 {
+		*field = standard
+	}
+}
+
+func orNumber(field *float64, standard float64) {
+	if *field == 0 {
+		*field = standard
+	}
+}
+
+func (m *Mesh) check() []string {
+	f := m.file
+	var faults []string
+	fault := func(field, format string, arguments ...any) {
+		faults = append(faults, field+": "+fmt.Sprintf(format, arguments...))
+	}
+	for field, value := range map[string]string{"node": f.Node, "data_centre": f.DataCentre, "upstream.service": f.Upstream.Service} {
+		if value == "" {
+			fault(field, "is missing")
+		}
+	}
+	addresses := map[string]string{
+		"upstream.address": f.Upstream.Address,
+		"listen.callers":   f.Listen.Callers,
+		"listen.links":     f.Listen.Links,
+		"listen.reports":   f.Listen.Reports,
+		"listen.ready":     f.Listen.Ready,
+		"store":            f.Store,
+	}
+	if f.Listen.Metrics != "" {
+		addresses["listen.metrics"] = f.Listen.Metrics
+	}
+	for field, value := range addresses {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			fault(field, "%q is no IP:port", value)
+		}
+	}
+	if f.Fleet.FloorShare < 0 || f.Fleet.FloorShare > 1 {
+		fault("fleet.floor_share", "%v is not between 0 and 1", f.Fleet.FloorShare)
+	}
+	if f.Retries.Ratio < 0 || f.Retries.Slack < 0 {
+		fault("retries", "ratio %v and slack %v must not be under 0", f.Retries.Ratio, f.Retries.Slack)
+	}
+	if f.Stop.Grace < time.Second {
+		fault("stop.grace", "%v is under 1s", f.Stop.Grace)
+	}
+	if f.Fleet.Acknowledge < 0 {
+		fault("fleet.acknowledge", "%v is under 0", f.Fleet.Acknowledge)
+	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, f.Log.Level) {
+		fault("log.level", "%q is none of debug, info, warn, error", f.Log.Level)
+	}
+	if f.Log.Format != "" && f.Log.Format != "json" {
+		fault("log.format", "%q: a mesh node logs json", f.Log.Format)
+	}
+	slices.Sort(faults)
+	return faults
+}
