Repeats by a sliding window; trials with a pace; SIGHUP; one start for an offer

Trials sent five requests a second into an upstream that reset nearly all. Change: each node keeps the operators' window itself, for each service; a trial pauses 250 ms after a bad outcome and needs as many good answers as it saw bad ones, three at most; queued offers wait for a commit; SIGHUP reloads settings. Ruled out: hedges as the cause of the failures (43 silent gates in 3000 requests).

--- a/cmd/eiderfold/mesh.go
+++ b/cmd/eiderfold/mesh.go
@@ -31,12 +31,12 @@
 			c.Println("settings of", s.Node(), "are good")
 			return nil
 		}
-		return runMesh(c, s)
+		return runMesh(c, *path, s)
 	}
 	return c
 }
 
-func runMesh(c *cobra.Command, s *settings.Mesh) error {
+func runMesh(c *cobra.Command, path string, s *settings.Mesh) error {
 	metrics := mesh.NewMetrics()
 	log, flush, err := meshLogger(s.LogLevel(), metrics)
 	if err != nil {
@@ -53,5 +53,7 @@
 		DecodeReport:        platform.DecodeReport,
 		AcknowledgeReport:   platform.AcknowledgeReport,
 	}
-	return mesh.New(s, p, metrics, log).Run(c.Context())
+	n := mesh.New(s, p, metrics, log)
+	go followSettings(c.Context(), path, n, log)
+	return n.Run(c.Context())
 }
--- a/gate/admission.go
+++ b/gate/admission.go
@@ -118,6 +118,7 @@
 	if len(a.queue) >= queuePerSlot*a.slots || m.At.Add(wait).After(m.Deadline) {
 		return []Command{Refuse{Key: m.Key, Reason: link.ReasonBusy, After: wait}}
 	}
+	e.Ready = false // Another gate may be given it meanwhile; a commit decides.
 	a.entries[m.Key] = e
 	i, _ := slices.BinarySearchFunc(a.queue, e, order)
 	a.queue = slices.Insert(a.queue, i, e)
@@ -153,7 +154,7 @@
 func (a *Admission) free(e *entry) bool {
 	busy := len(a.entries) - len(a.queue)
 	if a.Mode() == link.ModeTrial && !e.Force {
-		return busy == 0
+		return busy == 0 && !e.At.Before(a.trialFrom)
 	}
 	return busy < a.slots
 }
--- a/gate/health.go
+++ b/gate/health.go
@@ -19,8 +19,13 @@
 	maxSuspicion       = 8.0
 	// goodFactor is what a good answer leaves of the suspicion.
 	goodFactor = 0.5
-	// trialGoods is how many good answers in a row end a trial.
-	trialGoods = 2
+	// A trial ends after as many good answers in a row as it saw bad outcomes, the
+	// one that began it among them, and at most trialGoods. One stray reset costs
+	// one answer; an upstream that fails most of its work stays out.
+	trialGoods = 3
+	// trialPause is the pause after a bad outcome on trial. Each such try costs a
+	// repeat elsewhere, and troubles last for seconds.
+	trialPause = 250 * time.Millisecond
 	// trialQuiet ends a trial to which nothing came: a service without retryable
 	// requests must not stay out. The next bad outcome begins it again.
 	trialQuiet = 5 * time.Second
@@ -37,6 +42,8 @@
 	suspicion  float64
 	trial      bool
 	goods      int
+	bads       int       // Since the trial began.
+	trialFrom  time.Time // When the next try may come.
 	trialHeard time.Time // When the trial began or last saw an outcome.
 	usual      time.Duration
 }
@@ -75,7 +82,7 @@
 	}
 	h.trialHeard = at
 	h.goods++
-	if h.goods < trialGoods {
+	if h.goods < min(h.bads, trialGoods) {
 		return false
 	}
 	h.trial = false
@@ -87,14 +94,18 @@
 	h.suspicion = min(h.suspicion+weight, maxSuspicion)
 	h.goods = 0
 	if h.trial {
+		h.bads++
 		h.trialHeard = at
+		h.trialFrom = at.Add(trialPause)
 		return false
 	}
 	if h.suspicion < trialAt {
 		return false
 	}
 	h.trial = true
+	h.bads = 1
 	h.trialHeard = at
+	h.trialFrom = at
 	return true
 }
 
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -117,7 +117,7 @@
 // next offers the request to another gate.
 func (f *flight) next(now time.Time) {
 	if f.arrivals > 0 && !f.token {
-		if !f.forwarder.budget.Take() {
+		if !f.forwarder.budget.Take(f.service, now) {
 			f.forwarder.count("repeat_without_budget")
 			return
 		}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -81,7 +81,7 @@
 		f.explain(r, nil, refused)
 		return refused
 	}
-	f.budget.Earn()
+	f.budget.Earn(fl.service, r.Arrived)
 	response := fl.run(ctx)
 	f.explain(r, fl, response)
 	if response == nil {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -75,7 +75,7 @@
 // Targets are all gates that this node knows, by service.
 type Targets struct {
 	dataCentre string
-	floorShare float64
+	floorShare atomic.Pointer[float64]
 	mu         sync.Mutex // Held by writers of services.
 	services   atomic.Pointer[map[string][]*Target]
 }
@@ -83,11 +83,15 @@
 // NewTargets returns no targets, for a node in a data centre. The floor share is
 // the part of a service's gates that must not be set aside on suspicion.
 func NewTargets(dataCentre string, floorShare float64) *Targets {
-	t := &Targets{dataCentre: dataCentre, floorShare: floorShare}
+	t := &Targets{dataCentre: dataCentre}
+	t.SetFloorShare(floorShare)
 	t.services.Store(&map[string][]*Target{})
 	return t
 }
 
+// SetFloorShare changes the part that must not be set aside.
+func (t *Targets) SetFloorShare(share float64) { t.floorShare.Store(&share) }
+
 // Add makes a target eligible.
 func (t *Targets) Add(n *Target) { t.edit(n, true) }
 
@@ -172,7 +176,7 @@
 // leastOpen is how many of a service's live gates must be open before suspicion
 // counts for nothing. A gate on trial still takes one retryable request at a
 // time, so half the floor is what may stand between it and ordinary work.
-func (t *Targets) leastOpen(live int) float64 { return t.floorShare * float64(live) / 2 }
+func (t *Targets) leastOpen(live int) float64 { return *t.floorShare.Load() * float64(live) / 2 }
 
 func leastSuspect(list []*Target) *Target {
 	return slices.MinFunc(list, func(a, b *Target) int {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -37,7 +37,7 @@
 
 // Node is one process of the fleet.
 type Node struct {
-	settings  *settings.Mesh
+	settings  atomic.Pointer[settings.Mesh]
 	platform  Platform
 	log       *zap.Logger
 	metrics   *Metrics
@@ -57,7 +57,6 @@
 // New wires a node. Nothing is started.
 func New(s *settings.Mesh, p Platform, metrics *Metrics, log *zap.Logger) *Node {
 	n := &Node{
-		settings: s,
 		platform: p,
 		log:      log,
 		metrics:  metrics,
@@ -66,6 +65,7 @@
 		targets:  ingress.NewTargets(s.DataCentre(), s.FloorShare()),
 		budget:   ingress.NewBudget(s.Retries()),
 	}
+	n.settings.Store(s)
 	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, n.budget, p.Dialect, log, metrics)
 	n.server = ingress.NewServer(n.forwarder.Serve, n.limits)
 	n.directory = newDirectory(n)
@@ -77,6 +77,17 @@
 	return n
 }
 
+// Reload puts new settings in use, as far as a running node can: bounds change,
+// names and addresses need a restart.
+func (n *Node) Reload(s *settings.Mesh) {
+	old := n.settings.Swap(s)
+	n.budget.SetBounds(s.Retries())
+	n.targets.SetFloorShare(s.FloorShare())
+	moved := s.Node() != old.Node() || s.Callers() != old.Callers() || s.Links() != old.Links() || s.Upstream() != old.Upstream() ||
+		s.Service() != old.Service() || s.Store() != old.Store()
+	n.log.Info("reload", zap.Bool("restart_needed", moved))
+}
+
 // limits returns what callers may send now.
 func (n *Node) limits() route.Limits {
 	if t := n.forwarder.Table(); t != nil {
@@ -87,7 +98,7 @@
 
 func (n *Node) healthPath() string {
 	if t := n.forwarder.Table(); t != nil {
-		s, _ := t.Service(n.settings.Service())
+		s, _ := t.Service(n.self.Service)
 		return s.HealthPath
 	}
 	return ""
@@ -134,7 +145,7 @@
 
 func (n *Node) listen() (*listeners, error) {
 	l := &listeners{}
-	s := n.settings
+	s := n.settings.Load()
 	for _, e := range []struct {
 		to      *net.Listener
 		address string
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -23,11 +23,11 @@
 // stop ends the node without cutting a request: first callers and other nodes are
 // told to go elsewhere, then what is in hand is answered, then sockets close.
 func (n *Node) stop(l *listeners) {
-	kill := time.Now().Add(n.settings.Grace() - killMargin)
+	kill := time.Now().Add(n.settings.Load().Grace() - killMargin)
 	n.log.Info("stop", zap.Time("until", kill))
 	n.stopping.Store(true)
 	n.server.Stop()
-	time.Sleep(min(unreadyTime, n.settings.Grace()/2))
+	time.Sleep(min(unreadyTime, n.settings.Load().Grace()/2))
 	n.gate.Stop()
 	_ = l.callers.Close()
 	for time.Now().Before(kill) && (n.server.CloseIdle() > 0 || n.gate.Busy() > 0) {
