--- a/cmd/eiderfold/log.go
+++ b/cmd/eiderfold/log.go
@@ -99,6 +99,7 @@
 	w := newLineWriter(func() { metrics.Count("log_lines_dropped") })
 	e := zap.NewProductionEncoderConfig()
 	e.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	e.StacktraceKey = zapcore.OmitKey
 	e.EncodeDuration = zapcore.MillisDurationEncoder
 	sampled := func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 		if d&zapcore.LogDropped != 0 {
--- a/gate/admission.go
+++ b/gate/admission.go
@@ -14,6 +14,9 @@
 	// queuePerSlot bounds the queue; what is behind it would wait many times the
 	// usual answer time.
 	queuePerSlot = 16
+	// queueShare of its time is how long an offer may wait. After that the caller
+	// has more of a chance elsewhere, told so in time.
+	queueShare = 0.4
 	// assumedTime stands in for the mean answer time before there is one.
 	assumedTime = 100 * time.Millisecond
 	// pastKept is how many earlier incarnations are remembered, so that a late
@@ -33,7 +36,7 @@
 type entry struct {
 	Offered
 	phase   phase
-	until   time.Time // When a grant lapses.
+	until   time.Time // When a grant lapses, or the wait in the queue ends.
 	started time.Time
 	hung    bool // Counted as hanging already.
 }
@@ -114,13 +117,14 @@
 	if a.Mode() == link.ModeTrial && !m.Force {
 		return []Command{Refuse{Key: m.Key, Reason: link.ReasonTrial}}
 	}
-	wait := a.wait(len(a.queue))
-	if len(a.queue) >= queuePerSlot*a.slots || m.At.Add(wait).After(m.Deadline) {
+	i, _ := slices.BinarySearchFunc(a.queue, e, order)
+	wait := a.wait(i)
+	if len(a.queue) >= queuePerSlot*a.slots || m.At.Add(wait+a.usual).After(m.Aim) {
 		return []Command{Refuse{Key: m.Key, Reason: link.ReasonBusy, After: wait}}
 	}
 	e.Ready = false // Another gate may be given it meanwhile; a commit decides.
 	a.entries[m.Key] = e
-	i, _ := slices.BinarySearchFunc(a.queue, e, order)
+	e.until = m.At.Add(time.Duration(queueShare * float64(m.Deadline.Sub(m.At))))
 	a.queue = slices.Insert(a.queue, i, e)
 	return []Command{Queue{Key: m.Key}}
 }
@@ -153,10 +157,14 @@
 // free tells whether a slot is there for the entry.
 func (a *Admission) free(e *entry) bool {
 	busy := len(a.entries) - len(a.queue)
-	if a.Mode() == link.ModeTrial && !e.Force {
+	switch {
+	case a.Mode() != link.ModeTrial:
+		return busy < a.slots
+	case e.Force:
+		return busy < a.forced(a.slots)
+	default:
 		return busy == 0 && !e.At.Before(a.trialFrom)
 	}
-	return busy < a.slots
 }
 
 // admit gives the entry a slot, to start at once or to wait for its commit.
@@ -289,6 +297,9 @@
 		case e.phase == granted && at.After(e.until):
 			a.drop(e)
 			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonExpired})
+		case e.phase == queued && at.After(e.until):
+			a.drop(e)
+			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonBusy, After: a.wait(len(a.queue))})
 		case e.phase == running && !e.hung && at.Sub(e.started) > a.hangs():
 			e.hung = true
 			a.bad(at, suspicionHang)
@@ -307,11 +318,6 @@
 	}
 	for len(a.queue) > 0 {
 		e := a.queue[0]
-		if at.Add(a.wait(0) / 2).After(e.Deadline) {
-			a.drop(e)
-			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonExpired})
-			continue
-		}
 		if !a.free(e) {
 			break
 		}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -169,6 +169,7 @@
 		Service:   o.Service,
 		Upstream:  o.Upstream,
 		Deadline:  c.deadline,
+		Aim:       aim(now, c.deadline, o.Aim),
 		Priority:  o.Priority,
 		Retryable: o.Retryable,
 		Force:     o.Force,
@@ -176,6 +177,13 @@
 	})
 }
 
+func aim(now, deadline time.Time, left time.Duration) time.Time {
+	if left == 0 || now.Add(left).After(deadline) {
+		return deadline
+	}
+	return now.Add(left)
+}
+
 func (g *Gate) commit(now time.Time, from Sink, m *link.Commit) {
 	g.mu.Lock()
 	c := g.calls[m.Key]
--- a/gate/health.go
+++ b/gate/health.go
@@ -29,6 +29,8 @@
 	// trialQuiet ends a trial to which nothing came: a service without retryable
 	// requests must not stay out. The next bad outcome begins it again.
 	trialQuiet = 5 * time.Second
+	// ratioGain is the weight of one outcome in the share of good ones.
+	ratioGain = 0.2
 	// usualGain is the weight of one answer in the mean answer time.
 	usualGain = 0.1
 	// An attempt counts as hanging when it takes hangFactor times the mean and at
@@ -46,6 +48,7 @@
 	trialFrom  time.Time // When the next try may come.
 	trialHeard time.Time // When the trial began or last saw an outcome.
 	usual      time.Duration
+	badRatio   float64 // Share of bad outcomes, recent ones first.
 }
 
 // observe takes an outcome and reports whether the mode changed.
@@ -77,6 +80,7 @@
 
 func (h *health) good(at time.Time) bool {
 	h.suspicion *= goodFactor
+	h.badRatio -= ratioGain * h.badRatio
 	if !h.trial {
 		return false
 	}
@@ -92,6 +96,7 @@
 
 func (h *health) bad(at time.Time, weight float64) bool {
 	h.suspicion = min(h.suspicion+weight, maxSuspicion)
+	h.badRatio += ratioGain * (1 - h.badRatio)
 	h.goods = 0
 	if h.trial {
 		h.bads++
@@ -109,6 +114,12 @@
 	return true
 }
 
+// forced is how many attempts at a time are right for an upstream on trial when
+// too few others are open: as many of its slots as it answers well.
+func (h *health) forced(slots int) int {
+	return max(1, int(float64(slots)*(1-h.badRatio)+0.5))
+}
+
 // tick ends a trial to which nobody sends anything.
 func (h *health) tick(at time.Time) bool {
 	if !h.trial || at.Sub(h.trialHeard) < trialQuiet {
--- a/gate/message.go
+++ b/gate/message.go
@@ -17,6 +17,7 @@
 	Service   string
 	Upstream  string
 	Deadline  time.Time
+	Aim       time.Time // When the answer loses most of its worth; at most the deadline.
 	Priority  int
 	Retryable bool
 	Force     bool
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -8,7 +8,7 @@
 const (
 	// budgetShare is the part of the fleet's bound that is spent: calls that a
 	// repeated run makes count as repeats too, and are not seen here.
-	budgetShare = 0.8
+	budgetShare = 0.65
 	// A node counts in buckets of a second over the operators' window of ten.
 	budgetBucket  = time.Second
 	budgetBuckets = 10
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -159,6 +159,7 @@
 		Priority:      f.route.Priority,
 		Retryable:     f.route.Retryable,
 		Force:         c.force,
+		Aim:           max(f.began.Add(f.route.Target).Sub(now), 0),
 	}
 	if f.route.Retryable && f.made == 0 {
 		message.Content = f.content
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -20,6 +20,8 @@
 	// exploreShare of the choices look at one gate at random, so that what is
 	// believed of a gate that got no work does not grow old.
 	exploreShare = 0.03
+	// farShare of the choices ignore the data centre, for the same reason.
+	farShare = 0.005
 	// slowFactor is how many times the median answer time makes a gate the last resort.
 	slowFactor = 2.0
 	// nearOffers is how many offers of a request stay in the data centre.
@@ -159,6 +161,9 @@
 	}
 	below := float64(openAll) < t.leastOpen(live)
 	if len(trial) > 0 && w.retryable && !below && rand.Float64() < min(trialMost, trialShare*float64(len(trial))) {
+		if near := t.near(trial); len(near) > 0 {
+			trial = near
+		}
 		return choice{target: trial[rand.IntN(len(trial))]}
 	}
 	if len(open) > 0 {
@@ -193,11 +198,11 @@
 
 // best takes the better of two open gates, in the own data centre first.
 func (t *Targets) best(open []*Target, offers int) *Target {
+	pool := withoutSlow(open)
 	if rand.Float64() < exploreShare {
-		return open[rand.IntN(len(open))]
+		pool = open
 	}
-	pool := withoutSlow(open)
-	if offers < nearOffers {
+	if offers < nearOffers && rand.Float64() > farShare {
 		if near := t.near(pool); len(near) > 0 {
 			pool = near
 		}
--- a/link/message.go
+++ b/link/message.go
@@ -33,8 +33,9 @@
 	Left          time.Duration `cbor:"6,keyasint"` // Until the deadline.
 	Priority      int           `cbor:"7,keyasint,omitempty"`
 	Retryable     bool          `cbor:"8,keyasint,omitempty"`
-	Force         bool          `cbor:"9,keyasint,omitempty"`  // Take it though the gate is on trial.
+	Force         bool          `cbor:"9,keyasint,omitempty"`  // Too few gates are open: on trial, take it though it may run only once.
 	Content       *Content      `cbor:"10,keyasint,omitempty"` // With it, a free slot starts at once.
+	Aim           time.Duration `cbor:"11,keyasint,omitempty"` // Until the answer loses most of its worth; 0 for the deadline.
 }
 
 // Granted says that a slot is held for the offer. The gate waits for the commit,
--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,10 +15,13 @@
 )
 
 const (
-	// watchWait is how long a watch waits. Its answer may be lost without a sign,
-	// so it is a third of what the store would allow; peers pass a change on
-	// meanwhile.
-	watchWait = 10 * time.Second
+	// A watch may go deaf without a sign until its wait is over. So waits end at
+	// different times on different nodes: some node of the fleet asks anew within
+	// watchPerNode on average, and passes on what it finds. A wait is between
+	// watchLeast and watchMost.
+	watchPerNode = 300 * time.Millisecond
+	watchLeast   = 1 * time.Second
+	watchMost    = 10 * time.Second
 	// watchRetry is the pause after a failed read or watch.
 	watchRetry = 300 * time.Millisecond
 )
@@ -59,7 +63,7 @@
 		c.take(entry.Value, "store")
 	}
 	for {
-		entries, at, err := store.Watch(ctx, c.node.platform.ConfigurationKey, revision, jitter(watchWait))
+		entries, at, err := store.Watch(ctx, c.node.platform.ConfigurationKey, revision, watchWait(c.node.links.fleet()))
 		if errors.Is(err, port.ErrCompacted) {
 			return nil
 		}
@@ -75,6 +79,12 @@
 	}
 }
 
+// watchWait draws how long a watch waits in a fleet of so many nodes.
+func watchWait(nodes int) time.Duration {
+	longest := min(max(time.Duration(nodes)*2*watchPerNode, watchLeast), watchMost)
+	return watchLeast + time.Duration(rand.Float64()*float64(longest-watchLeast))
+}
+
 // take puts a configuration in force if it is newer than what is. One that is
 // not valid is logged, and what is in force stays.
 func (c *configuration) take(text []byte, source string) {
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -145,6 +145,13 @@
 	l.node.log.Info("node forgotten", zap.String("node", p.member.Name), zap.Time("seen", p.seen))
 }
 
+// fleet returns how many nodes are known, this one among them.
+func (l *links) fleet() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.peers) + 1
+}
+
 func (l *links) all() []*peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
