Hedges by the route's own tail, and from half of the budget

Change: a hedge goes out past 1.4 times the route's 95th percentile (the estimator of the own deployment, moved to core and used by both) and leaves half of the budget. Trials pause twice as long after each bad outcome. A summary line carries counters.

--- a/proxy/usual.go
+++ b/core/usual.go
@@ -1,4 +1,4 @@
-package proxy
+package core
 
 import (
 	"math"
--- a/gate/health.go
+++ b/gate/health.go
@@ -17,15 +17,18 @@
 	suspicionUnreached = 1.0
 	suspicionHang      = 0.6
 	maxSuspicion       = 8.0
+	maxDoublings       = 4
 	// goodFactor is what a good answer leaves of the suspicion.
 	goodFactor = 0.5
 	// A trial ends after as many good answers in a row as it saw bad outcomes, the
 	// one that began it among them, and at most trialGoods. One stray reset costs
 	// one answer; an upstream that fails most of its work stays out.
 	trialGoods = 3
-	// trialPause is the pause after a bad outcome on trial. Each such try costs a
-	// repeat elsewhere, and troubles last for seconds.
-	trialPause = 250 * time.Millisecond
+	// trialPause is the pause after a bad outcome on trial, doubled up to
+	// trialPauseMost. Each such try costs a repeat elsewhere, and troubles last for
+	// seconds.
+	trialPause     = 200 * time.Millisecond
+	trialPauseMost = 800 * time.Millisecond
 	// trialQuiet ends a trial to which nothing came: a service without retryable
 	// requests must not stay out. The next bad outcome begins it again.
 	trialQuiet = 5 * time.Second
@@ -99,9 +102,9 @@
 	h.badRatio += ratioGain * (1 - h.badRatio)
 	h.goods = 0
 	if h.trial {
-		h.bads++
 		h.trialHeard = at
-		h.trialFrom = at.Add(trialPause)
+		h.trialFrom = at.Add(min(trialPause<<min(h.bads-1, maxDoublings), trialPauseMost))
+		h.bads++
 		return false
 	}
 	if h.suspicion < trialAt {
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -61,12 +61,13 @@
 	w.requests[w.second%budgetBuckets]++
 }
 
-// Take counts a repeat and reports whether the budget has it.
-func (b *Budget) Take(service string, now time.Time) bool {
+// Take counts a repeat and reports whether the budget has it, with a part of it in
+// reserve.
+func (b *Budget) Take(service string, now time.Time, reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.at(service, now)
-	if sum(w.repeats)+1 > b.ratio*sum(w.requests)+b.slack/float64(b.fleet) {
+	if sum(w.repeats)+1 > (1-reserve)*(b.ratio*sum(w.requests)+b.slack/float64(b.fleet)) {
 		return false
 	}
 	w.repeats[w.second%budgetBuckets]++
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"eiderfold/core"
 	"eiderfold/link"
 	"eiderfold/result"
 	"eiderfold/route"
@@ -18,10 +19,9 @@
 	acceptTime = 120 * time.Millisecond
 	// mostOffers is how many gates may have an offer of one request at a time.
 	mostOffers = 3
-	// A retryable request is sent a second time after hedgeFactor times the gate's
-	// mean answer time, and not before hedgeLeast.
-	hedgeFactor = 3
-	hedgeLeast  = 150 * time.Millisecond
+	// A retryable request is sent a second time after hedgeFactor times what all
+	// but a twentieth of the route's answers take: one in fifty by chance.
+	hedgeFactor = 1.4
 	// roundPause is the pause after all gates refused, doubled up to roundMost.
 	roundPause = 20 * time.Millisecond
 	roundMost  = 160 * time.Millisecond
@@ -34,10 +34,19 @@
 	lateGrace = 250 * time.Millisecond
 	// rejoinTime is how long a committed request waits for a broken link.
 	rejoinTime = 3 * time.Second
+	// hedgeReserve is the part of the repeat budget that hedges leave alone.
+	hedgeReserve = 0.5
 	// backLater is when a refused caller is told to come back.
 	backLater = 100 * time.Millisecond
 )
 
+// Causes of a repeat, as counted.
+const (
+	causeHedge   = "hedge"
+	causeError   = "after_error"
+	causeFailure = "after_failure"
+)
+
 type offerState uint8
 
 const (
@@ -56,6 +65,7 @@
 	direct  bool      // It carried the content and may start without a commit.
 	heard   bool      // The gate has answered it.
 	accept  time.Time // When silence makes the gate suspect.
+	started time.Time
 	hedge   time.Time // When a second one may be sent.
 	rejoin  time.Time // When a doubtful one is given up.
 }
@@ -75,6 +85,7 @@
 	service   string
 	attempt   string
 	content   *link.Content
+	usual     *core.Usual // How long the route's answers take.
 	began     time.Time
 	deadline  time.Time
 	events    chan event
@@ -88,6 +99,7 @@
 	pause     time.Duration
 	last      link.Reason
 	fallback  *Response // What is answered unless a repeat does better.
+	cause     string    // Why it would be sent again.
 	doubt     string    // Why an attempt's outcome is unknown.
 }
 
@@ -117,11 +129,12 @@
 // next offers the request to another gate.
 func (f *flight) next(now time.Time) {
 	if f.arrivals > 0 && !f.token {
-		if !f.forwarder.budget.Take(f.service, now) {
-			f.forwarder.count("repeat_without_budget")
+		if !f.forwarder.budget.Take(f.service, now, f.reserve()) {
+			f.forwarder.count("no_budget_" + f.cause)
 			return
 		}
 		f.token = true
+		f.forwarder.count("repeat_" + f.cause)
 	}
 	c := f.forwarder.targets.choose(want{service: f.service, retryable: f.route.Retryable, offers: f.made, tried: f.tried}, now)
 	if c.target == nil {
@@ -131,6 +144,15 @@
 	f.send(c, now)
 }
 
+// reserve is the part of the budget that is kept for others: a hedge is a guess,
+// and a failure is not.
+func (f *flight) reserve() float64 {
+	if f.cause == causeHedge {
+		return hedgeReserve
+	}
+	return 0
+}
+
 // nextRound lets all gates be asked again after a pause.
 func (f *flight) nextRound(now time.Time) {
 	if len(f.offers) > 0 || now.Before(f.round) {
@@ -179,8 +201,9 @@
 func (f *flight) count(o *offer, now time.Time) {
 	f.runs++
 	f.arrivals++
+	o.started = now
 	f.token = false
-	o.hedge = now.Add(max(hedgeFactor*o.target.Status().Usual, hedgeLeast))
+	o.hedge = now.Add(time.Duration(hedgeFactor * float64(f.usual.Cut())))
 }
 
 // uncount takes note that it did not run after all.
@@ -319,9 +342,11 @@
 	f.forget(o)
 	r := &Response{Status: a.Status, Header: a.Header, Body: a.Body}
 	if a.Status < http.StatusInternalServerError {
+		f.usual.Add(now.Sub(o.started))
 		return r
 	}
 	f.fallback = r
+	f.cause = causeError
 	if !f.mayRepeat(now) {
 		return f.onlyIfAlone(r)
 	}
@@ -343,6 +368,7 @@
 func (f *flight) failed(o *offer, detail string, now time.Time) *Response {
 	f.forget(o)
 	f.doubt = detail
+	f.cause = causeFailure
 	if !f.mayRepeat(now) {
 		if f.busy() {
 			return nil
@@ -433,6 +459,7 @@
 // hedge offers a slow retryable request to a second gate.
 func (f *flight) hedge(now time.Time) {
 	if f.mayRepeat(now) && len(f.offers) < mostOffers {
+		f.cause = causeHedge
 		f.next(now)
 	}
 }
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"eiderfold/core"
 	"eiderfold/link"
 	"eiderfold/port"
 	"eiderfold/result"
@@ -43,6 +44,7 @@
 	table    atomic.Pointer[route.Table]
 	origin   uint64
 	number   atomic.Uint64
+	usual    sync.Map // *core.Usual by the route's name.
 	mu       sync.Mutex
 	flights  map[uint64]*flight
 }
@@ -112,6 +114,7 @@
 		route:     matched,
 		service:   matched.Pick(),
 		attempt:   terms.Attempt,
+		usual:     f.usualOf(matched),
 		content:   &link.Content{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: r.Body},
 		began:     r.Arrived,
 		deadline:  r.Arrived.Add(patience(terms.Patience, matched.Timeout)),
@@ -119,6 +122,14 @@
 	}, nil
 }
 
+func (f *Forwarder) usualOf(r *route.Route) *core.Usual {
+	if u, ok := f.usual.Load(r.Name); ok {
+		return u.(*core.Usual)
+	}
+	u, _ := f.usual.LoadOrStore(r.Name, &core.Usual{})
+	return u.(*core.Usual)
+}
+
 func patience(caller, operator time.Duration) time.Duration {
 	switch {
 	case caller > 0 && operator > 0:
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"fmt"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
 
 	"eiderfold/link"
 )
@@ -35,6 +37,9 @@
 // Count adds one to a counter.
 func (m *Metrics) Count(name string) { m.counts.Add(name, 1) }
 
+// Counts returns all counters as one line of JSON.
+func (m *Metrics) Counts() string { return m.counts.String() }
+
 // Observe records a time.
 func (m *Metrics) Observe(name string, d time.Duration) {
 	m.mu.Lock()
@@ -67,6 +72,24 @@
 	}
 }
 
+// summaryEvery is the pace of the log line that carries all counters, so that a
+// log alone tells how much was left out of it.
+const summaryEvery = 10 * time.Second
+
+// summarize logs the counters until ctx ends.
+func (n *Node) summarize(ctx context.Context) {
+	t := time.NewTicker(summaryEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.log.Info("summary", zap.Any("counts", json.RawMessage(n.metrics.Counts())))
+		}
+	}
+}
+
 // Dump is a node's state for people.
 type Dump struct {
 	Node          link.Member `json:"node"`
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -119,7 +120,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var background sync.WaitGroup
-	for _, f := range []func(context.Context){n.gate.Run, n.config.run, n.directory.run, n.links.run} {
+	for _, f := range []func(context.Context){n.gate.Run, n.config.run, n.directory.run, n.links.run, n.summarize} {
 		background.Go(func() { f(running) })
 	}
 	go n.links.accept(listeners.links)
@@ -134,7 +135,7 @@
 	cancel()
 	background.Wait()
 	n.links.close()
-	n.log.Info("stopped", zap.String("node", n.self.Name))
+	n.log.Info("stopped", zap.String("node", n.self.Name), zap.Any("counts", json.RawMessage(n.metrics.Counts())))
 	return nil
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"eiderfold/config"
+	"eiderfold/core"
 	"eiderfold/result"
 )
 
@@ -47,7 +48,7 @@
 	account  *config.Account
 	route    *config.Route
 	service  *Service
-	usual    *Usual
+	usual    *core.Usual
 	request  *http.Request
 	path     string // Without the account.
 	body     []byte // Read whole, if it was short enough.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"eiderfold/config"
+	"eiderfold/core"
 	"eiderfold/result"
 )
 
@@ -30,7 +31,7 @@
 	node       string
 	limits     Limits
 	blame      *blame
-	usual      sync.Map // *Usual by name of template, service and route.
+	usual      sync.Map // *core.Usual by name of template, service and route.
 	stopping   atomic.Bool
 	suspects   func(*Upstream) bool
 	results    *expvar.Map
@@ -142,13 +143,13 @@
 }
 
 // usualOf outlives a new version of the template, whose routes are new objects.
-func (h *Handler) usualOf(t *config.Template, r *config.Route) *Usual {
+func (h *Handler) usualOf(t *config.Template, r *config.Route) *core.Usual {
 	key := routeKey{t.Name(), r.Service().Name(), r.Name()}
 	if u, ok := h.usual.Load(key); ok {
-		return u.(*Usual)
+		return u.(*core.Usual)
 	}
-	u, _ := h.usual.LoadOrStore(key, &Usual{})
-	return u.(*Usual)
+	u, _ := h.usual.LoadOrStore(key, &core.Usual{})
+	return u.(*core.Usual)
 }
 
 type routeKey struct{ template, service, route string }
