--- /dev/null
+++ b/gate/script_test.go
@@ -0,0 +1,167 @@
+package gate
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"eiderfold/link"
+	"eiderfold/port"
+)
+
+// script is a data file: what an admission is told, and what it must want done.
+type script struct {
+	Steps []step `yaml:"steps"`
+}
+
+// step is one message; exactly one of the first fields is set.
+type step struct {
+	Offer   *offerStep    `yaml:"offer"`
+	Commit  uint64        `yaml:"commit"`
+	Revoke  uint64        `yaml:"revoke"` // Withdrawn by the ingress.
+	End     *endStep      `yaml:"end"`
+	Report  *reportStep   `yaml:"report"`
+	Confirm *confirmStep  `yaml:"confirm"`
+	Stop    bool          `yaml:"stop"`
+	After   time.Duration `yaml:"after"` // Time passes, then a tick.
+	Want    []string      `yaml:"want"`  // Commands, in any order.
+	Mode    string        `yaml:"mode"`  // Checked if given.
+}
+
+type offerStep struct {
+	Key       uint64        `yaml:"key"`
+	Service   string        `yaml:"service"`
+	Upstream  string        `yaml:"upstream"`
+	Priority  int           `yaml:"priority"`
+	Left      time.Duration `yaml:"left"`
+	Aim       time.Duration `yaml:"aim"`
+	Retryable bool          `yaml:"retryable"`
+	Ready     bool          `yaml:"ready"`
+	Force     bool          `yaml:"force"`
+}
+
+type endStep struct {
+	Key     uint64        `yaml:"key"`
+	Outcome string        `yaml:"outcome"`
+	Took    time.Duration `yaml:"took"`
+}
+
+type reportStep struct {
+	Upstream string `yaml:"upstream"`
+	Slots    int    `yaml:"slots"`
+	Sequence uint64 `yaml:"sequence"`
+	Leaving  bool   `yaml:"leaving"`
+	Service  string `yaml:"service"`
+}
+
+type confirmStep struct {
+	Upstream string `yaml:"upstream"`
+	Leaving  bool   `yaml:"leaving"`
+}
+
+const scriptService = "births"
+
+func TestAdmissionScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.yaml")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			var s script
+			require.NoError(t, yaml.UnmarshalWithOptions(text, &s, yaml.Strict()))
+			now := time.Unix(1_000_000, 0)
+			a := NewAdmission(scriptService)
+			for i, st := range s.Steps {
+				now = now.Add(st.After)
+				got := []string{}
+				for _, c := range a.Update(st.message(t, now)) {
+					got = append(got, describe(c))
+				}
+				slices.Sort(got)
+				want := slices.Sorted(slices.Values(st.Want))
+				assert.Equal(t, append([]string{}, want...), got, "step %d", i+1)
+				if st.Mode != "" {
+					assert.Equal(t, st.Mode, a.Mode().String(), "mode after step %d", i+1)
+				}
+			}
+		})
+	}
+}
+
+func (s step) message(t *testing.T, now time.Time) Message {
+	t.Helper()
+	switch {
+	case s.Offer != nil:
+		return s.Offer.message(now)
+	case s.Commit != 0:
+		return Committed{At: now, Key: key(s.Commit)}
+	case s.Revoke != 0:
+		return Withdrawn{At: now, Key: key(s.Revoke)}
+	case s.End != nil:
+		o := slices.Index(outcomeNames[:], s.End.Outcome)
+		require.GreaterOrEqual(t, o, 0, s.End.Outcome)
+		return Ended{At: now, Key: key(s.End.Key), Outcome: Outcome(o), Took: s.End.Took}
+	case s.Report != nil:
+		r := s.Report
+		service := r.Service
+		if service == "" {
+			service = scriptService
+		}
+		return Reported{At: now, Report: port.Report{Upstream: r.Upstream, Service: service, Slots: r.Slots, Sequence: r.Sequence, Leaving: r.Leaving}}
+	case s.Confirm != nil:
+		return Confirmed{At: now, Upstream: s.Confirm.Upstream, Leaving: s.Confirm.Leaving}
+	case s.Stop:
+		return Stopping{At: now}
+	default:
+		return Ticked{At: now}
+	}
+}
+
+func (o offerStep) message(now time.Time) Offered {
+	service := o.Service
+	if service == "" {
+		service = scriptService
+	}
+	left := o.Left
+	if left == 0 {
+		left = 2 * time.Second
+	}
+	aimed := o.Aim
+	if aimed == 0 {
+		aimed = left
+	}
+	return Offered{At: now, Key: key(o.Key), Service: service, Upstream: o.Upstream, Priority: o.Priority,
+		Deadline: now.Add(left), Aim: now.Add(aimed), Retryable: o.Retryable, Ready: o.Ready, Force: o.Force}
+}
+
+func key(n uint64) link.Key { return link.Key{Origin: 1, Number: n} }
+
+func describe(c Command) string {
+	switch c := c.(type) {
+	case Grant:
+		return fmt.Sprintf("grant %d", c.Key.Number)
+	case Start:
+		return fmt.Sprintf("start %d", c.Key.Number)
+	case Queue:
+		return fmt.Sprintf("queue %d", c.Key.Number)
+	case Refuse:
+		return fmt.Sprintf("refuse %d %s", c.Key.Number, c.Reason)
+	case Abort:
+		return fmt.Sprintf("abort %d", c.Key.Number)
+	case Announce:
+		return "announce " + c.Why
+	case Confirm:
+		return "confirm " + c.Upstream
+	default:
+		return fmt.Sprintf("%T", c)
+	}
+}
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -91,10 +91,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	a, reusable, f := c.exchange(conn, r, t)
-	if !stop() && f != nil {
+	open := stop()
+	if !open && f != nil {
 		f = &failure{outcome: NoEvidence, detail: "given up: " + f.detail}
 	}
-	if reusable && f == nil {
+	if reusable && open {
 		c.keep(conn)
 	} else {
 		_ = conn.Close() // Whatever comes on it now belongs to nobody.
--- /dev/null
+++ b/gate/upstream_test.go
@@ -0,0 +1,223 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"eiderfold/link"
+	"eiderfold/platform"
+	"eiderfold/port"
+)
+
+// answerCase is what an upstream writes for one request, and what becomes of it.
+type answerCase struct {
+	Name    string `yaml:"name"`
+	Writes  string `yaml:"writes"`
+	Closes  bool   `yaml:"closes"`
+	Resets  bool   `yaml:"resets"`
+	Status  int    `yaml:"status"`
+	Body    string `yaml:"body"`
+	Outcome string `yaml:"outcome"` // Of a failure; empty for an answer.
+	Reason  string `yaml:"reason"`  // Set if it has not run for certain.
+	Kept    bool   `yaml:"kept"`    // The connection is used again.
+}
+
+// rawUpstream answers every request on a connection by a function.
+type rawUpstream struct {
+	net.Listener
+	connections atomic.Int32
+	requests    atomic.Int32
+}
+
+func startRaw(t *testing.T, answer func(c *net.TCPConn, r *http.Request, body []byte) (goOn bool)) *rawUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := &rawUpstream{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.connections.Add(1)
+			go u.serve(c.(*net.TCPConn), answer)
+		}
+	}()
+	return u
+}
+
+func (u *rawUpstream) serve(c *net.TCPConn, answer func(*net.TCPConn, *http.Request, []byte) bool) {
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			_ = c.Close()
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		u.requests.Add(1)
+		if !answer(c, r, body) {
+			return
+		}
+	}
+}
+
+func (a answerCase) write(c *net.TCPConn, r *http.Request) bool {
+	_, _ = io.WriteString(c, strings.ReplaceAll(a.Writes, "{id}", r.Header.Get("Attempt-Id")))
+	switch {
+	case a.Resets:
+		time.Sleep(20 * time.Millisecond) // The reader takes what came before the reset.
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	case a.Closes:
+		_ = c.Close()
+	}
+	return !a.Resets && !a.Closes
+}
+
+func newTestClient(address string) *client {
+	return &client{address: address, dialect: platform.Headers{}, dialed: func() {}}
+}
+
+func testContent(id string) *link.Content {
+	return &link.Content{Method: http.MethodPost, Target: "/a/%2Fb?q=1", Host: "office.example", Header: http.Header{"Attempt-Id": {id}}, Body: []byte("text")}
+}
+
+var testTerms = port.OutgoingTerms{Left: 2 * time.Second, Upstream: "i-1", CallerService: "births"}
+
+func TestAnswers(t *testing.T) {
+	text, err := os.ReadFile("testdata/answers/cases.yaml")
+	require.NoError(t, err)
+	var cases []answerCase
+	require.NoError(t, yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			u := startRaw(t, func(conn *net.TCPConn, r *http.Request, _ []byte) bool { return c.write(conn, r) })
+			client := newTestClient(u.Addr().String())
+			a, f := client.do(context.Background(), testContent("x1"), testTerms, true)
+			if c.Outcome == "" {
+				require.Nil(t, f)
+				assert.Equal(t, c.Status, a.status)
+				assert.Equal(t, c.Body, string(a.body))
+			} else {
+				require.NotNil(t, f)
+				assert.Equal(t, c.Outcome, outcomeNames[f.outcome])
+				reason := c.Reason
+				if reason == "" {
+					reason = "none"
+				}
+				assert.Equal(t, reason, f.reason.String())
+			}
+			assert.Equal(t, c.Kept, len(client.idle) == 1, "connection kept")
+			assert.EqualValues(t, 1, u.requests.Load(), "requests that reached the upstream")
+		})
+	}
+}
+
+// TestRequestPassesUnchanged looks at the request as the upstream gets it.
+func TestRequestPassesUnchanged(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	body := make(chan string, 1)
+	u := startRaw(t, func(c *net.TCPConn, r *http.Request, b []byte) bool {
+		seen <- r
+		body <- string(b)
+		return answerCase{Writes: "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"}.write(c, r)
+	})
+	content := testContent("x1")
+	content.Header["Caller-Service"] = []string{"forged"}
+	content.Header["X-Own"] = []string{"1", "2"}
+	_, f := newTestClient(u.Addr().String()).do(context.Background(), content, testTerms, true)
+	require.Nil(t, f)
+	r := <-seen
+	assert.Equal(t, "/a/%2Fb?q=1", r.RequestURI)
+	assert.Equal(t, "office.example", r.Host)
+	assert.Equal(t, []string{"births"}, r.Header["Caller-Service"])
+	assert.Equal(t, []string{"1", "2"}, r.Header["X-Own"])
+	assert.Equal(t, "i-1", r.Header.Get("Expect-Instance"))
+	assert.Equal(t, "2000", r.Header.Get("Deadline-Ms"))
+	assert.Equal(t, "text", <-body)
+}
+
+// TestKeptConnectionThatDied closes a kept connection from the other side: the
+// next request goes out on a new one, and only there.
+func TestKeptConnectionThatDied(t *testing.T) {
+	first := make(chan *net.TCPConn, 4)
+	u := startRaw(t, func(c *net.TCPConn, r *http.Request, _ []byte) bool {
+		first <- c
+		return answerCase{Writes: "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"}.write(c, r)
+	})
+	client := newTestClient(u.Addr().String())
+	_, f := client.do(context.Background(), testContent("x1"), testTerms, true)
+	require.Nil(t, f)
+	require.NoError(t, (<-first).Close())
+	require.Eventually(t, func() bool { return len(client.idle) == 1 && !quiet(client.idle[0]) }, 5*time.Second, time.Millisecond)
+	_, f = client.do(context.Background(), testContent("x2"), testTerms, true)
+	require.Nil(t, f)
+	assert.EqualValues(t, 2, u.connections.Load())
+	assert.EqualValues(t, 2, u.requests.Load())
+}
+
+// TestOnceTakesNoRestedConnection keeps a connection for longer than a request
+// that may run only once would use it.
+func TestOnceTakesNoRestedConnection(t *testing.T) {
+	u := startRaw(t, func(c *net.TCPConn, r *http.Request, _ []byte) bool {
+		return answerCase{Writes: "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"}.write(c, r)
+	})
+	client := newTestClient(u.Addr().String())
+	_, f := client.do(context.Background(), testContent("x1"), testTerms, true)
+	require.Nil(t, f)
+	client.idle[0].idleSince = time.Now().Add(-keptOnceTime)
+	_, f = client.do(context.Background(), testContent("x2"), testTerms, false)
+	require.Nil(t, f)
+	assert.EqualValues(t, 1, u.connections.Load(), "a retryable request uses it")
+	client.idle[0].idleSince = time.Now().Add(-keptOnceTime)
+	_, f = client.do(context.Background(), testContent("x3"), testTerms, true)
+	require.Nil(t, f)
+	assert.EqualValues(t, 2, u.connections.Load(), "another one does not")
+}
+
+// TestNothingListens is certain not to have run.
+func TestNothingListens(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	_, f := newTestClient(l.Addr().String()).do(context.Background(), testContent("x1"), testTerms, true)
+	require.NotNil(t, f)
+	assert.Equal(t, link.ReasonNotConnected, f.reason)
+}
+
+// TestGivenUpClosesTheConnection cancels an attempt: the upstream sees its
+// connection end.
+func TestGivenUpClosesTheConnection(t *testing.T) {
+	started, ended := make(chan bool, 1), make(chan bool, 1)
+	u := startRaw(t, func(c *net.TCPConn, _ *http.Request, _ []byte) bool {
+		started <- true
+		_, err := c.Read(make([]byte, 1))
+		ended <- err != nil
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, f := newTestClient(u.Addr().String()).do(ctx, testContent("x1"), testTerms, false)
+	require.NotNil(t, f)
+	assert.Equal(t, NoEvidence, f.outcome)
+	assert.Equal(t, link.ReasonNone, f.reason, "it may have run")
+	assert.True(t, <-ended)
+}
--- /dev/null
+++ b/ingress/server_test.go
@@ -0,0 +1,225 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"eiderfold/route"
+)
+
+// testServer serves on loopback until the test ends.
+func testServer(t *testing.T, serve Serve, limits route.Limits) (*Server, net.Addr) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := NewServer(serve, func() route.Limits { return limits })
+	go s.Serve(l) //nolint:errcheck // It ends with the listener.
+	t.Cleanup(func() { _ = l.Close() })
+	return s, l.Addr()
+}
+
+func dialServer(t *testing.T, a net.Addr) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp4", a.String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+func readAnswer(t *testing.T, in *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	r, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	return r, string(body)
+}
+
+func text(status int, body string) *Response {
+	return &Response{Status: status, Header: http.Header{}, Body: []byte(body)}
+}
+
+// TestPipelinedRunTogether lets the first of two requests end only after the
+// second: answers still come in the order of the requests.
+func TestPipelinedRunTogether(t *testing.T) {
+	second := make(chan bool)
+	_, address := testServer(t, func(_ context.Context, r *Request) *Response {
+		if r.RequestURI == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		return text(200, r.RequestURI)
+	}, route.Limits{})
+	c, in := dialServer(t, address)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	_, one := readAnswer(t, in)
+	_, two := readAnswer(t, in)
+	assert.Equal(t, []string{"/1", "/2"}, []string{one, two})
+}
+
+// TestBodies sends a body with a length, one in chunks, and none.
+func TestBodies(t *testing.T) {
+	_, address := testServer(t, func(_ context.Context, r *Request) *Response { return text(200, string(r.Body)) }, route.Limits{})
+	c, in := dialServer(t, address)
+	for _, request := range []struct{ text, body string }{
+		{"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nwith", "with"},
+		{"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nchu\r\n3\r\nnks\r\n0\r\n\r\n", "chunks"},
+		{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", ""},
+		{"POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok", "ok"},
+	} {
+		_, err := io.WriteString(c, request.text)
+		require.NoError(t, err)
+		if strings.Contains(request.text, "100-continue") {
+			interim, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusContinue, interim.StatusCode)
+		}
+		_, body := readAnswer(t, in)
+		assert.Equal(t, request.body, body)
+	}
+}
+
+// TestBadRequests are answered with the reason and the connection closed.
+func TestBadRequests(t *testing.T) {
+	limits := route.Limits{HeaderBytes: 1024, BodyBytes: 8, HeaderTimeout: 100 * time.Millisecond}
+	_, address := testServer(t, func(context.Context, *Request) *Response { return text(200, "ran") }, limits)
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"no HTTP":             {"hello\r\n\r\n", 400},
+		"no host":             {"GET / HTTP/1.1\r\n\r\n", 400},
+		"two lengths":         {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", 400},
+		"proxy form":          {"GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+		"header too large":    {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 8192) + "\r\n\r\n", 431},
+		"body too large":      {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n123456789", 413},
+		"chunks too large":    {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n123456789\r\n0\r\n\r\n", 413},
+		"header never ends":   {"GET / HTTP/1.1\r\nHost: a\r\n", 408},
+		"bad chunk":           {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+		"space before colon":  {"GET / HTTP/1.1\r\nHost : a\r\n\r\n", 400},
+		"length and encoding": {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: gzip\r\n\r\nxxxx", 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, in := dialServer(t, address)
+			_, err := io.WriteString(conn, c.text)
+			require.NoError(t, err)
+			r, _ := readAnswer(t, in)
+			assert.Equal(t, c.status, r.StatusCode)
+			assert.True(t, r.Close)
+			_, err = in.ReadByte()
+			assert.ErrorIs(t, err, io.EOF)
+		})
+	}
+}
+
+// TestCallerLeaves cancels the request when its connection ends.
+func TestCallerLeaves(t *testing.T) {
+	for _, request := range []string{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"} {
+		started, left := make(chan bool), make(chan bool)
+		_, address := testServer(t, func(ctx context.Context, _ *Request) *Response {
+			close(started)
+			<-ctx.Done()
+			close(left)
+			return nil
+		}, route.Limits{})
+		c, _ := dialServer(t, address)
+		_, err := io.WriteString(c, request)
+		require.NoError(t, err)
+		<-started
+		require.NoError(t, c.Close())
+		<-left
+	}
+}
+
+// TestStopAnswersWhatWasRead stops the server under a running request: it is
+// answered, and the answer says that the connection ends.
+func TestStopAnswersWhatWasRead(t *testing.T) {
+	started, goOn := make(chan bool), make(chan bool)
+	s, address := testServer(t, func(context.Context, *Request) *Response {
+		close(started)
+		<-goOn
+		return text(200, "done")
+	}, route.Limits{})
+	c, in := dialServer(t, address)
+	idle, idleIn := dialServer(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	<-started
+	s.Stop()
+	require.Eventually(t, func() bool { return s.CloseIdle() == 1 }, 5*time.Second, time.Millisecond, "the idle connection closes")
+	_, err = idleIn.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	_ = idle.Close()
+	close(goOn)
+	r, body := readAnswer(t, in)
+	assert.Equal(t, "done", body)
+	assert.True(t, r.Close)
+}
+
+// TestIdleConnectionEnds closes a connection that rests past the limit.
+func TestIdleConnectionEnds(t *testing.T) {
+	_, address := testServer(t, func(context.Context, *Request) *Response { return text(200, "") }, route.Limits{IdleTimeout: 50 * time.Millisecond})
+	c, in := dialServer(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	readAnswer(t, in)
+	_, err = in.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// TestHeadHasNoBody sends an answer to HEAD without its body, with its length.
+func TestHeadHasNoBody(t *testing.T) {
+	_, address := testServer(t, func(context.Context, *Request) *Response {
+		return &Response{Status: 200, Header: http.Header{"Content-Length": {"7"}}}
+	}, route.Limits{})
+	c, in := dialServer(t, address)
+	_, err := fmt.Fprint(c, "HEAD / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	r, err := http.ReadResponse(in, &http.Request{Method: http.MethodHead})
+	require.NoError(t, err)
+	assert.EqualValues(t, 7, r.ContentLength)
+	_, body := readAnswer(t, in)
+	assert.Empty(t, body)
+}
+
+// FuzzServer feeds arbitrary bytes: whatever they are, the server answers with
+// HTTP or closes, and runs only requests that the reader of net/http accepts.
+func FuzzServer(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\nHost: a\r\n\r\n"))
+	f.Add([]byte("GET / HTTP/1.1\nHost: a\n\nGET /2 HTTP/1.1\nHost: a\n\n"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		near, far := net.Pipe()
+		s := NewServer(func(_ context.Context, r *Request) *Response { return text(200, r.RequestURI) }, func() route.Limits {
+			return route.Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
+		})
+		go s.handle(far)
+		go func() {
+			_, _ = near.Write(input)
+		}()
+		_ = near.SetReadDeadline(time.Now().Add(5 * time.Second))
+		in := bufio.NewReader(near)
+		for {
+			r, err := http.ReadResponse(in, nil)
+			if err != nil {
+				break
+			}
+			_, err = io.Copy(io.Discard, r.Body)
+			require.NoError(t, err)
+		}
+		_ = near.Close()
+	})
+}
--- /dev/null
+++ b/memory/directory.go
@@ -0,0 +1,274 @@
+package memory
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"eiderfold/port"
+)
+
+// Faults are what is wrong with a Directory.
+type Faults struct {
+	Out        bool // Every call fails, nothing is done.
+	LoseWrites bool // Writes are done, and their answers lost.
+	Deaf       bool // Watches hear nothing until their wait is over.
+}
+
+// change is one entry of the history.
+type change struct {
+	entry port.Entry
+	gone  bool
+}
+
+type directoryEntry struct {
+	port.Entry
+	lease port.Lease
+}
+
+// Directory is a port.Directory in memory, with faults.
+type Directory struct {
+	mu       sync.Mutex
+	clock    port.Clock
+	faults   Faults
+	entries  map[string]directoryEntry
+	leases   map[port.Lease]time.Time // When each ends.
+	ttl      map[port.Lease]time.Duration
+	history  []change
+	oldest   uint64 // Changes up to this revision are forgotten.
+	revision uint64
+	last     port.Lease
+	changed  chan struct{}
+}
+
+var _ port.Directory = (*Directory)(nil)
+
+// NewDirectory returns an empty directory without faults.
+func NewDirectory(clock port.Clock) *Directory {
+	return &Directory{
+		clock:    clock,
+		entries:  map[string]directoryEntry{},
+		leases:   map[port.Lease]time.Time{},
+		ttl:      map[port.Lease]time.Duration{},
+		revision: 1,
+		changed:  make(chan struct{}),
+	}
+}
+
+// SetFaults changes what is wrong.
+func (d *Directory) SetFaults(f Faults) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.faults = f
+	d.wake()
+}
+
+// Compact forgets the history, so that watches must begin anew.
+func (d *Directory) Compact() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.history = nil
+	d.oldest = d.revision
+}
+
+// Revoke ends all leases, with their keys.
+func (d *Directory) Revoke() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for l := range d.leases {
+		d.end(l)
+	}
+}
+
+// Get implements port.Directory.
+func (d *Directory) Get(_ context.Context, key string) (port.Entry, uint64, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.begin(); err != nil {
+		return port.Entry{}, 0, err
+	}
+	e, ok := d.entries[key]
+	if !ok {
+		return port.Entry{Key: key}, d.revision, port.ErrMissing
+	}
+	return e.Entry, d.revision, nil
+}
+
+// Range implements port.Directory.
+func (d *Directory) Range(_ context.Context, prefix string) ([]port.Entry, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.begin(); err != nil {
+		return nil, err
+	}
+	var out []port.Entry
+	for key, e := range d.entries {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, e.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b port.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return out, nil
+}
+
+// Watch implements port.Directory.
+func (d *Directory) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]port.Entry, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		found, at, changed, err := d.look(prefix, after)
+		if err != nil || len(found) > 0 {
+			return found, at, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, port.ErrUnknown
+		}
+	}
+}
+
+func (d *Directory) look(prefix string, after uint64) ([]port.Entry, uint64, chan struct{}, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.begin(); err != nil {
+		return nil, 0, nil, err
+	}
+	if d.faults.Deaf {
+		return nil, after, d.changed, nil
+	}
+	if after < d.oldest {
+		return nil, 0, nil, port.ErrCompacted
+	}
+	var found []port.Entry
+	for _, c := range d.history {
+		if c.entry.Version > after && strings.HasPrefix(c.entry.Key, prefix) && !c.gone {
+			found = append(found, c.entry)
+		}
+	}
+	return found, d.revision, d.changed, nil
+}
+
+// Put implements port.Directory.
+func (d *Directory) Put(_ context.Context, key string, value []byte, under port.Lease) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.begin(); err != nil {
+		return err
+	}
+	if _, ok := d.leases[under]; under != 0 && !ok {
+		return port.ErrMissing
+	}
+	d.revision++
+	e := directoryEntry{Entry: port.Entry{Key: key, Value: value, Version: d.revision}, lease: under}
+	d.entries[key] = e
+	d.record(change{entry: e.Entry})
+	return d.answer()
+}
+
+// Remove implements port.Directory.
+func (d *Directory) Remove(_ context.Context, key string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.begin(); err != nil {
+		return err
+	}
+	d.remove(key)
+	return d.answer()
+}
+
+// Grant implements port.Directory.
+func (d *Directory) Grant(_ context.Context, ttl time.Duration) (port.Lease, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.begin(); err != nil {
+		return 0, err
+	}
+	d.last++
+	d.leases[d.last] = d.clock().Add(ttl)
+	d.ttl[d.last] = ttl
+	return d.last, d.answer()
+}
+
+// Renew implements port.Directory.
+func (d *Directory) Renew(_ context.Context, l port.Lease) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.begin(); err != nil {
+		return err
+	}
+	if _, ok := d.leases[l]; !ok {
+		return port.ErrMissing
+	}
+	d.leases[l] = d.clock().Add(d.ttl[l])
+	return d.answer()
+}
+
+// End implements port.Directory.
+func (d *Directory) End(_ context.Context, l port.Lease) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.begin(); err != nil {
+		return err
+	}
+	if _, ok := d.leases[l]; !ok {
+		return port.ErrMissing
+	}
+	d.end(l)
+	return d.answer()
+}
+
+// begin lets leases end that are over, and fails while the directory is out.
+func (d *Directory) begin() error {
+	now := d.clock()
+	for l, at := range d.leases {
+		if now.After(at) {
+			d.end(l)
+		}
+	}
+	if d.faults.Out {
+		return port.ErrUnavailable
+	}
+	return nil
+}
+
+// answer is the result of a write that was done.
+func (d *Directory) answer() error {
+	if d.faults.LoseWrites {
+		return port.ErrUnknown
+	}
+	return nil
+}
+
+func (d *Directory) end(l port.Lease) {
+	delete(d.leases, l)
+	delete(d.ttl, l)
+	for key, e := range d.entries {
+		if e.lease == l {
+			d.remove(key)
+		}
+	}
+}
+
+func (d *Directory) remove(key string) {
+	if _, ok := d.entries[key]; !ok {
+		return
+	}
+	d.revision++
+	delete(d.entries, key)
+	d.record(change{entry: port.Entry{Key: key, Version: d.revision}, gone: true})
+}
+
+func (d *Directory) record(c change) {
+	d.history = append(d.history, c)
+	d.wake()
+}
+
+func (d *Directory) wake() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
--- /dev/null
+++ b/mesh/bed_test.go
@@ -0,0 +1,336 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+
+	"eiderfold/link"
+	"eiderfold/memory"
+	"eiderfold/platform"
+	"eiderfold/port"
+	"eiderfold/settings"
+)
+
+// patient bounds every wait of these tests; it is reached only by a failure.
+const patient = 20 * time.Second
+
+// bed is a store and some nodes with their upstreams, in one process on loopback.
+type bed struct {
+	t     *testing.T
+	store *memory.Directory
+	nodes []*testNode
+}
+
+// nodeStore is the store as one node sees it.
+type nodeStore struct {
+	*memory.Directory
+	denied atomic.Bool
+}
+
+func (s *nodeStore) check() error {
+	if s.denied.Load() {
+		return port.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *nodeStore) Get(ctx context.Context, key string) (port.Entry, uint64, error) {
+	if err := s.check(); err != nil {
+		return port.Entry{}, 0, err
+	}
+	return s.Directory.Get(ctx, key)
+}
+
+func (s *nodeStore) Range(ctx context.Context, prefix string) ([]port.Entry, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s.Directory.Range(ctx, prefix)
+}
+
+func (s *nodeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]port.Entry, uint64, error) {
+	if err := s.check(); err != nil {
+		return nil, 0, err
+	}
+	return s.Directory.Watch(ctx, prefix, after, wait)
+}
+
+func (s *nodeStore) Put(ctx context.Context, key string, value []byte, under port.Lease) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	return s.Directory.Put(ctx, key, value, under)
+}
+
+func (s *nodeStore) Grant(ctx context.Context, ttl time.Duration) (port.Lease, error) {
+	if err := s.check(); err != nil {
+		return 0, err
+	}
+	return s.Directory.Grant(ctx, ttl)
+}
+
+func (s *nodeStore) Renew(ctx context.Context, l port.Lease) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	return s.Directory.Renew(ctx, l)
+}
+
+// testNode is a node with the upstream beside it.
+type testNode struct {
+	*Node
+	bed      *bed
+	upstream *testUpstream
+	store    *nodeStore
+	yaml     string
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// testUpstream answers requests by a function and counts the runs of each attempt.
+type testUpstream struct {
+	*httptest.Server
+	id      string
+	service string
+	healthy atomic.Bool
+	mu      sync.Mutex
+	runs    map[string]int
+	callers map[string]string
+	work    func(r *http.Request)
+}
+
+func (u *testUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.Header().Set("Instance-Id", u.id)
+		if !u.healthy.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.id {
+		w.Header().Set("Instance-Id", u.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	attempt := r.Header.Get("Attempt-Id")
+	u.mu.Lock()
+	u.runs[attempt]++
+	u.callers[attempt] = r.Header.Get("Caller-Service")
+	work := u.work
+	u.mu.Unlock()
+	body, _ := io.ReadAll(r.Body)
+	if work != nil {
+		work(r)
+	}
+	w.Header().Set("Attempt-Id", attempt)
+	w.Header().Set("Response-Stamp", "stamp-of-"+u.id)
+	_, _ = fmt.Fprintf(w, "%s by %s: %s", r.RequestURI, u.id, body)
+}
+
+func (u *testUpstream) setWork(f func(r *http.Request)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.work = f
+}
+
+func (u *testUpstream) ran(attempt string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[attempt]
+}
+
+// configurationText is a configuration with a retryable route, one that is not,
+// and any further prefixes.
+func configurationText(version int, prefixes ...string) []byte {
+	rule := `{"name":"r%d","routeKind":"%s","priority":1,"targetLatencyMs":2000,"match":{"pathPrefix":"%s"},"action":{"service":"%s","timeoutMs":8000,"maxAttempts":2}}`
+	rules := []string{
+		fmt.Sprintf(rule, 1, "idempotent", "/look/", "births"),
+		fmt.Sprintf(rule, 2, "non_idempotent", "/write/", "births"),
+		fmt.Sprintf(rule, 3, "idempotent", "/marriages/", "marriages"),
+	}
+	for i, p := range prefixes {
+		rules = append(rules, fmt.Sprintf(rule, 4+i, "idempotent", p, "births"))
+	}
+	return fmt.Appendf(nil, `{"version":"r%d","limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+		"listeners":[{"authority":"office.example","rules":[%s]}],
+		"clusters":[{"name":"births","healthPath":"/health","maxConnections":100},{"name":"marriages","healthPath":"/health","maxConnections":100}]}`,
+		version, strings.Join(rules, ","))
+}
+
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	b := &bed{t: t, store: memory.NewDirectory(time.Now)}
+	b.configure(3)
+	return b
+}
+
+func (b *bed) configure(version int, prefixes ...string) {
+	b.t.Helper()
+	require.NoError(b.t, b.store.Put(context.Background(), platform.ConfigurationKey, configurationText(version, prefixes...), 0))
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close() //nolint:errcheck // It has served its purpose.
+	return l.Addr().String()
+}
+
+// add starts a node with an upstream that has reported itself.
+func (b *bed) add(name, service string) *testNode {
+	b.t.Helper()
+	u := &testUpstream{id: "i-" + name, service: service, runs: map[string]int{}, callers: map[string]string{}}
+	u.healthy.Store(true)
+	u.Server = httptest.NewServer(u)
+	b.t.Cleanup(u.Close)
+	yaml := fmt.Sprintf(`
+node: %s
+data_centre: here
+upstream: {address: %q, service: %s}
+listen: {callers: %q, links: %q, reports: %q, ready: %q}
+store: "127.0.0.1:1"
+stop: {grace: 2s}
+`, name, u.Listener.Addr(), service, freeAddress(b.t), freeAddress(b.t), freeAddress(b.t), freeAddress(b.t))
+	n := &testNode{bed: b, upstream: u, yaml: yaml, store: &nodeStore{Directory: b.store}}
+	b.nodes = append(b.nodes, n)
+	b.t.Cleanup(func() { n.stopNode() })
+	n.start()
+	n.report(1, false)
+	return n
+}
+
+// start runs the node as a new process would.
+func (n *testNode) start() {
+	n.bed.t.Helper()
+	s, err := settings.ParseMesh("test", []byte(n.yaml))
+	require.NoError(n.bed.t, err)
+	p := Platform{
+		Store:               n.store,
+		Dialect:             platform.Headers{},
+		ConfigurationKey:    platform.ConfigurationKey,
+		ReadinessPath:       platform.ReadinessPath,
+		DecodeConfiguration: platform.DecodeConfiguration,
+		IsReport:            platform.IsReport,
+		DecodeReport:        platform.DecodeReport,
+		AcknowledgeReport:   platform.AcknowledgeReport,
+	}
+	log := zaptest.NewLogger(n.bed.t, zaptest.Level(zap.DebugLevel)).Named(s.Node())
+	n.Node = New(s, p, NewMetrics(), log)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	done := make(chan struct{})
+	n.done = done
+	node := n.Node
+	go func() {
+		defer close(done)
+		if err := node.Run(ctx); err != nil {
+			log.Error("run", zap.Error(err))
+		}
+	}()
+	require.Eventually(n.bed.t, func() bool {
+		c, err := net.Dial("tcp4", s.Reports())
+		if err != nil {
+			return false
+		}
+		return c.Close() == nil
+	}, patient, time.Millisecond)
+}
+
+// stopNode stops the node as SIGTERM does and waits for its end.
+func (n *testNode) stopNode() {
+	n.cancel()
+	<-n.done
+}
+
+// report sends the upstream's word about itself and returns the answer's status.
+func (n *testNode) report(sequence int, leaving bool) int {
+	n.bed.t.Helper()
+	state := "ready"
+	if leaving {
+		state = "draining"
+	}
+	u := n.upstream
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":2,"state":%q,"coldLeftMs":0,"callSeq":%d}`,
+		u.service, u.Listener.Addr(), state, sequence)
+	url := fmt.Sprintf("http://%s/-/rpc?call=instances.heartbeat&of=%s", n.settings.Load().Reports(), u.id)
+	r, err := http.Post(url, "application/json", strings.NewReader(body))
+	require.NoError(n.bed.t, err)
+	_ = r.Body.Close()
+	return r.StatusCode
+}
+
+// meet waits until every node has every other's gate open.
+func (b *bed) meet() {
+	b.t.Helper()
+	require.Eventually(b.t, func() bool {
+		for _, n := range b.nodes {
+			d := n.Dump()
+			if !d.Ready || len(d.Peers) != len(b.nodes)-1 || d.Gate.Mode != link.ModeOpen.String() {
+				return false
+			}
+			for _, p := range d.Peers {
+				if p.Mode != link.ModeOpen.String() || !p.Reachable {
+					return false
+				}
+			}
+		}
+		return true
+	}, patient, 5*time.Millisecond)
+}
+
+// ask sends a request to a node's callers' address.
+func (n *testNode) ask(ctx context.Context, method, path, attempt string) (*http.Response, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.Load().Callers()+path, bytes.NewReader([]byte("text")))
+	if err != nil {
+		return nil, "", err
+	}
+	r.Host = "office.example"
+	r.Header.Set("Attempt-Id", attempt)
+	r.Header.Set("Deadline-Ms", "8000")
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer answer.Body.Close() //nolint:errcheck // Nothing is written to it.
+	body, err := io.ReadAll(answer.Body)
+	return answer, string(body), err
+}
+
+// status asks and returns the answer's status.
+func (n *testNode) status(method, path, attempt string) int {
+	n.bed.t.Helper()
+	r, _, err := n.ask(context.Background(), method, path, attempt)
+	require.NoError(n.bed.t, err)
+	return r.StatusCode
+}
+
+// cutLinks breaks all links of the node, in both directions.
+func (n *testNode) cutLinks() {
+	n.links.close()
+}
+
+// withLinksOf gives settings the links' address of others.
+func withLinksOf(yaml, of string) string {
+	return strings.Replace(yaml, linksOf(yaml), linksOf(of), 1)
+}
+
+func linksOf(yaml string) string {
+	_, rest, _ := strings.Cut(yaml, "links: ")
+	address, _, _ := strings.Cut(rest, ",")
+	return address
+}
