Refusals at their word, tries by the gates' pace, sheds are no sickness

Change: a refusal says when to come back and ingresses keep to it; a retryable request tries any willing gate on trial while there is budget for its failure; forced work is as wide as the share of good answers, down to none; shedding counts little; a request that ran and failed may wait its whole aim for another gate.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -14,6 +14,9 @@
 	// queuePerSlot bounds the queue; what is behind it would wait many times the
 	// usual answer time.
 	queuePerSlot = 16
+	// likelyFactor times the mean is what four answers in five take, with the spread
+	// that is usual for short requests.
+	likelyFactor = 1.0
 	// queueShare of its time is how long an offer may wait. After that the caller
 	// has more of a chance elsewhere, told so in time.
 	queueShare = 0.4
@@ -107,19 +110,19 @@
 
 func (a *Admission) offered(m Offered) []Command {
 	if reason := a.objection(m); reason != link.ReasonNone {
-		return []Command{Refuse{Key: m.Key, Reason: reason}}
+		return []Command{Refuse{Key: m.Key, Reason: reason, After: a.after(m.At, reason)}}
 	}
 	e := &entry{Offered: m}
 	if len(a.queue) == 0 && a.free(e) {
 		a.entries[m.Key] = e
 		return a.admit(m.At, e)
 	}
-	if a.Mode() == link.ModeTrial && !m.Force {
-		return []Command{Refuse{Key: m.Key, Reason: link.ReasonTrial}}
+	if a.Mode() == link.ModeTrial {
+		return []Command{Refuse{Key: m.Key, Reason: link.ReasonTrial, After: a.after(m.At, link.ReasonTrial)}}
 	}
 	i, _ := slices.BinarySearchFunc(a.queue, e, order)
 	wait := a.wait(i)
-	if len(a.queue) >= queuePerSlot*a.slots || m.At.Add(wait+a.usual).After(m.Aim) {
+	if len(a.queue) >= queuePerSlot*a.slots || m.At.Add(wait+a.likely()).After(m.Aim) {
 		return []Command{Refuse{Key: m.Key, Reason: link.ReasonBusy, After: wait}}
 	}
 	e.Ready = false // Another gate may be given it meanwhile; a commit decides.
@@ -129,6 +132,17 @@
 	return []Command{Queue{Key: m.Key}}
 }
 
+// after is when an offer that was refused for a reason may be made again.
+func (a *Admission) after(at time.Time, reason link.Reason) time.Duration {
+	if reason != link.ReasonTrial {
+		return 0
+	}
+	return a.nextTrial(at, len(a.entries) > len(a.queue))
+}
+
+// likely is the time that most answers take.
+func (a *Admission) likely() time.Duration { return time.Duration(likelyFactor * float64(a.usual)) }
+
 // order puts urgent offers first, and among equals the one with the least time.
 func order(a, b *entry) int {
 	if a.Priority != b.Priority {
--- a/gate/health.go
+++ b/gate/health.go
@@ -13,11 +13,13 @@
 	// own fault, so it takes two of them without a good one between.
 	suspicionBroken    = 1.0
 	suspicionErred     = 0.6
-	suspicionShed      = 0.5
+	suspicionShed      = 0.15 // Nothing is lost by it, and a full upstream is not sick.
 	suspicionUnreached = 1.0
 	suspicionHang      = 0.6
 	maxSuspicion       = 8.0
 	maxDoublings       = 4
+	// trialRecheck is the least time after which a refused try is of use again.
+	trialRecheck = 20 * time.Millisecond
 	// goodFactor is what a good answer leaves of the suspicion.
 	goodFactor = 0.5
 	// A trial ends after as many good answers in a row as it saw bad outcomes, the
@@ -118,9 +120,17 @@
 }
 
 // forced is how many attempts at a time are right for an upstream on trial when
-// too few others are open: as many of its slots as it answers well.
-func (h *health) forced(slots int) int {
-	return max(1, int(float64(slots)*(1-h.badRatio)+0.5))
+// too few others are open: as many of its slots as it answers well. It may be none:
+// an upstream that fails nearly all of its work is no capacity.
+func (h *health) forced(slots int) int { return int(float64(slots) * (1 - h.badRatio)) }
+
+// nextTrial is how long it is until an upstream on trial may be tried again.
+func (h *health) nextTrial(at time.Time, busy bool) time.Duration {
+	wait := h.trialFrom.Sub(at)
+	if busy {
+		wait = max(wait, h.usual)
+	}
+	return max(wait, trialRecheck)
 }
 
 // tick ends a trial to which nobody sends anything.
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -67,13 +67,24 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.at(service, now)
-	if sum(w.repeats)+1 > (1-reserve)*(b.ratio*sum(w.requests)+b.slack/float64(b.fleet)) {
+	if !b.fits(w, reserve) {
 		return false
 	}
 	w.repeats[w.second%budgetBuckets]++
 	return true
 }
 
+// Has tells whether a repeat would be within the budget, without counting one.
+func (b *Budget) Has(service string, now time.Time, reserve float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fits(b.at(service, now), reserve)
+}
+
+func (b *Budget) fits(w *window, reserve float64) bool {
+	return sum(w.repeats)+1 <= (1-reserve)*(b.ratio*sum(w.requests)+b.slack/float64(b.fleet))
+}
+
 // at returns a service's window, moved on to now.
 func (b *Budget) at(service string, now time.Time) *window {
 	w := b.services[service]
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -29,6 +29,9 @@
 	// takes: a caller that comes back may find another node that can.
 	waitShare = 0.25
 	waitLeast = 60 * time.Millisecond
+	// waitRanShare is the same for one that ran already and failed: its caller
+	// cannot be told that it did not.
+	waitRanShare = 1.0
 	// lateGrace is how long after the deadline an answer is awaited that the
 	// upstream was told to give by then.
 	lateGrace = 250 * time.Millisecond
@@ -136,7 +139,7 @@
 		f.token = true
 		f.forwarder.count("repeat_" + f.cause)
 	}
-	c := f.forwarder.targets.choose(want{service: f.service, retryable: f.route.Retryable, offers: f.made, tried: f.tried}, now)
+	c := f.forwarder.targets.choose(f.want(now), now)
 	if c.target == nil {
 		f.nextRound(now)
 		return
@@ -144,6 +147,18 @@
 	f.send(c, now)
 }
 
+// want says what is needed of the next gate.
+func (f *flight) want(now time.Time) want {
+	return want{
+		service:   f.service,
+		retryable: f.route.Retryable,
+		trials:    f.runs+1 < f.route.Attempts && f.forwarder.budget.Has(f.service, now, trialReserve),
+		priority:  f.route.Priority,
+		offers:    f.made,
+		tried:     f.tried,
+	}
+}
+
 // reserve is the part of the budget that is kept for others: a hedge is a guess,
 // and a failure is not.
 func (f *flight) reserve() float64 {
@@ -241,6 +256,7 @@
 		f.queued(o, now)
 	case e.frame.Refused != nil:
 		f.last = e.frame.Refused.Reason
+		o.target.refuse(e.frame.Refused, f.route.Priority, now)
 		return f.refused(o, e.frame.Refused.Reason, now)
 	case e.frame.Answer != nil:
 		return f.answered(o, e.frame.Answer, now)
@@ -334,7 +350,11 @@
 	if f.arrivals > 0 && !f.token {
 		return true // No budget to send it again.
 	}
-	patience := max(time.Duration(waitShare*float64(f.route.Target)), waitLeast)
+	share := waitShare
+	if f.runs > 0 {
+		share = waitRanShare
+	}
+	patience := max(time.Duration(share*float64(f.route.Target)), waitLeast)
 	return now.Sub(f.began) > patience
 }
 
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -13,10 +13,14 @@
 const (
 	// suspicionTime is how long a gate is avoided that did not answer an offer in time.
 	suspicionTime = 1 * time.Second
-	// trialShare is how likely a retryable request goes to a given gate on trial.
-	trialShare = 0.12
-	// trialMost bounds the share of requests that go to gates on trial.
-	trialMost = 0.3
+	// trialShare is how likely a retryable request goes to a gate on trial that
+	// would take it. The gates themselves keep the pace of tries.
+	trialShare = 0.5
+	// trialReserve is the part of the repeat budget that tries leave alone: most of
+	// them fail, and are sent again.
+	trialReserve = 0.3
+	// refusalMost is how long a gate's refusal is taken at its word.
+	refusalMost = 250 * time.Millisecond
 	// exploreShare of the choices look at one gate at random, so that what is
 	// believed of a gate that got no work does not grow old.
 	exploreShare = 0.03
@@ -44,6 +48,26 @@
 	status   atomic.Pointer[link.Status]
 	suspects atomic.Int64 // UnixNano until which it is avoided.
 	inFlight atomic.Int32
+	trialAt  atomic.Int64 // UnixNano before which a try on trial is refused.
+	busyAt   atomic.Int64 // UnixNano before which its queue is full,
+	busyFor  atomic.Int32 // for this priority and less urgent ones.
+}
+
+// refuse takes note of why the gate refused an offer of a priority.
+func (t *Target) refuse(m *link.Refused, priority int, now time.Time) {
+	at := now.Add(min(m.After, refusalMost)).UnixNano()
+	switch m.Reason {
+	case link.ReasonTrial:
+		t.trialAt.Store(at)
+	case link.ReasonBusy:
+		t.busyFor.Store(int32(priority))
+		t.busyAt.Store(at)
+	}
+}
+
+// full tells whether an offer of a priority would be refused.
+func (t *Target) full(priority int, now time.Time) bool {
+	return now.UnixNano() < t.busyAt.Load() && int32(priority) >= t.busyFor.Load()
 }
 
 // NewTarget returns a target that cannot be reached yet.
@@ -124,6 +148,8 @@
 type want struct {
 	service   string
 	retryable bool
+	trials    bool // There is budget for a try that fails.
+	priority  int
 	offers    int       // How many were made already.
 	tried     []*Target // Not to be asked again.
 }
@@ -147,7 +173,7 @@
 		if mode == link.ModeOpen {
 			openAll++
 		}
-		if slices.Contains(w.tried, n) {
+		if slices.Contains(w.tried, n) || n.full(w.priority, now) {
 			continue
 		}
 		switch {
@@ -155,12 +181,12 @@
 			doubtful = append(doubtful, n)
 		case mode == link.ModeOpen:
 			open = append(open, n)
-		default:
+		case now.UnixNano() >= n.trialAt.Load():
 			trial = append(trial, n)
 		}
 	}
 	below := float64(openAll) < t.leastOpen(live)
-	if len(trial) > 0 && w.retryable && !below && rand.Float64() < min(trialMost, trialShare*float64(len(trial))) {
+	if len(trial) > 0 && w.retryable && w.trials && rand.Float64() < trialShare {
 		if near := t.near(trial); len(near) > 0 {
 			trial = near
 		}
@@ -169,7 +195,7 @@
 	if len(open) > 0 {
 		return choice{target: t.best(open, w.offers)}
 	}
-	if len(trial) > 0 && (below || w.retryable) {
+	if len(trial) > 0 && (below || w.retryable && w.trials) {
 		return choice{target: leastSuspect(trial), force: below}
 	}
 	if len(doubtful) > 0 {
