A short queue in the own data centre before a free slot in another

Change: a node asks a peer for a configuration after 250 ms without it; a request that waits in a queue nearby is offered elsewhere after 0.15 of its aim.

--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -37,6 +37,10 @@
 	lateGrace = 250 * time.Millisecond
 	// rejoinTime is how long a committed request waits for a broken link.
 	rejoinTime = 3 * time.Second
+	// farShareOfAim of the route's aim is how long a queue in the own data centre is
+	// preferred to a free slot in another: bytes between data centres are dear, and
+	// an answer that is in time is worth no more for being early.
+	farShareOfAim = 0.15
 	// hedgeReserve is the part of the repeat budget that hedges leave alone.
 	hedgeReserve = 0.5
 	// backLater is when a refused caller is told to come back.
@@ -98,6 +102,7 @@
 	runs      int // Commits that may have run.
 	arrivals  int // Times it reached an upstream, refused ones too.
 	token     bool
+	far       bool      // It was offered to another data centre for waiting too long.
 	round     time.Time // When a new round of offers may begin.
 	pause     time.Duration
 	last      link.Reason
@@ -154,11 +159,17 @@
 		retryable: f.route.Retryable,
 		trials:    f.runs+1 < f.route.Attempts && f.forwarder.budget.Has(f.service, now, trialReserve),
 		priority:  f.route.Priority,
-		offers:    f.made,
+		nearOnly:  len(f.offers) > 0 && !f.busy() && now.Before(f.began.Add(f.farAfter())),
 		tried:     f.tried,
 	}
 }
 
+// farAfter is how long a request that waits in a queue of its own data centre is
+// not offered elsewhere.
+func (f *flight) farAfter() time.Duration {
+	return time.Duration(farShareOfAim * float64(f.route.Target))
+}
+
 // reserve is the part of the budget that is kept for others: a hedge is a guess,
 // and a failure is not.
 func (f *flight) reserve() float64 {
@@ -453,9 +464,29 @@
 	if len(f.offers) == 0 && !now.Before(f.round) {
 		return f.again(now)
 	}
+	if f.queuedNear(now) {
+		f.far = true
+		f.next(now)
+	}
 	return nil
 }
 
+// queuedNear tells whether the request has waited in its data centre for long
+// enough to be offered elsewhere.
+func (f *flight) queuedNear(now time.Time) bool {
+	return !f.far && f.onlyWaiting() && !now.Before(f.began.Add(f.farAfter()))
+}
+
+// onlyWaiting tells whether all offers wait in queues.
+func (f *flight) onlyWaiting() bool {
+	for _, o := range f.offers {
+		if o.state != waiting {
+			return false
+		}
+	}
+	return len(f.offers) > 0
+}
+
 func (f *flight) overdue(o *offer, now time.Time) *Response {
 	switch {
 	case !o.heard && !o.accept.IsZero() && !now.Before(o.accept) && o.state != running:
@@ -514,6 +545,9 @@
 	if len(f.offers) == 0 {
 		sooner(f.round)
 	}
+	if !f.far && f.onlyWaiting() {
+		sooner(f.began.Add(f.farAfter()))
+	}
 	return at
 }
 
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -28,8 +28,6 @@
 	farShare = 0.005
 	// slowFactor is how many times the median answer time makes a gate the last resort.
 	slowFactor = 2.0
-	// nearOffers is how many offers of a request stay in the data centre.
-	nearOffers = 2
 )
 
 // Sink is a way to a gate.
@@ -150,7 +148,7 @@
 	retryable bool
 	trials    bool // There is budget for a try that fails.
 	priority  int
-	offers    int       // How many were made already.
+	nearOnly  bool      // Gates of other data centres are of no use yet.
 	tried     []*Target // Not to be asked again.
 }
 
@@ -192,8 +190,11 @@
 		}
 		return choice{target: trial[rand.IntN(len(trial))]}
 	}
+	if w.nearOnly {
+		open, trial, doubtful = t.near(open), t.near(trial), nil
+	}
 	if len(open) > 0 {
-		return choice{target: t.best(open, w.offers)}
+		return choice{target: t.best(open)}
 	}
 	if len(trial) > 0 && (below || w.retryable && w.trials) {
 		return choice{target: leastSuspect(trial), force: below}
@@ -223,12 +224,12 @@
 }
 
 // best takes the better of two open gates, in the own data centre first.
-func (t *Targets) best(open []*Target, offers int) *Target {
+func (t *Targets) best(open []*Target) *Target {
 	pool := withoutSlow(open)
 	if rand.Float64() < exploreShare {
 		pool = open
 	}
-	if offers < nearOffers && rand.Float64() > farShare {
+	if rand.Float64() > farShare {
 		if near := t.near(pool); len(near) > 0 {
 			pool = near
 		}
--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -19,9 +19,14 @@
 	// different times on different nodes: some node of the fleet asks anew within
 	// watchPerNode on average, and passes on what it finds. A wait is between
 	// watchLeast and watchMost.
-	watchPerNode = 300 * time.Millisecond
+	watchPerNode = 500 * time.Millisecond
 	watchLeast   = 1 * time.Second
 	watchMost    = 10 * time.Second
+	// askAfter is how long a node waits for its own watch before it asks a peer for
+	// a configuration that the peer has: large ones need not come twice.
+	askAfter = 250 * time.Millisecond
+	// askAgain is how long the asked peer has before another one is asked.
+	askAgain = 300 * time.Millisecond
 	// watchRetry is the pause after a failed read or watch.
 	watchRetry = 300 * time.Millisecond
 )
@@ -34,6 +39,8 @@
 	version  uint64
 	text     []byte
 	rejected uint64 // The newest version that was refused.
+	asked    uint64 // The newest version that a peer was asked for,
+	askAgain time.Time
 }
 
 func newConfiguration(n *Node) *configuration { return &configuration{node: n} }
@@ -128,18 +135,34 @@
 	return c.version, c.text
 }
 
-// handle takes a peer's message about its configuration and returns the answer.
-func (c *configuration) handle(m *link.Configuration) *link.Frame {
+// handle takes a peer's message about its configuration and answers it.
+func (c *configuration) handle(m *link.Configuration, from *link.Link) {
 	version, text := c.current()
 	switch {
 	case m.Want && version > m.Version:
-		return &link.Frame{Configuration: &link.Configuration{Version: version, Text: text}}
+		from.Send(&link.Frame{Configuration: &link.Configuration{Version: version, Text: text}})
 	case len(m.Text) > 0:
 		c.take(m.Text, "peer")
-		return nil
+	case !m.Want && m.Version > version && version == 0:
+		c.request(m.Version, from)
 	case !m.Want && m.Version > version:
-		return &link.Frame{Configuration: &link.Configuration{Version: version, Want: true}}
-	default:
-		return nil
+		time.AfterFunc(jitter(askAfter), func() { c.request(m.Version, from) })
+	}
+}
+
+// request asks a peer for a version, unless it or a newer one has come or has
+// been asked for within askAgain.
+func (c *configuration) request(version uint64, from *link.Link) {
+	c.mu.Lock()
+	now := time.Now()
+	needed := version > max(c.version, c.rejected) && (version > c.asked || now.After(c.askAgain))
+	if needed {
+		c.asked = version
+		c.askAgain = now.Add(askAgain)
+	}
+	held := c.version
+	c.mu.Unlock()
+	if needed {
+		from.Send(&link.Frame{Configuration: &link.Configuration{Version: held, Want: true}})
 	}
 }
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -231,23 +231,14 @@
 	switch {
 	case f.Hello != nil:
 		l.learn(f.Hello.Member)
-		l.compare(in, f.Hello.Version)
+		l.node.config.handle(&link.Configuration{Version: f.Hello.Version}, in)
 	case f.Configuration != nil:
-		if answer := l.node.config.handle(f.Configuration); answer != nil {
-			in.Send(answer)
-		}
+		l.node.config.handle(f.Configuration, in)
 	default:
 		l.node.gate.Handle(in, f)
 	}
 }
 
-// compare asks for a peer's configuration if it is newer.
-func (l *links) compare(to *link.Link, version uint64) {
-	if answer := l.node.config.handle(&link.Configuration{Version: version}); answer != nil {
-		to.Send(answer)
-	}
-}
-
 // close ends all links.
 func (l *links) close() {
 	for _, p := range l.all() {
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -64,9 +64,7 @@
 		p.current().SetStatus(*f.Status)
 	case f.Configuration != nil:
 		p.know(f.Configuration.Version)
-		if answer := n.config.handle(f.Configuration); answer != nil {
-			l.Send(answer)
-		}
+		n.config.handle(f.Configuration, l)
 	default:
 		n.forwarder.Deliver(f)
 	}
@@ -91,7 +89,7 @@
 	target.SetStatus(h.Status)
 	n.forwarder.Connected(target, l, h.Process)
 	p.know(h.Version)
-	p.links.compare(l, h.Version)
+	n.config.handle(&link.Configuration{Version: h.Version}, l)
 	n.log.Info("link up", zap.String("node", h.Member.Name), zap.String("service", h.Member.Service), zap.Stringer("mode", h.Status.Mode))
 }
 
