--- a/gate/admission.go
+++ b/gate/admission.go
@@ -17,6 +17,9 @@
 	// likelyFactor times the mean is what four answers in five take, with the spread
 	// that is usual for short requests.
 	likelyFactor = 1.0
+	// priorityStep is how much later an offer could have come that goes first for
+	// being one step more urgent: about one answer's time.
+	priorityStep = 200 * time.Millisecond
 	// queueShare of its time is how long an offer may wait. After that the caller
 	// has more of a chance elsewhere, told so in time.
 	queueShare = 0.4
@@ -143,14 +146,18 @@
 // likely is the time that most answers take.
 func (a *Admission) likely() time.Duration { return time.Duration(likelyFactor * float64(a.usual)) }
 
-// order puts urgent offers first, and among equals the one with the least time.
+// order puts urgent offers first, and lets those that waited catch up: each step
+// of priority is worth priorityStep of waiting, so that none starves.
+// Among equals the one with the least time goes first.
 func order(a, b *entry) int {
-	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
+	if c := a.rank().Compare(b.rank()); c != 0 {
+		return c
 	}
 	return a.Deadline.Compare(b.Deadline)
 }
 
+func (e *entry) rank() time.Time { return e.At.Add(time.Duration(e.Priority) * priorityStep) }
+
 func (a *Admission) objection(m Offered) link.Reason {
 	switch mode := a.Mode(); {
 	case m.Service != a.service || (m.Upstream != "" && a.upstream != "" && m.Upstream != a.upstream):
