--- /dev/null
+++ b/bench/standin/metadata_test.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	adapter "eiderfold/platform"
+	"eiderfold/port"
+)
+
+func metadata(t *testing.T) (*Metadata, *adapter.Store) {
+	t.Helper()
+	m := NewMetadata()
+	s := httptest.NewServer(m)
+	t.Cleanup(s.Close)
+	return m, adapter.NewStore(strings.TrimPrefix(s.URL, "http://"), func(string) {})
+}
+
+// TestStoreClient runs the platform's client through every call.
+func TestStoreClient(t *testing.T) {
+	ctx := context.Background()
+	m, s := metadata(t)
+	_, revision, err := s.Get(ctx, "a/1")
+	require.ErrorIs(t, err, port.ErrMissing)
+	assert.Positive(t, revision)
+
+	l, err := s.Grant(ctx, time.Minute)
+	require.NoError(t, err)
+	for i := range 8 {
+		require.NoError(t, s.Put(ctx, fmt.Sprintf("a/%d", i), []byte{byte(i)}, l))
+	}
+	require.NoError(t, s.Put(ctx, "b", []byte("kept"), 0))
+	entries, err := s.Range(ctx, "a/")
+	require.NoError(t, err)
+	require.Len(t, entries, 8, "over several pages")
+	assert.Equal(t, []byte{7}, entries[7].Value)
+
+	found, at, err := s.Watch(ctx, "a/", revision, time.Second)
+	require.NoError(t, err)
+	assert.Len(t, found, 8)
+	found, _, err = s.Watch(ctx, "a/", at, time.Millisecond)
+	require.NoError(t, err)
+	assert.Empty(t, found)
+
+	require.NoError(t, s.Renew(ctx, l))
+	require.NoError(t, s.Remove(ctx, "a/0"))
+	require.NoError(t, s.End(ctx, l))
+	require.ErrorIs(t, s.Renew(ctx, l), port.ErrMissing)
+	require.ErrorIs(t, s.Put(ctx, "a/1", nil, l), port.ErrMissing)
+	entries, err = s.Range(ctx, "")
+	require.NoError(t, err)
+	require.Len(t, entries, 1)
+
+	m.Directory().Compact()
+	_, _, err = s.Watch(ctx, "a/", revision, time.Second)
+	assert.ErrorIs(t, err, port.ErrCompacted)
+	assert.ErrorIs(t, s.Put(ctx, "op/config", nil, 0), port.ErrUnavailable, "the operator's keys are not ours")
+}
+
+// TestStoreFaults says of each fault what a call ends with.
+func TestStoreFaults(t *testing.T) {
+	ctx := context.Background()
+	m, s := metadata(t)
+	m.SetFaults(MetadataFaults{Busy: true})
+	assert.ErrorIs(t, s.Put(ctx, "a", nil, 0), port.ErrUnavailable)
+	m.SetFaults(MetadataFaults{LoseWrites: true})
+	assert.ErrorIs(t, s.Put(ctx, "a", []byte("done"), 0), port.ErrUnknown)
+	m.SetFaults(MetadataFaults{Refuse: []string{"127.0.0.1"}})
+	_, _, err := s.Get(ctx, "a")
+	assert.ErrorIs(t, err, port.ErrUnavailable)
+	m.SetFaults(MetadataFaults{Silent: true})
+	short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+	defer cancel()
+	_, _, err = s.Get(short, "a")
+	assert.ErrorIs(t, err, port.ErrUnknown)
+	m.SetFaults(MetadataFaults{})
+	e, _, err := s.Get(ctx, "a")
+	require.NoError(t, err)
+	assert.Equal(t, "done", string(e.Value), "the lost write was done")
+}
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -28,8 +28,15 @@
 	keptTime = 4 * time.Second
 	// keptOnceTime is the same for a request that may run only once: should the
 	// connection die under it, its outcome would be unknown. A connection that was
-	// just used is not being closed for idleness.
-	keptOnceTime = 500 * time.Millisecond
+	// just used is not being closed for idleness, also by an upstream that forgets
+	// them after 300 ms.
+	keptOnceTime = 200 * time.Millisecond
+	// A connection that broke under a request after a rest shortens the time that
+	// others are kept to restShare of that rest, not under restLeast; every answer
+	// lengthens it by restGrowth.
+	restShare  = 0.7
+	restLeast  = 100 * time.Millisecond
+	restGrowth = 1.1
 	// keepAliveShare is the part of the upstream's own idle time that is used.
 	keepAliveShare = 0.6
 	// answerGrace is how long past the deadline the upstream's own answer to a
@@ -64,6 +71,7 @@
 	dialed  func()
 	mu      sync.Mutex
 	idle    []*upstreamConn
+	rest    time.Duration // How long a connection may rest; 0 for keptTime.
 }
 
 type upstreamConn struct {
@@ -90,7 +98,9 @@
 		return nil, &failure{outcome: Unreached, reason: link.ReasonNotConnected, detail: err.Error()}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	rested := conn.rested()
 	a, reusable, f := c.exchange(conn, r, t)
+	c.learn(rested, f)
 	open := stop()
 	if !open && f != nil {
 		f = &failure{outcome: NoEvidence, detail: "given up: " + f.detail}
@@ -111,7 +121,7 @@
 		if conn == nil {
 			break
 		}
-		fit := now.Before(conn.idleUntil) && (!once || now.Sub(conn.idleSince) < keptOnceTime)
+		fit := now.Before(conn.idleUntil) && now.Sub(conn.idleSince) < c.mayRest(once)
 		if fit && quiet(conn) {
 			return conn, nil
 		}
@@ -126,6 +136,40 @@
 	return &upstreamConn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
 }
 
+// rested returns how long the connection was idle before this use; 0 for a new one.
+func (c *upstreamConn) rested() time.Duration {
+	if c.idleSince.IsZero() {
+		return 0
+	}
+	return time.Since(c.idleSince)
+}
+
+// mayRest returns how long a connection may have been idle to be used again.
+func (c *client) mayRest(once bool) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rest := c.rest
+	if rest == 0 {
+		rest = keptTime
+	}
+	if once {
+		return min(rest, keptOnceTime)
+	}
+	return rest
+}
+
+// learn adapts the time that connections may rest to how they fared.
+func (c *client) learn(rested time.Duration, f *failure) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case f != nil && f.outcome == Broken && rested > 0:
+		c.rest = max(time.Duration(restShare*float64(rested)), restLeast)
+	case f == nil && c.rest > 0:
+		c.rest = min(time.Duration(restGrowth*float64(c.rest)), keptTime)
+	}
+}
+
 // take returns the connection that was used last.
 func (c *client) take() *upstreamConn {
 	c.mu.Lock()
--- a/gate/upstream_test.go
+++ b/gate/upstream_test.go
@@ -190,6 +190,28 @@
 	assert.EqualValues(t, 2, u.connections.Load(), "another one does not")
 }
 
+// TestUpstreamForgetsIdleConnections loses a connection under a request after a
+// rest: others are not left to rest as long, until answers show that they may.
+func TestUpstreamForgetsIdleConnections(t *testing.T) {
+	u := startRaw(t, func(c *net.TCPConn, r *http.Request, _ []byte) bool {
+		return answerCase{Writes: "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"}.write(c, r)
+	})
+	client := newTestClient(u.Addr().String())
+	_, f := client.do(context.Background(), testContent("x1"), testTerms, false)
+	require.Nil(t, f)
+	client.learn(time.Second, &failure{outcome: Broken})
+	assert.Equal(t, 700*time.Millisecond, client.mayRest(false))
+	client.idle[0].idleSince = time.Now().Add(-800 * time.Millisecond)
+	_, f = client.do(context.Background(), testContent("x2"), testTerms, false)
+	require.Nil(t, f)
+	assert.EqualValues(t, 2, u.connections.Load(), "the rested connection was not used")
+	for range 20 {
+		client.learn(0, nil)
+	}
+	assert.Greater(t, client.mayRest(false), 2*time.Second)
+	assert.Equal(t, keptOnceTime, client.mayRest(true))
+}
+
 // TestNothingListens is certain not to have run.
 func TestNothingListens(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
