eiderctl explain; links from the node's own address, advertised where needed

Cause: an on-call engineer needs a request's story from several nodes' logs; a soak of real processes needs links that a proxy can bend by who dials. Change: eiderctl explain; every log line names its node; a failed request's line names the gates it was committed to; listen.advertise; cutters that hold bytes.

--- a/bench/fleet/process.go
+++ b/bench/fleet/process.go
@@ -146,6 +146,11 @@
 	return p, found["address"], err
 }
 
+// StartProgram runs a program that need not say that it is ready.
+func StartProgram(name, dir, program string, arguments ...string) (*Process, error) {
+	return start(name, filepath.Join(dir, name+".log"), program, arguments, func(string) map[string]string { return nil })
+}
+
 // PID returns the process id.
 func (p *Process) PID() int { return p.command.Process.Pid }
 
--- a/bench/standin/cutter.go
+++ b/bench/standin/cutter.go
@@ -17,6 +17,7 @@
 	To     string        `json:"to"`      // Name of the link.
 	CutOut bool          `json:"cut_out"` // Nothing gets from the dialler to the target.
 	CutIn  bool          `json:"cut_in"`  // Nothing gets back.
+	Hold   bool          `json:"hold"`    // Bytes wait, in the directions that are cut, and come after.
 	Delay  time.Duration `json:"delay"`
 	Reset  bool          `json:"reset"` // New connections and answers are reset.
 	Half   int           `json:"half"`  // Answers break off after this many bytes.
@@ -35,7 +36,10 @@
 	rules atomic.Pointer[[]Rule]
 }
 
-const datagram = 64 << 10
+const (
+	datagram = 64 << 10
+	holdPoll = 10 * time.Millisecond
+)
 
 // NewCutter returns a cutter without rules.
 func NewCutter() *Cutter {
@@ -118,6 +122,10 @@
 			reset(to)
 			return
 		}
+		for cut && r.Hold {
+			time.Sleep(holdPoll)
+			r, cut = rule()
+		}
 		if n > 0 && !cut {
 			time.Sleep(r.Delay)
 			if answers && r.Half > 0 && passed+n > r.Half {
--- /dev/null
+++ b/cmd/eiderctl/explain.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+// maxLogLine bounds a log line in bytes; longer ones are not of ours.
+const maxLogLine = 1 << 20
+
+// logLine is one line of a node's log: the fields that every line has, and the rest.
+type logLine struct {
+	time    string // RFC 3339 with nanoseconds in UTC, so that text order is time order.
+	node    string
+	message string
+	rest    map[string]any
+}
+
+func explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "explain ID [FILE...]",
+		Short:   "Print a request's story from the logs of any number of nodes, in order of time",
+		Long:    "Reads structured logs of nodes from files, or from standard input, and prints every\nline about the request with this id, whichever node wrote it.",
+		Example: "  eiderctl explain 9c41d07be2a35f68 node-*.log\n  journalctl -u eiderfold | eiderctl explain 9c41d07be2a35f68",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			lines, err := collectLines(args[0], args[1:], c.InOrStdin())
+			if err != nil {
+				return err
+			}
+			if len(lines) == 0 {
+				return errors.Errorf("no line about %s; routine answers are only counted, at level info", args[0])
+			}
+			return printStory(c.OutOrStdout(), lines)
+		},
+	}
+}
+
+func collectLines(id string, files []string, in io.Reader) ([]logLine, error) {
+	var lines []logLine
+	if len(files) == 0 {
+		return readLines(id, in, lines)
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "log")
+		}
+		lines, err = readLines(id, f, lines)
+		_ = f.Close() // It was only read.
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+	}
+	return lines, nil
+}
+
+func readLines(id string, in io.Reader, lines []logLine) ([]logLine, error) {
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		if l, ok := parseLine(s.Text()); ok && l.rest["attempt"] == id {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.Wrap(s.Err(), "read")
+}
+
+// parseLine reads a JSON line, also behind the prefix of a log collector.
+func parseLine(text string) (logLine, bool) {
+	at := strings.IndexByte(text, '{')
+	if at < 0 {
+		return logLine{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal([]byte(text[at:]), &fields) != nil {
+		return logLine{}, false
+	}
+	take := func(name string) string {
+		value, _ := fields[name].(string)
+		delete(fields, name)
+		return value
+	}
+	l := logLine{time: take("ts"), node: take("process_name"), message: take("msg"), rest: fields}
+	delete(fields, "level")
+	return l, l.message != ""
+}
+
+func printStory(out io.Writer, lines []logLine) error {
+	slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.time, b.time) })
+	for _, l := range lines {
+		var names []string
+		for name := range l.rest {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		var fields strings.Builder
+		for _, name := range names {
+			fmt.Fprintf(&fields, " %s=%v", name, l.rest[name])
+		}
+		if _, err := fmt.Fprintf(out, "%s %s: %s%s\n", l.time, l.node, l.message, fields.String()); err != nil {
+			return errors.Wrap(err, "write")
+		}
+	}
+	return nil
+}
--- a/cmd/eiderfold/mesh.go
+++ b/cmd/eiderfold/mesh.go
@@ -4,6 +4,7 @@
 	"os"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 
 	"eiderfold/mesh"
 	"eiderfold/platform"
@@ -53,6 +54,7 @@
 		DecodeReport:        platform.DecodeReport,
 		AcknowledgeReport:   platform.AcknowledgeReport,
 	}
+	log = log.With(zap.String("process_name", s.Node()))
 	n := mesh.New(s, p, metrics, log)
 	go followSettings(c.Context(), path, n, log)
 	return n.Run(c.Context())
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -107,6 +107,7 @@
 	pause     time.Duration
 	last      link.Reason
 	fallback  *Response // What is answered unless a repeat does better.
+	gates     []string  // Where it was committed, for the log.
 	cause     string    // Why it would be sent again.
 	doubt     string    // Why an attempt's outcome is unknown.
 }
@@ -227,6 +228,7 @@
 func (f *flight) count(o *offer, now time.Time) {
 	f.runs++
 	f.arrivals++
+	f.gates = append(f.gates, o.target.member.Name)
 	o.started = now
 	f.token = false
 	o.hedge = now.Add(time.Duration(hedgeFactor * float64(f.usual.Cut())))
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -175,7 +175,7 @@
 		fields = append(fields, zap.Int("status", answer.Status), zap.String("result", answer.code.String()), zap.Bool("own", answer.own))
 	}
 	if fl != nil {
-		fields = append(fields, zap.String("route", fl.route.Name), zap.String("service", fl.service), zap.Int("offers", fl.made),
+		fields = append(fields, zap.String("route", fl.route.Name), zap.String("service", fl.service), zap.Int("offers", fl.made), zap.Strings("gates", fl.gates),
 			zap.Int("runs", fl.runs), zap.Stringer("refused", fl.last), zap.String("doubt", fl.doubt))
 	}
 	f.counters.Count("request_" + strings.ReplaceAll(outcome, " ", "_"))
--- a/link/link.go
+++ b/link/link.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	l, err := link.Dial(ctx, "10.0.0.2:8146")
+//	l, err := link.Dial(ctx, net.ParseIP("10.0.0.1"), "10.0.0.2:8146")
 //	go l.Run(func(f *link.Frame) { ... })
 //	l.Send(&link.Frame{Offer: &link.Offer{...}})
 package link
@@ -54,9 +54,9 @@
 	received atomic.Int64 // UnixNano of the last message.
 }
 
-// Dial connects to a node.
-func Dial(ctx context.Context, address string) (*Link, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: silence / 2, Control: control}
+// Dial connects to a node, from an IP address of this one.
+func Dial(ctx context.Context, from net.IP, address string) (*Link, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: silence / 2, Control: control, LocalAddr: &net.TCPAddr{IP: from}}
 	conn, err := d.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -39,6 +39,7 @@
 type links struct {
 	node    *Node
 	local   *ingress.Target
+	from    net.IP // Where this node dials from.
 	mu      sync.Mutex
 	ctx     context.Context // Set while the node runs.
 	peers   map[string]*peer
@@ -47,7 +48,8 @@
 }
 
 func newLinks(n *Node) *links {
-	return &links{node: n, peers: map[string]*peer{}, inbound: map[*link.Link]bool{}}
+	host, _, _ := net.SplitHostPort(n.settings.Load().Links()) // Checked with the settings.
+	return &links{node: n, from: net.ParseIP(host), peers: map[string]*peer{}, inbound: map[*link.Link]bool{}}
 }
 
 // peer is another node, dialed until it has been away for long.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -61,7 +61,7 @@
 		platform: p,
 		log:      log,
 		metrics:  metrics,
-		self:     link.Member{Name: s.Node(), Address: s.Links(), DataCentre: s.DataCentre(), Service: s.Service()},
+		self:     link.Member{Name: s.Node(), Address: s.Advertised(), DataCentre: s.DataCentre(), Service: s.Service()},
 		process:  rand.Uint64(),
 		targets:  ingress.NewTargets(s.DataCentre(), s.FloorShare()),
 		budget:   ingress.NewBudget(s.Retries()),
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -14,7 +14,7 @@
 func (p *peer) run(ctx context.Context) {
 	pause := dialLeast
 	for ctx.Err() == nil {
-		l, err := link.Dial(ctx, p.address)
+		l, err := link.Dial(ctx, p.links.from, p.address)
 		if err == nil {
 			pause = dialLeast
 			p.serve(l)
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -42,9 +42,11 @@
 type meshListen struct {
 	Callers string `yaml:"callers"`
 	Links   string `yaml:"links"`
-	Reports string `yaml:"reports"`
-	Ready   string `yaml:"ready"`
-	Metrics string `yaml:"metrics"`
+	// Advertise is where other nodes find Links, if not at its own address.
+	Advertise string `yaml:"advertise"`
+	Reports   string `yaml:"reports"`
+	Ready     string `yaml:"ready"`
+	Metrics   string `yaml:"metrics"`
 }
 
 type fleet struct {
@@ -104,6 +106,14 @@
 // Links returns the IP:port for other nodes.
 func (m *Mesh) Links() string { return m.file.Listen.Links }
 
+// Advertised returns the IP:port at which other nodes reach this one.
+func (m *Mesh) Advertised() string {
+	if m.file.Listen.Advertise != "" {
+		return m.file.Listen.Advertise
+	}
+	return m.file.Listen.Links
+}
+
 // Reports returns the IP:port for the upstream's heartbeats.
 func (m *Mesh) Reports() string { return m.file.Listen.Reports }
 
@@ -175,8 +185,10 @@
 		"listen.ready":     f.Listen.Ready,
 		"store":            f.Store,
 	}
-	if f.Listen.Metrics != "" {
-		addresses["listen.metrics"] = f.Listen.Metrics
+	for field, value := range map[string]string{"listen.metrics": f.Listen.Metrics, "listen.advertise": f.Listen.Advertise} {
+		if value != "" {
+			addresses[field] = value
+		}
 	}
 	for field, value := range addresses {
 		if _, err := netip.ParseAddrPort(value); err != nil {
