Two dozen nodes watch the store, the others hear from them

Change: the first 24 of the reachable nodes, in an order by hash, watch; waits up to the store's 30 s; the others ask a peer of their own data centre at once, and read the key each 30 s. A regained store makes the record be looked after at once. Ruled out: fewer keys at a start (four calls), which would need one range for all.

--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -21,10 +21,23 @@
 	// watchLeast and watchMost.
 	watchPerNode = 500 * time.Millisecond
 	watchLeast   = 1 * time.Second
-	watchMost    = 10 * time.Second
+	watchMost    = 30 * time.Second // The store's own bound.
+	// watchers is how many nodes of a fleet watch the store. The others hear of a
+	// change from them, so that the store's work does not grow with the fleet. Any
+	// few of them would do; this many outlast a data centre that is cut off.
+	watchers = 24
+	// unwatchedRead is how often a node that does not watch reads the key, should
+	// no word ever reach it.
+	unwatchedRead = 30 * time.Second
+	// watchCheck is the pace at which a node that does not watch looks whether it
+	// has to begin.
+	watchCheck = 250 * time.Millisecond
 	// askAfter is how long a node waits for its own watch before it asks a peer for
 	// a configuration that the peer has: large ones need not come twice.
 	askAfter = 250 * time.Millisecond
+	// askFar is the same for a node that does not watch and a peer in another data
+	// centre.
+	askFar = 100 * time.Millisecond
 	// askAgain is how long the asked peer has before another one is asked.
 	askAgain = 300 * time.Millisecond
 	// watchRetry is the pause after a failed read or watch.
@@ -41,14 +54,17 @@
 	rejected uint64 // The newest version that was refused.
 	asked    uint64 // The newest version that a peer was asked for,
 	askAgain time.Time
+	watchers int // How many nodes of the fleet watch.
 }
 
-func newConfiguration(n *Node) *configuration { return &configuration{node: n} }
+func newConfiguration(n *Node) *configuration { return &configuration{node: n, watchers: watchers} }
 
 // run follows the operator's key until ctx ends.
 func (c *configuration) run(ctx context.Context) {
+	lost := false
 	for ctx.Err() == nil {
-		if err := c.follow(ctx); err != nil && ctx.Err() == nil {
+		err := c.follow(ctx, lost)
+		if lost = err != nil; lost && ctx.Err() == nil {
 			c.node.log.Info("configuration not followed", zap.Error(err))
 			select {
 			case <-ctx.Done():
@@ -60,16 +76,22 @@
 
 // follow reads the key and watches it until something fails. Lost history is no
 // failure: the key is read again.
-func (c *configuration) follow(ctx context.Context) error {
+func (c *configuration) follow(ctx context.Context, lost bool) error {
 	store := c.node.platform.Store
 	entry, revision, err := store.Get(ctx, c.node.platform.ConfigurationKey)
 	if err != nil && !errors.Is(err, port.ErrMissing) {
 		return err
 	}
+	if lost {
+		c.node.directory.check()
+	}
 	if err == nil {
 		c.take(entry.Value, "store")
 	}
 	for {
+		if !c.node.links.among(c.watchers) {
+			return c.rest(ctx)
+		}
 		entries, at, err := store.Watch(ctx, c.node.platform.ConfigurationKey, revision, watchWait(c.node.links.fleet()))
 		if errors.Is(err, port.ErrCompacted) {
 			return nil
@@ -86,6 +108,20 @@
 	}
 }
 
+// rest waits, without a call to the store, until it is time to read the key again
+// or the node has become one of those that watch.
+func (c *configuration) rest(ctx context.Context) error {
+	until := time.Now().Add(jitter(unwatchedRead))
+	for time.Now().Before(until) && !c.node.links.among(c.watchers) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(watchCheck):
+		}
+	}
+	return nil
+}
+
 // watchWait draws how long a watch waits in a fleet of so many nodes.
 func watchWait(nodes int) time.Duration {
 	longest := min(max(time.Duration(nodes)*2*watchPerNode, watchLeast), watchMost)
@@ -146,7 +182,21 @@
 	case !m.Want && m.Version > version && version == 0:
 		c.request(m.Version, from)
 	case !m.Want && m.Version > version:
-		time.AfterFunc(jitter(askAfter), func() { c.request(m.Version, from) })
+		time.AfterFunc(c.askDelay(from), func() { c.request(m.Version, from) })
+	}
+}
+
+// askDelay is how long a version is not asked for that a peer says it has: a node
+// that watches may get it from the store meanwhile, any other one from a peer in
+// its own data centre.
+func (c *configuration) askDelay(from *link.Link) time.Duration {
+	switch {
+	case c.node.links.among(c.watchers):
+		return jitter(askAfter)
+	case c.node.links.near(from):
+		return 0
+	default:
+		return jitter(askFar)
 	}
 }
 
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -44,13 +44,14 @@
 	lease   port.Lease
 	renewAt time.Time
 	readAt  time.Time
-	reached bool // The last call to the store succeeded.
+	reached bool          // The last call to the store succeeded.
+	regain  chan struct{} // The store answers again, as another part has seen.
 	mu      sync.Mutex
 	left    map[string]bool // Upstreams recorded as leaving by this process.
 }
 
 func newDirectory(n *Node) *directory {
-	return &directory{node: n, left: map[string]bool{}, reached: true}
+	return &directory{node: n, left: map[string]bool{}, reached: true, regain: make(chan struct{}, 1)}
 }
 
 // run registers this node and keeps it registered until ctx ends.
@@ -59,11 +60,22 @@
 		pause := d.step(ctx, time.Now())
 		select {
 		case <-ctx.Done():
+		case <-d.regain:
+			d.renewAt = time.Time{}
 		case <-time.After(pause):
 		}
 	}
 }
 
+// check makes the record be looked after at once: leases may have run out while
+// the store was away.
+func (d *directory) check() {
+	select {
+	case d.regain <- struct{}{}:
+	default:
+	}
+}
+
 // step does what is due and returns the pause until the next step.
 func (d *directory) step(ctx context.Context, now time.Time) time.Duration {
 	err := d.keep(ctx, now)
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -154,6 +155,33 @@
 	return len(l.peers) + 1
 }
 
+// among tells whether this node is one of the first n, in an order that all nodes
+// agree on, of those that it can reach.
+func (l *links) among(n int) bool {
+	before := 0
+	own := rank(l.node.self.Name)
+	for _, p := range l.all() {
+		t := p.current()
+		if t.Reachable() && rank(t.Member().Name) < own {
+			before++
+		}
+	}
+	return before < n
+}
+
+// rank orders nodes by chance, but everywhere alike.
+func rank(name string) uint64 { return xxhash.Sum64String(name) }
+
+// near tells whether a link leads to a node of the own data centre.
+func (l *links) near(to *link.Link) bool {
+	for _, p := range l.all() {
+		if p.uses(to) {
+			return p.current().Member().DataCentre == l.node.self.DataCentre
+		}
+	}
+	return false
+}
+
 func (l *links) all() []*peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -135,14 +135,7 @@
 	}
 	b.meet()
 	inForce := func(version uint64) func() bool {
-		return func() bool {
-			for _, n := range b.nodes {
-				if v, _ := n.config.current(); v != version {
-					return false
-				}
-			}
-			return true
-		}
+		return func() bool { return b.allHave(version) }
 	}
 	for _, n := range b.nodes[1:] {
 		n.store.denied.Store(true)
@@ -160,6 +153,43 @@
 	require.Eventually(t, inForce(8), patient, 5*time.Millisecond)
 }
 
+// TestFewNodesWatch leaves the watch to one node: the others hear of a change from
+// it, and another one takes over when it is gone.
+func TestFewNodesWatch(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	for i := range 4 {
+		b.add(fmt.Sprintf("n%d", i), "births")
+	}
+	for _, n := range b.nodes {
+		n.config.mu.Lock()
+		n.config.watchers = 1
+		n.config.mu.Unlock()
+	}
+	b.meet()
+	b.configure(5, "/five/")
+	require.Eventually(t, func() bool { return b.allHave(5) }, patient, 5*time.Millisecond)
+	for i, n := range b.nodes {
+		if n.links.among(1) {
+			n.stopNode()
+			b.nodes = append(b.nodes[:i], b.nodes[i+1:]...)
+			break
+		}
+	}
+	b.configure(6)
+	require.Eventually(t, func() bool { return b.allHave(6) }, patient, 5*time.Millisecond)
+}
+
+// allHave tells whether a version is in force on every node.
+func (b *bed) allHave(version uint64) bool {
+	for _, n := range b.nodes {
+		if v, _ := n.config.current(); v != version {
+			return false
+		}
+	}
+	return true
+}
+
 // TestRecordComesBack takes all leases away: every node registers anew.
 func TestRecordComesBack(t *testing.T) {
 	t.Parallel()
@@ -170,11 +200,11 @@
 	entries, err := b.store.Range(context.Background(), nodesPrefix)
 	require.NoError(t, err)
 	require.Empty(t, entries)
-	one.directory.renewAt = time.Time{}
-	one.directory.step(context.Background(), time.Now())
-	entries, err = b.store.Range(context.Background(), nodesPrefix)
-	require.NoError(t, err)
-	assert.Len(t, entries, 1)
+	one.directory.check()
+	require.Eventually(t, func() bool {
+		entries, err = b.store.Range(context.Background(), nodesPrefix)
+		return err == nil && len(entries) == 1
+	}, patient, 5*time.Millisecond)
 }
 
 // hold makes an upstream's work wait until the returned function is called.
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -13,7 +13,7 @@
 	// asks for readiness once a second and moves callers after two refusals.
 	unreadyTime = 2500 * time.Millisecond
 	// killMargin is kept before the platform kills the process.
-	killMargin = 500 * time.Millisecond
+	killMargin = 900 * time.Millisecond
 	stopPoll   = 20 * time.Millisecond
 	// settleTime is kept for last answers to leave the socket.
 	settleTime = 50 * time.Millisecond
