--- a/cmd/eiderfold/log.go
+++ b/cmd/eiderfold/log.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"os"
 	"sync"
 	"time"
@@ -24,14 +25,16 @@
 // lineWriter writes log lines in the background, so that a stalled reader costs
 // lines and not requests.
 type lineWriter struct {
+	out     io.Writer
 	lines   chan []byte
+	closing chan struct{}
 	done    chan struct{}
 	once    sync.Once
 	dropped func()
 }
 
-func newLineWriter(dropped func()) *lineWriter {
-	w := &lineWriter{lines: make(chan []byte, linesKept), done: make(chan struct{}), dropped: dropped}
+func newLineWriter(out io.Writer, dropped func()) *lineWriter {
+	w := &lineWriter{out: out, lines: make(chan []byte, linesKept), closing: make(chan struct{}), done: make(chan struct{}), dropped: dropped}
 	go w.run()
 	return w
 }
@@ -52,17 +55,19 @@
 func (w *lineWriter) run() {
 	defer close(w.done)
 	var bundle []byte
-	for line := range w.lines {
-		if line == nil {
-			break
+	for last := false; !last; {
+		bundle = append(bundle[:0], <-w.lines...)
+		select {
+		case <-w.closing:
+			last = true
+		case <-time.After(writeEvery):
 		}
-		bundle = append(bundle[:0], line...)
-		time.Sleep(writeEvery)
 		bundle = w.collect(bundle)
-		_, _ = os.Stdout.Write(bundle) // There is nowhere left to report it.
+		_, _ = w.out.Write(bundle) // There is nowhere left to report it.
 	}
 }
 
+// collect takes what waits, without waiting for more.
 func (w *lineWriter) collect(bundle []byte) []byte {
 	for {
 		select {
@@ -77,9 +82,9 @@
 // close writes what waits, within flushTime.
 func (w *lineWriter) close() {
 	w.once.Do(func() {
-		time.Sleep(writeEvery)
+		close(w.closing)
 		select {
-		case w.lines <- nil:
+		case w.lines <- nil: // It may wait for a first line.
 		default:
 		}
 		select {
@@ -89,6 +94,38 @@
 	})
 }
 
+// plainErrors writes errors as their text, without the stack that pkg/errors keeps.
+type plainErrors struct{ zapcore.Core }
+
+// With implements zapcore.Core.
+func (c plainErrors) With(fields []zapcore.Field) zapcore.Core {
+	return plainErrors{c.Core.With(plain(fields))}
+}
+
+// Check implements zapcore.Core.
+func (c plainErrors) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return checked.AddCore(e, c)
+	}
+	return checked
+}
+
+// Write implements zapcore.Core.
+func (c plainErrors) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(e, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	out := make([]zapcore.Field, len(fields))
+	for i, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			f = zap.String(f.Key, err.Error())
+		}
+		out[i] = f
+	}
+	return out
+}
+
 // meshLogger logs JSON lines to standard output, sampled within each second and
 // never blocking.
 func meshLogger(level string, metrics *mesh.Metrics) (*zap.Logger, func(), error) {
@@ -96,7 +133,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	w := newLineWriter(func() { metrics.Count("log_lines_dropped") })
+	w := newLineWriter(os.Stdout, func() { metrics.Count("log_lines_dropped") })
 	e := zap.NewProductionEncoderConfig()
 	e.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	e.StacktraceKey = zapcore.OmitKey
@@ -106,6 +143,6 @@
 			metrics.Count("log_lines_sampled_away")
 		}
 	}
-	core := zapcore.NewSamplerWithOptions(zapcore.NewCore(zapcore.NewJSONEncoder(e), w, least), time.Second, logInFull, logOneIn, zapcore.SamplerHook(sampled))
+	core := zapcore.NewSamplerWithOptions(plainErrors{zapcore.NewCore(zapcore.NewJSONEncoder(e), w, least)}, time.Second, logInFull, logOneIn, zapcore.SamplerHook(sampled))
 	return zap.New(core), w.close, nil
 }
--- a/cmd/eiderfold/mesh.go
+++ b/cmd/eiderfold/mesh.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -24,6 +26,8 @@
 	path := c.Flags().StringP("settings", "s", os.Getenv(settingsVariable), "YAML file with the node's settings")
 	check := c.Flags().Bool("check", false, "check the settings and end")
 	c.RunE = func(c *cobra.Command, _ []string) error {
+		reloads := make(chan os.Signal, 1)
+		signal.Notify(reloads, syscall.SIGHUP) // Before anything else: unhandled, it ends the process.
 		s, err := settings.LoadMesh(*path)
 		if err != nil {
 			return err
@@ -32,12 +36,12 @@
 			c.Println("settings of", s.Node(), "are good")
 			return nil
 		}
-		return runMesh(c, *path, s)
+		return runMesh(c, *path, s, reloads)
 	}
 	return c
 }
 
-func runMesh(c *cobra.Command, path string, s *settings.Mesh) error {
+func runMesh(c *cobra.Command, path string, s *settings.Mesh, reloads <-chan os.Signal) error {
 	metrics := mesh.NewMetrics()
 	log, flush, err := meshLogger(s.LogLevel(), metrics)
 	if err != nil {
@@ -56,6 +60,6 @@
 	}
 	log = log.With(zap.String("process_name", s.Node()))
 	n := mesh.New(s, p, metrics, log)
-	go followSettings(c.Context(), path, n, log)
+	go followSettings(c.Context(), path, reloads, n, log)
 	return n.Run(c.Context())
 }
--- a/cmd/eiderfold/reload.go
+++ b/cmd/eiderfold/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,11 +15,9 @@
 // without a signal.
 const settingsEvery = 2 * time.Second
 
-// followSettings reloads the settings on SIGHUP and when the file has changed.
+// followSettings reloads the settings on a signal and when the file has changed.
 // What cannot be read or is not valid leaves the old settings in use.
-func followSettings(ctx context.Context, path string, n *mesh.Node, log *zap.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func followSettings(ctx context.Context, path string, reloads <-chan os.Signal, n *mesh.Node, log *zap.Logger) {
 	t := time.NewTicker(settingsEvery)
 	defer t.Stop()
 	changed := modified(path)
@@ -29,7 +25,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-reloads:
 		case <-t.C:
 			if now := modified(path); now.Equal(changed) {
 				continue
