A doubtful order stays with its gate however often the link breaks

Cause: a model of ingress and gates over random schedules found an order that ran twice: its link broke a second time before the gate could be asked, and the offer was taken for one that had never been committed. It also found a tick that was due again at the same moment, at the very limit of a request. Change: a doubtful offer stays doubtful until its gate answers or the time to rejoin is over; the limit itself counts as past. Ruled out: a fault of the model, by the trace of the schedule.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -54,9 +54,19 @@
 	expires time.Time
 }
 
+// worker is the way to the upstream.
+type worker interface {
+	// do sends a request once and returns the whole answer.
+	do(ctx context.Context, r *link.Content, t port.OutgoingTerms, once bool) (*answer, *failure)
+	// checkHealth returns the incarnation that says it is well.
+	checkHealth(ctx context.Context, path string) (string, error)
+	// drop closes idle connections, all or those past their time.
+	drop(all bool)
+}
+
 // Gate runs the upstream's work. Its methods are safe for concurrent use.
 type Gate struct {
-	client    client
+	client    worker
 	log       *zap.Logger
 	records   Records
 	counters  Counters
@@ -98,7 +108,7 @@
 	for _, o := range options {
 		o(g)
 	}
-	g.client = client{address: u.Address, dialect: dialect, dialed: func() { g.count("upstream_connections") }}
+	g.client = &client{address: u.Address, dialect: dialect, dialed: func() { g.count("upstream_connections") }}
 	return g
 }
 
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -414,6 +414,8 @@
 // broken takes note that the way to a committed offer's gate is gone.
 func (f *flight) broken(o *offer, now time.Time) *Response {
 	switch {
+	case o.state == doubtful:
+		return nil // It is asked for when the next way is there.
 	case o.state != running && !o.direct:
 		return f.refused(o, link.ReasonNotConnected, now)
 	case f.route.Retryable:
@@ -455,7 +457,7 @@
 
 // tick does what is due.
 func (f *flight) tick(now time.Time) *Response {
-	if now.After(f.limit()) {
+	if !now.Before(f.limit()) {
 		return f.final(now)
 	}
 	for _, o := range append([]*offer(nil), f.offers...) {
