Links stay few in a large fleet

Cause: every node dialed every other, so a node's cost grew with the fleet. Change: a node keeps links to two dozen gates of each service in its data centre and two dozen elsewhere, in an order of its own; who watches is decided among all known nodes, and a node that reaches fewer than half of its links counts on nobody.

--- a/mesh/links.go
+++ b/mesh/links.go
@@ -29,6 +29,11 @@
 	// Dialing again begins after dialLeast and slows down to dialMost.
 	dialLeast = 100 * time.Millisecond
 	dialMost  = 1 * time.Second
+	// A node keeps links to so many gates of each service in its own data centre, and
+	// in the others. Two dozen are enough to choose from; more would make the cost
+	// of a node grow with the fleet.
+	nearLinks = 24
+	farLinks  = 24
 	// forgetAfter is how long an unreachable node is dialed.
 	forgetAfter = 2 * time.Minute
 	// acceptPause is the pause after a failed accept.
@@ -43,6 +48,7 @@
 	from    net.IP // Where this node dials from.
 	mu      sync.Mutex
 	ctx     context.Context // Set while the node runs.
+	known   map[string]link.Member // By address; not all of them are dialed.
 	peers   map[string]*peer
 	inbound map[*link.Link]bool
 	pending []link.Member // Learned before run.
@@ -50,7 +56,7 @@
 
 func newLinks(n *Node) *links {
 	host, _, _ := net.SplitHostPort(n.settings.Load().Links()) // Checked with the settings.
-	return &links{node: n, from: net.ParseIP(host), peers: map[string]*peer{}, inbound: map[*link.Link]bool{}}
+	return &links{node: n, from: net.ParseIP(host), known: map[string]link.Member{}, peers: map[string]*peer{}, inbound: map[*link.Link]bool{}}
 }
 
 // peer is another node, dialed until it has been away for long.
@@ -97,7 +103,7 @@
 	l.mu.Lock()
 	l.ctx = ctx
 	for _, m := range l.pending {
-		l.add(m)
+		l.consider(m)
 	}
 	l.pending = nil
 	l.mu.Unlock()
@@ -117,14 +123,42 @@
 func (l *links) learn(m link.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if m.Address == l.node.self.Address || l.peers[m.Address] != nil {
+	if m.Address == l.node.self.Address || l.known[m.Address] == m {
 		return
 	}
+	l.known[m.Address] = m
+	l.node.budget.Fleet(len(l.known) + 1)
 	if l.ctx == nil {
 		l.pending = append(l.pending, m)
 		return
 	}
-	l.add(m)
+	l.consider(m)
+}
+
+// consider dials a node if it belongs to those that this one keeps links to. In a
+// large fleet these are some of each service's, in an order of this node's own, so
+// that every gate is dialed by about as many nodes as any other.
+func (l *links) consider(m link.Member) {
+	near := m.DataCentre == l.node.self.DataCentre
+	limit := farLinks
+	if near {
+		limit = nearLinks
+	}
+	before := 0
+	for _, o := range l.known {
+		same := o.Service == m.Service && (o.DataCentre == l.node.self.DataCentre) == near
+		if same && l.preference(o) < l.preference(m) {
+			before++
+		}
+	}
+	if before < limit {
+		l.add(m)
+	}
+}
+
+// preference orders members by chance, differently on every node.
+func (l *links) preference(m link.Member) uint64 {
+	return xxhash.Sum64String(l.node.self.Name + " " + m.Name + " " + m.Address)
 }
 
 // add begins to dial a node, with the lock held.
@@ -135,7 +169,6 @@
 	p := &peer{links: l, address: m.Address, member: m, target: ingress.NewTarget(m), seen: time.Now()}
 	l.peers[m.Address] = p
 	l.node.targets.Add(p.target)
-	l.node.budget.Fleet(len(l.peers) + 1)
 	l.node.log.Info("node learned", zap.String("node", m.Name), zap.String("service", m.Service), zap.String("address", m.Address))
 	go p.run(l.ctx)
 }
@@ -144,6 +177,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.peers, p.address)
+	delete(l.known, p.address)
+	l.refill()
 	l.node.targets.Remove(p.target)
 	l.node.log.Info("node forgotten", zap.String("node", p.member.Name), zap.Time("seen", p.seen))
 }
@@ -152,21 +187,28 @@
 func (l *links) fleet() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.peers) + 1
+	return len(l.known) + 1
 }
 
 // among tells whether this node is one of the first n, in an order that all nodes
-// agree on, of those that it can reach.
+// agree on, of those that are known and not found unreachable. A node that reaches
+// fewer than half of those that it dials is cut off, and counts on nobody.
 func (l *links) among(n int) bool {
-	before := 0
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before, reached := 0, 0
 	own := rank(l.node.self.Name)
-	for _, p := range l.all() {
-		t := p.current()
-		if t.Reachable() && rank(t.Member().Name) < own {
+	for address, m := range l.known {
+		p := l.peers[address]
+		up := p != nil && p.current().Reachable()
+		if up {
+			reached++
+		}
+		if (up || p == nil) && rank(m.Name) < own {
 			before++
 		}
 	}
-	return before < n
+	return before < n || 2*reached < len(l.peers)
 }
 
 // rank orders nodes by chance, but everywhere alike.
@@ -182,6 +224,13 @@
 	return false
 }
 
+// refill dials members that have come into the place of one that is forgotten.
+func (l *links) refill() {
+	for _, m := range l.known {
+		l.consider(m)
+	}
+}
+
 func (l *links) all() []*peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/mesh/links_test.go
@@ -0,0 +1,84 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"eiderfold/link"
+	"eiderfold/memory"
+	"eiderfold/settings"
+)
+
+// idleNode is a node that has learned of others and dials nobody.
+func idleNode(t *testing.T, name, dataCentre string, members []link.Member) *Node {
+	t.Helper()
+	s, err := settings.ParseMesh("test", fmt.Appendf(nil, `
+node: %s
+data_centre: %s
+upstream: {address: "127.0.0.1:1", service: s0}
+listen: {callers: "127.0.0.1:2", links: "127.0.0.1:3", reports: "127.0.0.1:4", ready: "127.0.0.1:5"}
+store: "127.0.0.1:6"
+`, name, dataCentre))
+	require.NoError(t, err)
+	n := New(s, Platform{Store: memory.NewDirectory(nil)}, NewMetrics(), zap.NewNop())
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	n.links.ctx = ended
+	for _, m := range members {
+		n.links.learn(m)
+	}
+	return n
+}
+
+// TestLinksStayFew learns of fleets of several sizes: the number of links stays
+// bounded for each service, and every gate is dialed by somebody.
+func TestLinksStayFew(t *testing.T) {
+	for _, size := range []int{20, 300, 1200} {
+		var members []link.Member
+		for i := range size {
+			members = append(members, link.Member{Name: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250),
+				DataCentre: fmt.Sprintf("d%d", i%4), Service: fmt.Sprintf("s%d", i%2)})
+		}
+		dialed := map[string]int{}
+		const dialers = 40
+		for i := range dialers {
+			n := idleNode(t, fmt.Sprintf("x%d", i), fmt.Sprintf("d%d", i%4), members)
+			for address := range n.links.peers {
+				dialed[address]++
+			}
+			// Learning one by one keeps some that a later one would have displaced.
+			assert.LessOrEqual(t, len(n.links.peers), min(size, 8*(nearLinks+farLinks)), "size %d", size)
+			assert.Equal(t, size+1, n.links.fleet())
+		}
+		if size <= 2*nearLinks {
+			assert.Len(t, dialed, size)
+		}
+		assert.Greater(t, len(dialed), size*8/10, "gates that somebody dials, of %d", size)
+	}
+}
+
+// TestWatchersAreFew counts who would watch in a large fleet.
+func TestWatchersAreFew(t *testing.T) {
+	var members []link.Member
+	for i := range 300 {
+		members = append(members, link.Member{Name: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), DataCentre: "d0", Service: "s0"})
+	}
+	watching := 0
+	for i := range members {
+		n := idleNode(t, fmt.Sprintf("n%d", i), "d0", append(append([]link.Member(nil), members[:i]...), members[i+1:]...))
+		for _, p := range n.links.all() {
+			n.forwarder.Connected(p.target, nil, 1)
+		}
+		if n.links.among(watchers) {
+			watching++
+		}
+	}
+	assert.Equal(t, watchers, watching)
+	alone := idleNode(t, "alone", "d0", members)
+	assert.True(t, alone.links.among(watchers), "a node that reaches nobody counts on nobody")
+}
