Watches of the configuration end in turn

Change: the watching nodes end their waits in turn by the time of day, 300 ms apart. Ruled out: the relay between nodes; version 8 spread within 70 ms of the first node that read it. Random waits of up to 7 s would leave 0.1% of such gaps.

--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,13 +14,11 @@
 )
 
 const (
-	// A watch may go deaf without a sign until its wait is over. So waits end at
-	// different times on different nodes: some node of the fleet asks anew within
-	// watchPerNode on average, and passes on what it finds. A wait is between
-	// watchLeast and watchMost.
-	watchPerNode = 500 * time.Millisecond
+	// A watch may go deaf without a sign until its wait is over. So those that watch
+	// end their waits in turn, one each watchPerNode, and pass on what they find. A
+	// wait is watchLeast at least, for fleets of a few nodes.
+	watchPerNode = 300 * time.Millisecond
 	watchLeast   = 1 * time.Second
-	watchMost    = 30 * time.Second // The store's own bound.
 	// watchers is how many nodes of a fleet watch the store. The others hear of a
 	// change from them, so that the store's work does not grow with the fleet. Any
 	// few of them would do; this many outlast a data centre that is cut off.
@@ -92,7 +89,8 @@
 		if !c.node.links.among(c.watchers) {
 			return c.rest(ctx)
 		}
-		entries, at, err := store.Watch(ctx, c.node.platform.ConfigurationKey, revision, watchWait(c.node.links.fleet()))
+		wait := watchWait(time.Now(), c.node.links.place(), min(c.node.links.fleet(), c.watchers))
+		entries, at, err := store.Watch(ctx, c.node.platform.ConfigurationKey, revision, wait)
 		if errors.Is(err, port.ErrCompacted) {
 			return nil
 		}
@@ -122,10 +120,22 @@
 	return nil
 }
 
-// watchWait draws how long a watch waits in a fleet of so many nodes.
-func watchWait(nodes int) time.Duration {
-	longest := min(max(time.Duration(nodes)*2*watchPerNode, watchLeast), watchMost)
-	return watchLeast + time.Duration(rand.Float64()*float64(longest-watchLeast))
+// watchWait is how long a watch waits that begins now on the node at a place among
+// so many: until the node's next turn by the time of day. Clocks that are apart
+// move the turns, and no more.
+func watchWait(now time.Time, place, among int) time.Duration {
+	round := watchRound(among)
+	turn := round * time.Duration(min(place, among-1)) / time.Duration(among)
+	wait := (turn - time.Duration(now.UnixNano()%int64(round)) + round) % round
+	if wait < watchPerNode/2 {
+		wait += round
+	}
+	return wait
+}
+
+// watchRound is the time in which each of so many watching nodes has its turn.
+func watchRound(among int) time.Duration {
+	return max(time.Duration(among)*watchPerNode, watchLeast)
 }
 
 // take puts a configuration in force if it is newer than what is. One that is
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -194,9 +194,20 @@
 // agree on, of those that are known and not found unreachable. A node that reaches
 // fewer than half of those that it dials is cut off, and counts on nobody.
 func (l *links) among(n int) bool {
+	before, isolated := l.order()
+	return before < n || isolated
+}
+
+// place is how many come before this node in that order.
+func (l *links) place() int {
+	before, _ := l.order()
+	return before
+}
+
+func (l *links) order() (before int, isolated bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before, reached := 0, 0
+	reached := 0
 	own := rank(l.node.self.Name)
 	for address, m := range l.known {
 		p := l.peers[address]
@@ -208,7 +219,7 @@
 			before++
 		}
 	}
-	return before < n || 2*reached < len(l.peers)
+	return before, 2*reached < len(l.peers)
 }
 
 // rank orders nodes by chance, but everywhere alike.
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -82,3 +83,25 @@
 	alone := idleNode(t, "alone", "d0", members)
 	assert.True(t, alone.links.among(watchers), "a node that reaches nobody counts on nobody")
 }
+
+// TestWatchesEndInTurn begins watches at any time on nodes of a fleet: their ends
+// are spread over the round, so that a change that no watch hears of is found by
+// the next one to end.
+func TestWatchesEndInTurn(t *testing.T) {
+	for _, among := range []int{1, 3, watchers} {
+		round := watchRound(among)
+		assert.LessOrEqual(t, round, 10*time.Second)
+		for _, offset := range []time.Duration{0, 1, time.Second / 3, 5 * time.Second} {
+			now := time.Unix(1_000_000, 0).Add(offset)
+			turns := map[time.Duration]bool{}
+			for place := range among {
+				wait := watchWait(now, place, among)
+				assert.GreaterOrEqual(t, wait, watchPerNode/2)
+				assert.LessOrEqual(t, wait, round+watchPerNode)
+				turns[time.Duration(now.Add(wait).UnixNano()%int64(round))] = true
+			}
+			assert.Len(t, turns, among, "a turn for each")
+		}
+		assert.Equal(t, watchWait(time.Unix(5, 0), among-1, among), watchWait(time.Unix(5, 0), among+7, among), "one that is cut off takes the last turn")
+	}
+}
