--- a/mesh/links.go
+++ b/mesh/links.go
@@ -47,7 +47,7 @@
 	local   *ingress.Target
 	from    net.IP // Where this node dials from.
 	mu      sync.Mutex
-	ctx     context.Context // Set while the node runs.
+	ctx     context.Context        // Set while the node runs.
 	known   map[string]link.Member // By address; not all of them are dialed.
 	peers   map[string]*peer
 	inbound map[*link.Link]bool
