An upstream that fails soon after a trial needs more good answers

Change: a trial within 2 s of the last one begins with its count. Late answers are logged with what they waited for.

--- a/gate/health.go
+++ b/gate/health.go
@@ -31,6 +31,9 @@
 	// seconds.
 	trialPause     = 200 * time.Millisecond
 	trialPauseMost = 800 * time.Millisecond
+	// relapseTime is how soon after a trial another one counts as its continuation;
+	// some answers' time.
+	relapseTime = 2 * time.Second
 	// trialQuiet ends a trial to which nothing came: a service without retryable
 	// requests must not stay out. The next bad outcome begins it again.
 	trialQuiet = 5 * time.Second
@@ -51,6 +54,7 @@
 	goods      int
 	bads       int       // Since the trial began.
 	trialFrom  time.Time // When the next try may come.
+	reopened   time.Time // When the last trial ended well.
 	trialHeard time.Time // When the trial began or last saw an outcome.
 	usual      time.Duration
 	badRatio   float64 // Share of bad outcomes, recent ones first.
@@ -96,9 +100,20 @@
 	}
 	h.trial = false
 	h.suspicion = 0
+	h.reopened = at
 	return true
 }
 
+// relapse is how many bad outcomes a trial begins with: the one that began it, and
+// those of the trial before if the upstream soon failed again. One that fails half
+// of its work would otherwise be open half of the time.
+func (h *health) relapse(at time.Time) int {
+	if h.reopened.IsZero() || at.Sub(h.reopened) > relapseTime {
+		return 1
+	}
+	return h.bads + 1
+}
+
 func (h *health) bad(at time.Time, weight float64) bool {
 	h.suspicion = min(h.suspicion+weight, maxSuspicion)
 	h.badRatio += ratioGain * (1 - h.badRatio)
@@ -113,7 +128,7 @@
 		return false
 	}
 	h.trial = true
-	h.bads = 1
+	h.bads = h.relapse(at)
 	h.trialHeard = at
 	h.trialFrom = at
 	return true
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -108,6 +108,7 @@
 	last      link.Reason
 	fallback  *Response // What is answered unless a repeat does better.
 	gates     []string  // Where it was committed, for the log.
+	committed time.Time // When it first was.
 	cause     string    // Why it would be sent again.
 	doubt     string    // Why an attempt's outcome is unknown.
 }
@@ -229,6 +230,9 @@
 	f.runs++
 	f.arrivals++
 	f.gates = append(f.gates, o.target.member.Name)
+	if f.committed.IsZero() {
+		f.committed = now
+	}
 	o.started = now
 	f.token = false
 	o.hedge = now.Add(time.Duration(hedgeFactor * float64(f.usual.Cut())))
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -154,32 +154,72 @@
 	return r
 }
 
-// explain logs what became of a request and why.
+// explain logs what became of a request and why. An answer that came in time is
+// only counted at the usual level of the log.
 func (f *Forwarder) explain(r *Request, fl *flight, answer *Response) {
 	took := time.Since(r.Arrived)
 	f.counters.Observe("request", took)
-	if answer != nil && answer.Status < http.StatusInternalServerError && fl != nil {
-		f.counters.Count("request_answered")
-		if f.log.Core().Enabled(zap.DebugLevel) {
-			f.log.Debug("request answered", zap.String("attempt", fl.attempt), zap.Int("status", answer.Status), zap.Duration("took", took))
-		}
+	outcome := outcomeOf(fl, answer, took)
+	f.counters.Count("request_" + outcome)
+	level := zap.InfoLevel
+	if outcome == answeredInTime {
+		level = zap.DebugLevel
+	}
+	line := f.log.Check(level, "request "+outcome)
+	if line == nil {
 		return
 	}
 	fields := []zap.Field{zap.String("attempt", f.dialect.Request(r.Header).Attempt), zap.Duration("took", took)}
 	if t := f.table.Load(); t != nil {
 		fields = append(fields, zap.Uint64("configuration", t.Version()))
 	}
-	outcome := "caller gone"
 	if answer != nil {
-		outcome = "failed"
-		fields = append(fields, zap.Int("status", answer.Status), zap.String("result", answer.code.String()), zap.Bool("own", answer.own))
+		fields = append(fields, zap.Int("status", answer.Status), zap.Bool("own", answer.own))
+	}
+	if answer != nil && answer.own {
+		fields = append(fields, zap.Stringer("result", answer.code))
 	}
 	if fl != nil {
-		fields = append(fields, zap.String("route", fl.route.Name), zap.String("service", fl.service), zap.Int("offers", fl.made), zap.Strings("gates", fl.gates),
-			zap.Int("runs", fl.runs), zap.Stringer("refused", fl.last), zap.String("doubt", fl.doubt))
+		fields = append(fields, fl.story()...)
+	}
+	line.Write(fields...)
+}
+
+// Outcomes of a request, as logged and counted.
+const (
+	answeredInTime = "answered"
+	answeredLate   = "late"
+	failedRequest  = "failed"
+	callerGone     = "abandoned"
+)
+
+func outcomeOf(fl *flight, answer *Response, took time.Duration) string {
+	switch {
+	case answer == nil:
+		return callerGone
+	case fl == nil || answer.Status >= http.StatusInternalServerError:
+		return failedRequest
+	case fl.route.Target > 0 && took > fl.route.Target:
+		return answeredLate
+	default:
+		return answeredInTime
+	}
+}
+
+// story is what decided about the request, for its log line.
+func (f *flight) story() []zap.Field {
+	fields := []zap.Field{zap.String("route", f.route.Name), zap.String("service", f.service), zap.Int("offers", f.made),
+		zap.Int("runs", f.runs), zap.Strings("gates", f.gates)}
+	if !f.committed.IsZero() {
+		fields = append(fields, zap.Duration("waited", f.committed.Sub(f.began)))
+	}
+	if f.last != link.ReasonNone {
+		fields = append(fields, zap.Stringer("refused", f.last))
+	}
+	if f.doubt != "" {
+		fields = append(fields, zap.String("doubt", f.doubt))
 	}
-	f.counters.Count("request_" + strings.ReplaceAll(outcome, " ", "_"))
-	f.log.Info("request "+outcome, fields...)
+	return fields
 }
 
 func (f *Forwarder) key() link.Key {
