A configuration is asked of another peer when the first does not answer

Change: after 310 ms without it any other reachable peer is asked, until it is there. Ruled out: the watches, which had heard of the versions within milliseconds.

--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -37,6 +37,8 @@
 	askFar = 100 * time.Millisecond
 	// askAgain is how long the asked peer has before another one is asked.
 	askAgain = 300 * time.Millisecond
+	// askMargin is added to askAgain before another peer is asked.
+	askMargin = 10 * time.Millisecond
 	// watchRetry is the pause after a failed read or watch.
 	watchRetry = 300 * time.Millisecond
 )
@@ -222,7 +224,20 @@
 	}
 	held := c.version
 	c.mu.Unlock()
-	if needed {
-		from.Send(&link.Frame{Configuration: &link.Configuration{Version: held, Want: true}})
+	if !needed {
+		return
+	}
+	from.Send(&link.Frame{Configuration: &link.Configuration{Version: held, Want: true}})
+	time.AfterFunc(askAgain+askMargin, func() { c.requestElsewhere(version) })
+}
+
+// requestElsewhere asks another peer if the one that was asked has not answered:
+// its link may be dead without a sign.
+func (c *configuration) requestElsewhere(version uint64) {
+	if held, _ := c.current(); held >= version || c.node.stopping.Load() {
+		return
+	}
+	if to := c.node.links.any(); to != nil {
+		c.request(version, to)
 	}
 }
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -225,6 +226,18 @@
 // rank orders nodes by chance, but everywhere alike.
 func rank(name string) uint64 { return xxhash.Sum64String(name) }
 
+// any returns a link to some node that can be reached; nil if there is none.
+func (l *links) any() *link.Link {
+	peers := l.all()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers {
+		if up := p.way(); up != nil {
+			return up
+		}
+	}
+	return nil
+}
+
 // near tells whether a link leads to a node of the own data centre.
 func (l *links) near(to *link.Link) bool {
 	for _, p := range l.all() {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -153,6 +154,25 @@
 	require.Eventually(t, inForce(8), patient, 5*time.Millisecond)
 }
 
+// TestAskedPeerThatIsGone asks a peer for a configuration whose link has died: the
+// next one is asked, though its word came while the first was waited for.
+func TestAskedPeerThatIsGone(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	one := b.add("one", "births")
+	two := b.add("two", "births")
+	b.meet()
+	one.store.denied.Store(true)
+	two.store.denied.Store(true)
+	near, far := net.Pipe()
+	_ = far.Close()
+	dead := link.New(near)
+	dead.Close()
+	one.config.request(9, dead)
+	two.config.take(configurationText(9), "test")
+	require.Eventually(t, func() bool { return b.allHave(9) }, patient, 5*time.Millisecond)
+}
+
 // TestFewNodesWatch leaves the watch to one node: the others hear of a change from
 // it, and another one takes over when it is gone.
 func TestFewNodesWatch(t *testing.T) {
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -93,13 +93,16 @@
 	n.log.Info("link up", zap.String("node", h.Member.Name), zap.String("service", h.Member.Service), zap.Stringer("mode", h.Status.Mode))
 }
 
-// uses tells whether the peer is reached by a link.
-func (p *peer) uses(l *link.Link) bool {
+// way returns the link to the node; nil while there is none.
+func (p *peer) way() *link.Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.link == l
+	return p.link
 }
 
+// uses tells whether the peer is reached by a link.
+func (p *peer) uses(l *link.Link) bool { return p.way() == l }
+
 func (p *peer) current() *ingress.Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
