--- a/bench/cmd/trial/speed.go
+++ b/bench/cmd/trial/speed.go
@@ -145,7 +145,7 @@
 }
 
 func (w way) measure(rate int, length time.Duration, number int) speed {
-	before, _ := processUsage(w.pid)
+	before, _ := fleet.Usage(w.pid)
 	n := 0
 	target := func(t *vegeta.Target) error {
 		n++
@@ -165,7 +165,7 @@
 		}
 		_ = times.RecordValue(r.Latency.Microseconds()) // The time-out is within the range.
 	}
-	after, rss := processUsage(w.pid)
+	after, rss := fleet.Usage(w.pid)
 	s.RSS = rss
 	s.CPU = (after - before) / float64(max(n, 1)) * float64(time.Second/time.Microsecond)
 	s.P50 = float64(times.ValueAtQuantile(50)) / microPerMilli
--- a/bench/cmd/trial/watch.go
+++ b/bench/cmd/trial/watch.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -14,7 +11,6 @@
 
 const (
 	watchPeriod  = 100 * time.Millisecond
-	clockTicks   = 100 // Of the kernel, a second.
 	neverOutside = 0.01
 )
 
@@ -143,7 +139,7 @@
 func measure(f *fleet.Fleet) usage {
 	var u usage
 	for _, n := range f.Nodes {
-		cpu, rss := processUsage(n.PID())
+		cpu, rss := fleet.Usage(n.PID())
 		u.cpu, u.rss = append(u.cpu, cpu), append(u.rss, rss)
 		d, err := f.Dump(n)
 		if err != nil {
@@ -161,24 +157,3 @@
 	}
 	return u
 }
-
-// processUsage reads a process's time and memory from the kernel.
-func processUsage(pid int) (cpu, rss float64) {
-	const (
-		userField, systemField = 11, 12 // After the name's closing bracket.
-		residentField          = 21
-		megabyte               = 1 << 20
-	)
-	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
-	if err != nil {
-		return 0, 0
-	}
-	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	if len(fields) <= residentField {
-		return 0, 0
-	}
-	user, _ := strconv.ParseFloat(fields[userField], 64)
-	system, _ := strconv.ParseFloat(fields[systemField], 64)
-	pages, _ := strconv.ParseFloat(fields[residentField], 64)
-	return (user + system) / clockTicks, pages * float64(os.Getpagesize()) / megabyte
-}
--- /dev/null
+++ b/bench/fleet/usage.go
@@ -0,0 +1,30 @@
+package fleet
+
+import (
+	"os"
+	"strconv"
+	"strings"
+)
+
+// Usage reads from the kernel a process's processor time in seconds and its memory
+// in megabytes; zeros if there is no such process.
+func Usage(pid int) (cpu, rss float64) {
+	const (
+		userField, systemField = 11, 12 // After the name's closing bracket.
+		residentField          = 21
+		megabyte               = 1 << 20
+		clockTicks             = 100 // Of the kernel, a second.
+	)
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return 0, 0
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(fields) <= residentField {
+		return 0, 0
+	}
+	user, _ := strconv.ParseFloat(fields[userField], 64)
+	system, _ := strconv.ParseFloat(fields[systemField], 64)
+	pages, _ := strconv.ParseFloat(fields[residentField], 64)
+	return (user + system) / clockTicks, pages * float64(os.Getpagesize()) / megabyte
+}
--- a/mesh/bed_test.go
+++ b/mesh/bed_test.go
@@ -183,9 +183,18 @@
 	require.NoError(b.t, b.store.Put(context.Background(), platform.ConfigurationKey, configurationText(version, prefixes...), 0))
 }
 
-func freeAddress(t *testing.T) string {
+// hosts counts the loopback addresses given to nodes. Each node has its own, so
+// that no connection of another one takes a port that it is about to listen on.
+var hosts atomic.Uint32
+
+func nextHost() string {
+	n := hosts.Add(1)
+	return fmt.Sprintf("127.64.%d.%d", n/200, 1+n%200)
+}
+
+func freeAddress(t *testing.T, host string) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", host+":0")
 	require.NoError(t, err)
 	defer l.Close() //nolint:errcheck // It has served its purpose.
 	return l.Addr().String()
@@ -198,6 +207,7 @@
 	u.healthy.Store(true)
 	u.Server = httptest.NewServer(u)
 	b.t.Cleanup(u.Close)
+	host := nextHost()
 	yaml := fmt.Sprintf(`
 node: %s
 data_centre: here
@@ -205,7 +215,7 @@
 listen: {callers: %q, links: %q, reports: %q, ready: %q}
 store: "127.0.0.1:1"
 stop: {grace: 2s}
-`, name, u.Listener.Addr(), service, freeAddress(b.t), freeAddress(b.t), freeAddress(b.t), freeAddress(b.t))
+`, name, u.Listener.Addr(), service, freeAddress(b.t, host), freeAddress(b.t, host), freeAddress(b.t, host), freeAddress(b.t, host))
 	n := &testNode{bed: b, upstream: u, yaml: yaml, store: &nodeStore{Directory: b.store}}
 	b.nodes = append(b.nodes, n)
 	b.t.Cleanup(func() { n.stopNode() })
