--- a/bench/cmd/trial/watch.go
+++ b/bench/cmd/trial/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
