--- /dev/null
+++ b/bench/cmd/detect/lognormal.go
@@ -0,0 +1,11 @@
+package main
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// lognormal draws a factor with mean 1.
+func lognormal(random *rand.Rand) float64 {
+	return math.Exp(workSpread*random.NormFloat64() - workSpread*workSpread/2)
+}
