gate: drop an unused field of the model test

staticcheck failed on model.targets, which nothing sets or reads; the model keeps its gates, and each its target. No check of the test reads it. Result: staticcheck ./gate is clean.

--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -48,7 +48,6 @@
 	random    *rand.Rand
 	plant     plant
 	forwarder *ingress.Forwarder
-	targets   []*ingress.Target
 	gates     []*modelGate
 	mu        sync.Mutex
 	runs      map[string]int
