gate: results nobody reads; messages carry their time

health's steps returned whether the mode changed, which Admission finds by comparing modes itself, and timeOf listed every message a second time beside the marker methods. The steps return nothing now, and a message's one method is its time. Two constants got their reason.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -91,7 +91,7 @@
 	case Ticked:
 		out = a.ticked(m.At)
 	}
-	return append(out, a.settle(timeOf(m))...)
+	return append(out, a.settle(m.at())...)
 }
 
 // Mode returns how the gate takes work now.
@@ -371,26 +371,3 @@
 	}
 	return out
 }
-
-func timeOf(m Message) time.Time {
-	switch m := m.(type) {
-	case Offered:
-		return m.At
-	case Committed:
-		return m.At
-	case Withdrawn:
-		return m.At
-	case Ended:
-		return m.At
-	case Reported:
-		return m.At
-	case Confirmed:
-		return m.At
-	case Stopping:
-		return m.At
-	case Ticked:
-		return m.At
-	default:
-		return time.Time{}
-	}
-}
--- a/gate/health.go
+++ b/gate/health.go
@@ -1,8 +1,6 @@
 package gate
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// trialAt is the suspicion at which the gate goes on trial. One reset or
@@ -16,8 +14,10 @@
 	suspicionShed      = 0.15 // Nothing is lost by it, and a full upstream is not sick.
 	suspicionUnreached = 1.0
 	suspicionHang      = 0.6
-	maxSuspicion       = 8.0
-	maxDoublings       = 4
+	// maxSuspicion bounds the sum, so that a long trouble is forgotten in a few answers.
+	maxSuspicion = 8.0
+	// maxDoublings of trialPause are past trialPauseMost already; it keeps the shift small.
+	maxDoublings = 4
 	// trialRecheck is the least time after which a refused try is of use again.
 	trialRecheck = 20 * time.Millisecond
 	// goodFactor is what a good answer leaves of the suspicion.
@@ -60,22 +60,20 @@
 	badRatio   float64 // Share of bad outcomes, recent ones first.
 }
 
-// observe takes an outcome and reports whether the mode changed.
-func (h *health) observe(at time.Time, o Outcome, took time.Duration) bool {
+// observe takes an outcome. Those it does not list say nothing of the upstream.
+func (h *health) observe(at time.Time, o Outcome, took time.Duration) {
 	switch o {
 	case Good:
 		h.learn(took)
-		return h.good(at)
+		h.good(at)
 	case Erred:
-		return h.bad(at, suspicionErred)
+		h.bad(at, suspicionErred)
 	case Broken:
-		return h.bad(at, suspicionBroken)
+		h.bad(at, suspicionBroken)
 	case Unreached:
-		return h.bad(at, suspicionUnreached)
+		h.bad(at, suspicionUnreached)
 	case Shed:
-		return h.bad(at, suspicionShed)
-	default:
-		return false
+		h.bad(at, suspicionShed)
 	}
 }
 
@@ -87,21 +85,20 @@
 	h.usual += time.Duration(usualGain * float64(took-h.usual))
 }
 
-func (h *health) good(at time.Time) bool {
+func (h *health) good(at time.Time) {
 	h.suspicion *= goodFactor
 	h.badRatio -= ratioGain * h.badRatio
 	if !h.trial {
-		return false
+		return
 	}
 	h.trialHeard = at
 	h.goods++
 	if h.goods < min(h.bads, trialGoods) {
-		return false
+		return
 	}
 	h.trial = false
 	h.suspicion = 0
 	h.reopened = at
-	return true
 }
 
 // relapse is how many bad outcomes a trial begins with: the one that began it, and
@@ -114,7 +111,7 @@
 	return h.bads + 1
 }
 
-func (h *health) bad(at time.Time, weight float64) bool {
+func (h *health) bad(at time.Time, weight float64) {
 	h.suspicion = min(h.suspicion+weight, maxSuspicion)
 	h.badRatio += ratioGain * (1 - h.badRatio)
 	h.goods = 0
@@ -122,16 +119,15 @@
 		h.trialHeard = at
 		h.trialFrom = at.Add(min(trialPause<<min(h.bads-1, maxDoublings), trialPauseMost))
 		h.bads++
-		return false
+		return
 	}
 	if h.suspicion < trialAt {
-		return false
+		return
 	}
 	h.trial = true
 	h.bads = h.relapse(at)
 	h.trialHeard = at
 	h.trialFrom = at
-	return true
 }
 
 // forced is how many attempts at a time are right for an upstream on trial when
@@ -149,16 +145,13 @@
 }
 
 // tick ends a trial to which nobody sends anything.
-func (h *health) tick(at time.Time) bool {
+func (h *health) tick(at time.Time) {
 	if !h.trial || at.Sub(h.trialHeard) < trialQuiet {
-		return false
+		return
 	}
 	h.trial = false
 	h.suspicion = trialAt - suspicionShed
-	return true
 }
 
 // hangs returns the age at which a running attempt counts as hanging.
-func (h *health) hangs() time.Duration {
-	return max(hangFactor*h.usual, hangLeast)
-}
+func (h *health) hangs() time.Duration { return max(hangFactor*h.usual, hangLeast) }
--- a/gate/message.go
+++ b/gate/message.go
@@ -7,8 +7,8 @@
 	"eiderfold/port"
 )
 
-// Message is anything Admission is told.
-type Message interface{ message() }
+// Message is anything Admission is told, with the time at which it was.
+type Message interface{ at() time.Time }
 
 // Offered is an offer that came in.
 type Offered struct {
@@ -77,14 +77,14 @@
 // Ticked says that time has passed.
 type Ticked struct{ At time.Time }
 
-func (Offered) message()   {}
-func (Committed) message() {}
-func (Withdrawn) message() {}
-func (Ended) message()     {}
-func (Reported) message()  {}
-func (Confirmed) message() {}
-func (Stopping) message()  {}
-func (Ticked) message()    {}
+func (m Offered) at() time.Time   { return m.At }
+func (m Committed) at() time.Time { return m.At }
+func (m Withdrawn) at() time.Time { return m.At }
+func (m Ended) at() time.Time     { return m.At }
+func (m Reported) at() time.Time  { return m.At }
+func (m Confirmed) at() time.Time { return m.At }
+func (m Stopping) at() time.Time  { return m.At }
+func (m Ticked) at() time.Time    { return m.At }
 
 // Command is anything Admission wants done.
 type Command interface{ command() }
