Package comments that compile; two methods nobody calls

Dialect.Strip and Forwarder.InFlight had no caller and no test; both are gone, and the methods of Dialect say what they do where the port is.

--- a/ingress/doc.go
+++ b/ingress/doc.go
@@ -9,7 +9,8 @@
 //
 // # Usage
 //
-//	f := ingress.New(targets, budget, platform.Headers{}, ingress.WithLog(log))
+//	f := ingress.NewForwarder("births", targets, budget, platform.Headers{}, log, counters)
+//	f.SetTable(table)
 //	s := ingress.NewServer(f.Serve, limits)
-//	s.Serve(listener)
+//	err := s.Serve(listener) // Returns when the listener is closed.
 package ingress
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -69,13 +69,6 @@
 // Table returns the configuration in force, nil if there is none.
 func (f *Forwarder) Table() *route.Table { return f.table.Load() }
 
-// InFlight returns how many requests have no answer yet.
-func (f *Forwarder) InFlight() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.flights)
-}
-
 // Serve answers a request; nil if the caller has left.
 func (f *Forwarder) Serve(ctx context.Context, r *Request) *Response {
 	fl, refused := f.prepare(r)
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -5,6 +5,6 @@
 //
 // # Usage
 //
-//	n, err := mesh.New(settings, platform, log)
-//	err = n.Run(ctx) // Returns after ctx ends and everything in hand is answered.
+//	n := mesh.New(settings, platform, metrics, log)
+//	err := n.Run(ctx) // Returns after ctx ends and everything in hand is answered.
 package mesh
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -70,10 +70,12 @@
 type Dialect interface {
 	// AttemptHeader is the canonical name of the header that names the attempt.
 	AttemptHeader() string
+	// Request reads what a caller says.
 	Request(h http.Header) RequestTerms
+	// SetOutgoing writes what the upstream is told, over whatever the caller sent.
 	SetOutgoing(h http.Header, t OutgoingTerms)
+	// Answer reads what an upstream says.
 	Answer(status int, h http.Header) AnswerTerms
-	Strip(h http.Header)
 }
 
 // Report is an upstream's word about itself.
