hop: one place for the headers of one connection

proxy and ingress each had the list of RFC 9110 and the same function over it, so a header added to one would be forgotten in the other.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"eiderfold/core"
+	"eiderfold/hop"
 	"eiderfold/link"
 	"eiderfold/port"
 	"eiderfold/result"
@@ -100,7 +100,7 @@
 		return nil, refusal(result.New(result.NoRoute, path))
 	}
 	header := r.Header.Clone()
-	stripHop(header)
+	strip(header)
 	header.Del("Content-Length")
 	return &flight{
 		forwarder: f,
@@ -142,7 +142,7 @@
 		return r
 	}
 	header := http.Header(r.Header)
-	stripHop(header)
+	strip(header)
 	r.Header = header
 	return r
 }
@@ -300,18 +300,11 @@
 
 func (f *Forwarder) count(name string) { f.counters.Count(name) }
 
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
-
-// stripHop removes what counts for one connection only (RFC 9110, 7.6.1).
-func stripHop(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
+// strip removes what counts for one connection only. A body is read whole before
+// it is passed on, so the wish to be told to go on is met here as well.
+func strip(h http.Header) {
+	hop.Strip(h)
+	h.Del("Expect")
 }
 
 // Request is a caller's request, read whole.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -9,7 +9,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +16,7 @@
 
 	"eiderfold/config"
 	"eiderfold/core"
+	"eiderfold/hop"
 	"eiderfold/result"
 )
 
@@ -204,7 +204,7 @@
 		ProtoMajor: 1,
 		ProtoMinor: 1,
 	}).WithContext(ctx)
-	stripHop(out.Header)
+	hop.Strip(out.Header)
 	out.Header.Set(DeadlineHeader, strconv.FormatInt(c.deadline.UnixMilli(), 10))
 	out.Header.Set(AccountHeader, c.account.Name())
 	c.account.EachHeader(c.route, out.Header.Set)
@@ -230,20 +230,6 @@
 func (noRewind) Read([]byte) (int, error) { return 0, io.EOF }
 func (noRewind) Close() error             { return nil }
 
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
-// stripHop removes what counts for one connection only (RFC 9110, 7.6.1).
-func stripHop(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 // refusal recognises an upstream that sheds or leaves: 503 or 429 with
 // Retry-After, which by contract says that the work was not started.
 func refusal(u *Upstream, r *http.Response) *failure {
--- a/proxy/once.go
+++ b/proxy/once.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"eiderfold/core"
+	"eiderfold/hop"
 	"eiderfold/result"
 )
 
@@ -126,7 +127,7 @@
 		}
 		body = append(body, rest...)
 	}
-	stripHop(a.response.Header)
+	hop.Strip(a.response.Header)
 	recorded := &core.Recorded{Status: a.response.StatusCode, Body: body, Header: make(map[string]string, len(a.response.Header))}
 	for name := range a.response.Header {
 		recorded.Header[name] = a.response.Header.Get(name)
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"eiderfold/core"
+	"eiderfold/hop"
 	"eiderfold/result"
 )
 
@@ -17,7 +18,7 @@
 	defer a.close()
 	h.results.Add(result.Answered.String(), 1)
 	header := w.Header()
-	stripHop(a.response.Header)
+	hop.Strip(a.response.Header)
 	maps.Copy(header, a.response.Header)
 	result.Mark(header, result.Answered)
 	if a.whole && a.response.Request.Method != http.MethodHead {
