ingress: a concept a file

flight.go (609 lines), server.go (380), forward.go and target.go each held several things. Offers, repeats, lost ways, deadlines, the choice of a gate, connections, the reading of requests, messages and the log line have files of their own now, with their constants. Targets.choose is sorting and choosing; the offer's message is a function; fields and functions without a comment got one. Sink and Counters say why package gate has the same.

--- /dev/null
+++ b/ingress/choose.go
@@ -0,0 +1,175 @@
+package ingress
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"eiderfold/link"
+)
+
+const (
+	// trialShare is how likely a retryable request goes to a gate on trial that
+	// would take it. The gates themselves keep the pace of tries.
+	trialShare = 0.5
+	// trialReserve is the part of the repeat budget that tries leave alone: most of
+	// them fail, and are sent again.
+	trialReserve = 0.3
+	// exploreShare of the choices look at one gate at random, so that what is
+	// believed of a gate that got no work does not grow old.
+	exploreShare = 0.03
+	// farShare of the choices ignore the data centre, for the same reason.
+	farShare = 0.005
+	// slowFactor is how many times the median answer time makes a gate the last resort.
+	slowFactor = 2.0
+)
+
+// want says what a request needs of a gate.
+type want struct {
+	service   string
+	retryable bool
+	trials    bool // There is budget for a try that fails.
+	priority  int
+	nearOnly  bool      // Gates of other data centres are of no use yet.
+	tried     []*Target // Not to be asked again.
+}
+
+// choice is a gate, and whether it shall take the offer though it is on trial.
+type choice struct {
+	target *Target
+	force  bool
+}
+
+// candidates are the gates that can be asked, by what speaks for them.
+type candidates struct {
+	open     []*Target
+	trial    []*Target
+	doubtful []*Target // Silent lately.
+	below    bool      // Too few of the service's gates are open.
+}
+
+// candidates sorts a service's gates out.
+func (t *Targets) candidates(w want, now time.Time) candidates {
+	var c candidates
+	open, live := 0, 0
+	for _, n := range t.Of(w.service) {
+		mode := n.Status().Mode
+		if mode == link.ModeClosed || !n.Reachable() {
+			continue
+		}
+		live++
+		if mode == link.ModeOpen {
+			open++
+		}
+		if slices.Contains(w.tried, n) || n.full(w.priority, now) {
+			continue
+		}
+		switch {
+		case n.suspected(now):
+			c.doubtful = append(c.doubtful, n)
+		case mode == link.ModeOpen:
+			c.open = append(c.open, n)
+		case now.UnixNano() >= n.trialAt.Load():
+			c.trial = append(c.trial, n)
+		}
+	}
+	c.below = float64(open) < t.leastOpen(live)
+	return c
+}
+
+// choose picks a gate; its target is nil if none can be asked.
+func (t *Targets) choose(w want, now time.Time) choice {
+	c := t.candidates(w, now)
+	mayTry := w.retryable && w.trials
+	if len(c.trial) > 0 && mayTry && rand.Float64() < trialShare {
+		return choice{target: oneOf(t.nearFirst(c.trial))}
+	}
+	if w.nearOnly {
+		c.open, c.trial, c.doubtful = t.near(c.open), t.near(c.trial), nil
+	}
+	switch {
+	case len(c.open) > 0:
+		return choice{target: t.best(c.open)}
+	case len(c.trial) > 0 && (c.below || mayTry):
+		return choice{target: leastSuspect(c.trial), force: c.below}
+	case len(c.doubtful) > 0:
+		return choice{target: oneOf(c.doubtful), force: c.below}
+	default:
+		return choice{}
+	}
+}
+
+// oneOf returns any of some targets.
+func oneOf(list []*Target) *Target { return list[rand.IntN(len(list))] }
+
+// leastOpen is how many of a service's live gates must be open before suspicion
+// counts for nothing. A gate on trial still takes one retryable request at a
+// time, so half the floor is what may stand between it and ordinary work.
+func (t *Targets) leastOpen(live int) float64 { return *t.floorShare.Load() * float64(live) / 2 }
+
+func leastSuspect(list []*Target) *Target {
+	return slices.MinFunc(list, func(a, b *Target) int { return cmp.Compare(a.Status().Suspect, b.Status().Suspect) })
+}
+
+// best takes the better of two open gates, in the own data centre first.
+func (t *Targets) best(open []*Target) *Target {
+	pool := withoutSlow(open)
+	if rand.Float64() < exploreShare {
+		pool = open
+	}
+	if rand.Float64() > farShare {
+		pool = t.nearFirst(pool)
+	}
+	a, b := oneOf(pool), oneOf(pool)
+	if b.cost() < a.cost() {
+		return b
+	}
+	return a
+}
+
+// nearFirst returns the targets in the own data centre, or all if there are none.
+func (t *Targets) nearFirst(list []*Target) []*Target {
+	if near := t.near(list); len(near) > 0 {
+		return near
+	}
+	return list
+}
+
+// near returns the targets in the own data centre.
+func (t *Targets) near(list []*Target) []*Target {
+	var out []*Target
+	for _, n := range list {
+		if n.member.DataCentre == t.dataCentre {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// withoutSlow leaves out gates whose answers take far longer than the median.
+func withoutSlow(list []*Target) []*Target {
+	times := make([]time.Duration, len(list))
+	for i, n := range list {
+		times[i] = n.Status().Usual
+	}
+	slices.Sort(times)
+	bound := time.Duration(slowFactor * float64(times[len(times)/2]))
+	if bound == 0 {
+		return list
+	}
+	var out []*Target
+	for _, n := range list {
+		if n.Status().Usual <= bound {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// cost is the time a request would take at the gate, as far as this node can tell.
+func (t *Target) cost() float64 {
+	s := t.Status()
+	busy := 1 + float64(t.inFlight.Load())/float64(max(s.Slots, 1))
+	return busy * float64(max(s.Usual, time.Millisecond)) * (1 + s.Suspect)
+}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"eiderfold/core"
-	"eiderfold/hop"
 	"eiderfold/link"
 	"eiderfold/port"
 	"eiderfold/result"
@@ -27,7 +25,8 @@
 	eventsKept = 64
 )
 
-// Counters is told what happens, for metrics.
+// Counters is told what happens, for metrics. It is what this package needs of
+// them; that package gate needs the same is chance.
 type Counters interface {
 	Count(name string)
 	Observe(name string, d time.Duration)
@@ -42,7 +41,7 @@
 	log      *zap.Logger
 	counters Counters
 	table    atomic.Pointer[route.Table]
-	origin   uint64
+	origin   uint64 // Of this process's offers; differs after a restart.
 	number   atomic.Uint64
 	usual    sync.Map // *core.Usual by the route's name.
 	mu       sync.Mutex
@@ -147,74 +146,6 @@
 	return r
 }
 
-// explain logs what became of a request and why. An answer that came in time is
-// only counted at the usual level of the log.
-func (f *Forwarder) explain(r *Request, fl *flight, answer *Response) {
-	took := time.Since(r.Arrived)
-	f.counters.Observe("request", took)
-	outcome := outcomeOf(fl, answer, took)
-	f.counters.Count("request_" + outcome)
-	level := zap.InfoLevel
-	if outcome == answeredInTime {
-		level = zap.DebugLevel
-	}
-	line := f.log.Check(level, "request "+outcome)
-	if line == nil {
-		return
-	}
-	fields := []zap.Field{zap.String("attempt", f.dialect.Request(r.Header).Attempt), zap.Duration("took", took)}
-	if t := f.table.Load(); t != nil {
-		fields = append(fields, zap.Uint64("configuration", t.Version()))
-	}
-	if answer != nil {
-		fields = append(fields, zap.Int("status", answer.Status), zap.Bool("own", answer.own))
-	}
-	if answer != nil && answer.own {
-		fields = append(fields, zap.Stringer("result", answer.code))
-	}
-	if fl != nil {
-		fields = append(fields, fl.story()...)
-	}
-	line.Write(fields...)
-}
-
-// Outcomes of a request, as logged and counted.
-const (
-	answeredInTime = "answered"
-	answeredLate   = "late"
-	failedRequest  = "failed"
-	callerGone     = "abandoned"
-)
-
-func outcomeOf(fl *flight, answer *Response, took time.Duration) string {
-	switch {
-	case answer == nil:
-		return callerGone
-	case fl == nil || answer.Status >= http.StatusInternalServerError:
-		return failedRequest
-	case fl.route.Target > 0 && took > fl.route.Target:
-		return answeredLate
-	default:
-		return answeredInTime
-	}
-}
-
-// story is what decided about the request, for its log line.
-func (f *flight) story() []zap.Field {
-	fields := []zap.Field{zap.String("route", f.route.Name), zap.String("service", f.service), zap.Int("offers", f.made),
-		zap.Int("runs", f.runs), zap.Strings("gates", f.gates)}
-	if !f.committed.IsZero() {
-		fields = append(fields, zap.Duration("waited", f.committed.Sub(f.began)))
-	}
-	if f.last != link.ReasonNone {
-		fields = append(fields, zap.Stringer("refused", f.last))
-	}
-	if f.doubt != "" {
-		fields = append(fields, zap.String("doubt", f.doubt))
-	}
-	return fields
-}
-
 func (f *Forwarder) key() link.Key {
 	return link.Key{Origin: f.origin, Number: f.number.Add(1)}
 }
@@ -299,30 +230,3 @@
 }
 
 func (f *Forwarder) count(name string) { f.counters.Count(name) }
-
-// strip removes what counts for one connection only. A body is read whole before
-// it is passed on, so the wish to be told to go on is met here as well.
-func strip(h http.Header) {
-	hop.Strip(h)
-	h.Del("Expect")
-}
-
-// Request is a caller's request, read whole.
-type Request struct {
-	Method     string
-	RequestURI string
-	URL        *url.URL
-	Host       string
-	Header     http.Header
-	Body       []byte
-	Arrived    time.Time
-}
-
-// Response is an answer to a caller.
-type Response struct {
-	Status int
-	Header map[string][]string
-	Body   []byte
-	own    bool // Made by this node, not by an upstream.
-	code   result.Code
-}
--- a/ingress/refusal.go
+++ b/ingress/refusal.go
@@ -8,6 +8,9 @@
 	"eiderfold/result"
 )
 
+// backLater is when a refused caller is told to come back.
+const backLater = 100 * time.Millisecond
+
 // refusal makes a node's own answer.
 func refusal(e *result.Error) *Response {
 	h := http.Header{}
