gate: a concept a file

gate.go, admission.go and upstream.go held 350 to 450 lines of several things. Attempts, the confirmation of an incarnation, the queue, incarnations, connections to the upstream and its answers have files of their own now, with their constants. Outcome has a String; the health path's field says that it is one; keptAnswers said it was as long as an ingress waits, which is half of it; functions without a comment got one.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -11,23 +11,6 @@
 	// grantTime is how long a granted slot waits for its commit: far over a round
 	// trip, and short against the work it keeps out.
 	grantTime = 400 * time.Millisecond
-	// queuePerSlot bounds the queue; what is behind it would wait many times the
-	// usual answer time.
-	queuePerSlot = 16
-	// likelyFactor times the mean is what four answers in five take, with the spread
-	// that is usual for short requests.
-	likelyFactor = 1.0
-	// priorityStep is how much later an offer could have come that goes first for
-	// being one step more urgent: about one answer's time.
-	priorityStep = 200 * time.Millisecond
-	// queueShare of its time is how long an offer may wait. After that the caller
-	// has more of a chance elsewhere, told so in time.
-	queueShare = 0.4
-	// assumedTime stands in for the mean answer time before there is one.
-	assumedTime = 100 * time.Millisecond
-	// pastKept is how many earlier incarnations are remembered, so that a late
-	// report of one does not bring it back.
-	pastKept = 64
 )
 
 type phase uint8
@@ -143,21 +126,6 @@
 	return a.nextTrial(at, len(a.entries) > len(a.queue))
 }
 
-// likely is the time that most answers take.
-func (a *Admission) likely() time.Duration { return time.Duration(likelyFactor * float64(a.usual)) }
-
-// order puts urgent offers first, and lets those that waited catch up: each step
-// of priority is worth priorityStep of waiting, so that none starves.
-// Among equals the one with the least time goes first.
-func order(a, b *entry) int {
-	if c := a.rank().Compare(b.rank()); c != 0 {
-		return c
-	}
-	return a.Deadline.Compare(b.Deadline)
-}
-
-func (e *entry) rank() time.Time { return e.At.Add(time.Duration(e.Priority) * priorityStep) }
-
 func (a *Admission) objection(m Offered) link.Reason {
 	switch mode := a.Mode(); {
 	case m.Service != a.service || (m.Upstream != "" && a.upstream != "" && m.Upstream != a.upstream):
@@ -204,15 +172,6 @@
 	return []Command{Start{Key: e.Key}}
 }
 
-// wait estimates how long an offer takes with so many before it in the queue.
-func (a *Admission) wait(before int) time.Duration {
-	usual := a.usual
-	if usual == 0 {
-		usual = assumedTime
-	}
-	return usual * time.Duration(before+1) / time.Duration(max(a.slots, 1))
-}
-
 func (a *Admission) committed(m Committed) []Command {
 	e := a.entries[m.Key]
 	if e == nil || e.phase != granted {
@@ -236,13 +195,6 @@
 	return nil
 }
 
-func (a *Admission) drop(e *entry) {
-	delete(a.entries, e.Key)
-	if e.phase == queued {
-		a.queue = slices.DeleteFunc(a.queue, func(o *entry) bool { return o == e })
-	}
-}
-
 func (a *Admission) ended(m Ended) []Command {
 	e := a.entries[m.Key]
 	if e == nil {
@@ -257,59 +209,6 @@
 	return nil
 }
 
-// retire forgets the incarnation, because another one holds its address.
-func (a *Admission) retire() {
-	if a.upstream == "" {
-		return
-	}
-	a.past = remember(a.past, a.upstream)
-	a.upstream = ""
-	a.health = health{usual: a.usual}
-}
-
-func remember(list []string, name string) []string {
-	if slices.Contains(list, name) {
-		return list
-	}
-	if len(list) >= pastKept {
-		list = list[1:]
-	}
-	return append(list, name)
-}
-
-func (a *Admission) reported(m Reported) []Command {
-	r := m.Report
-	if r.Leaving {
-		a.left = remember(a.left, r.Upstream)
-		return nil
-	}
-	if slices.Contains(a.past, r.Upstream) || slices.Contains(a.left, r.Upstream) || r.Service != a.service {
-		return nil
-	}
-	if r.Upstream == a.upstream {
-		if r.Sequence > a.sequence {
-			a.sequence = r.Sequence
-			a.slots = r.Slots
-		}
-		return nil
-	}
-	a.retire()
-	a.upstream = r.Upstream
-	a.sequence = r.Sequence
-	a.slots = r.Slots
-	a.unconfirmed = true
-	return []Command{Confirm{Upstream: r.Upstream}}
-}
-
-func (a *Admission) confirmed(m Confirmed) {
-	if m.Leaving {
-		a.left = remember(a.left, m.Upstream)
-	}
-	if m.Upstream == a.upstream {
-		a.unconfirmed = false
-	}
-}
-
 func (a *Admission) ticked(at time.Time) []Command {
 	a.tick(at)
 	var out []Command
--- /dev/null
+++ b/gate/attempt.go
@@ -0,0 +1,91 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eiderfold/link"
+	"eiderfold/port"
+)
+
+// call is an offer in hand, with what is needed to run and answer it.
+type call struct {
+	offer    *link.Offer
+	sink     Sink
+	deadline time.Time
+	cancel   context.CancelFunc // Set while it runs.
+}
+
+// start runs an offer in the background, with the lock held.
+func (g *Gate) start(k link.Key) {
+	c := g.calls[k]
+	ctx, cancel := context.WithDeadline(context.Background(), c.deadline.Add(answerGrace))
+	c.cancel = cancel
+	if c.offer.Content != nil && c.offer.Retryable {
+		g.answer(k, &link.Frame{Granted: &link.Granted{Key: k, Started: true}})
+	}
+	go g.run(ctx, c, g.admission.upstream)
+}
+
+// run sends the request to the upstream and reports how it ended.
+func (g *Gate) run(ctx context.Context, c *call, upstream string) {
+	defer c.cancel()
+	began := time.Now()
+	terms := port.OutgoingTerms{Left: c.deadline.Sub(began), Upstream: upstream, CallerService: c.offer.CallerService}
+	a, f := g.client.do(ctx, c.offer.Content, terms, !c.offer.Retryable)
+	took := time.Since(began)
+	frame, outcome := g.result(c, a, f)
+	g.log.Debug("attempt ended", zap.String("attempt", c.offer.Attempt), zap.String("upstream", upstream),
+		zap.String("outcome", outcome.String()), zap.Duration("took", took))
+	if outcome != Good {
+		g.explain(c, f, upstream, outcome, took, a)
+	}
+	g.observe("upstream_answer", took)
+	g.finish(c, frame)
+	g.update(Ended{At: time.Now(), Key: c.offer.Key, Outcome: outcome, Took: took})
+}
+
+// explain logs why an attempt brought no good answer.
+func (g *Gate) explain(c *call, f *failure, upstream string, o Outcome, took time.Duration, a *answer) {
+	fields := []zap.Field{zap.String("attempt", c.offer.Attempt), zap.Stringer("key", c.offer.Key), zap.String("upstream", upstream),
+		zap.String("outcome", o.String()), zap.Duration("took", took), zap.Duration("left", time.Until(c.deadline))}
+	if f != nil {
+		fields = append(fields, zap.String("detail", f.detail))
+	}
+	if a != nil {
+		fields = append(fields, zap.Int("status", a.status))
+	}
+	g.log.Info("attempt without a good answer", fields...)
+}
+
+// result turns the upstream's answer into the message for the ingress.
+func (g *Gate) result(c *call, a *answer, f *failure) (*link.Frame, Outcome) {
+	k := c.offer.Key
+	switch {
+	case f != nil && f.reason != link.ReasonNone:
+		return &link.Frame{Refused: &link.Refused{Key: k, Reason: f.reason}}, f.outcome
+	case f != nil:
+		return &link.Frame{Failed: &link.Failed{Key: k, Detail: f.detail}}, f.outcome
+	}
+	outcome := Good
+	if a.status >= 500 {
+		outcome = Erred
+		if !time.Now().Before(c.deadline) {
+			outcome = NoEvidence // The deadline was short; that says nothing of the upstream.
+		}
+	}
+	return &link.Frame{Answer: &link.Answer{Key: k, Status: a.status, Header: a.header, Body: a.body}}, outcome
+}
+
+// finish sends the end of an attempt, and keeps it if it may be asked for.
+func (g *Gate) finish(c *call, frame *link.Frame) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.calls, c.offer.Key)
+	if !c.offer.Retryable {
+		g.ended[c.offer.Key] = ended{frame: frame, expires: time.Now().Add(keptAnswers)}
+	}
+	c.sink.Send(frame)
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -16,38 +16,25 @@
 	// time that it looks at.
 	tickEvery = 50 * time.Millisecond
 	// keptAnswers is how long an ended attempt is remembered for a question after
-	// a broken link: as long as such a cut is waited for.
+	// a broken link: longer than an ingress waits for the link (its rejoinTime).
 	keptAnswers = 6 * time.Second
-	// confirmPause is the pause between two tries to find out whether an upstream leaves.
-	confirmPause = 250 * time.Millisecond
 )
 
-// Sink is where the answers to an offer go: a link or the local ingress.
+// Sink is where the answers to an offer go: a link or the local ingress. Package
+// ingress has one of the same shape for the way here; each belongs to the package
+// that sends, so that neither needs the other.
 type Sink interface {
 	// Send queues a message and returns false when it cannot arrive.
 	Send(f *link.Frame) bool
 }
 
-// Records remembers, beyond this process, which incarnations leave.
-type Records interface {
-	// Leaving tells whether an incarnation was recorded as leaving.
-	Leaving(ctx context.Context, upstream string) (bool, error)
-}
-
-// Counters is told what happens, for metrics.
+// Counters is told what happens, for metrics. It is what this package needs of
+// them; that package ingress needs the same is chance.
 type Counters interface {
 	Count(name string)
 	Observe(name string, d time.Duration)
 }
 
-// call is an offer in hand, with what is needed to run and answer it.
-type call struct {
-	offer    *link.Offer
-	sink     Sink
-	deadline time.Time
-	cancel   context.CancelFunc // Set while it runs.
-}
-
 // ended is an answer that is kept for a question.
 type ended struct {
 	frame   *link.Frame
@@ -71,7 +58,7 @@
 	records   Records
 	counters  Counters
 	announce  func(link.Status)
-	health    func() string // The upstream's health path, "" if unknown.
+	path      func() string // The upstream's health path, "" if unknown.
 	mu        sync.Mutex
 	admission *Admission
 	calls     map[link.Key]*call
@@ -92,14 +79,14 @@
 func WithAnnounce(f func(link.Status)) Option { return func(g *Gate) { g.announce = f } }
 
 // WithHealthPath tells where the upstream answers health checks.
-func WithHealthPath(f func() string) Option { return func(g *Gate) { g.health = f } }
+func WithHealthPath(f func() string) Option { return func(g *Gate) { g.path = f } }
 
 // New returns a gate that is closed until its upstream reports.
 func New(u Upstream, dialect port.Dialect, log *zap.Logger, options ...Option) *Gate {
 	g := &Gate{
 		log:       log,
 		announce:  func(link.Status) {},
-		health:    func() string { return "" },
+		path:      func() string { return "" },
 		admission: NewAdmission(u.Service),
 		calls:     map[link.Key]*call{},
 		ended:     map[link.Key]ended{},
@@ -275,7 +262,7 @@
 func cause(m Message) string {
 	switch m := m.(type) {
 	case Ended:
-		return "attempt " + outcomeNames[m.Outcome]
+		return "attempt " + m.Outcome.String()
 	case Reported:
 		if m.Report.Leaving {
 			return "upstream leaves"
@@ -290,8 +277,6 @@
 	}
 }
 
-var outcomeNames = [...]string{"good", "erred", "broken", "unreached", "shed", "replaced", "no-evidence"}
-
 // execute carries out one command with the lock held.
 func (g *Gate) execute(c Command) {
 	switch c := c.(type) {
@@ -320,75 +305,6 @@
 	}
 }
 
-func (g *Gate) start(k link.Key) {
-	c := g.calls[k]
-	ctx, cancel := context.WithDeadline(context.Background(), c.deadline.Add(answerGrace))
-	c.cancel = cancel
-	if c.offer.Content != nil && c.offer.Retryable {
-		g.answer(k, &link.Frame{Granted: &link.Granted{Key: k, Started: true}})
-	}
-	go g.run(ctx, c, g.admission.upstream)
-}
-
-// run sends the request to the upstream and reports how it ended.
-func (g *Gate) run(ctx context.Context, c *call, upstream string) {
-	defer c.cancel()
-	began := time.Now()
-	terms := port.OutgoingTerms{Left: c.deadline.Sub(began), Upstream: upstream, CallerService: c.offer.CallerService}
-	a, f := g.client.do(ctx, c.offer.Content, terms, !c.offer.Retryable)
-	took := time.Since(began)
-	frame, outcome := g.result(c, a, f)
-	g.log.Debug("attempt ended", zap.String("attempt", c.offer.Attempt), zap.String("upstream", upstream),
-		zap.String("outcome", outcomeNames[outcome]), zap.Duration("took", took))
-	if outcome != Good {
-		g.explain(c, f, upstream, outcome, took, a)
-	}
-	g.observe("upstream_answer", took)
-	g.finish(c, frame)
-	g.update(Ended{At: time.Now(), Key: c.offer.Key, Outcome: outcome, Took: took})
-}
-
-func (g *Gate) explain(c *call, f *failure, upstream string, o Outcome, took time.Duration, a *answer) {
-	fields := []zap.Field{zap.String("attempt", c.offer.Attempt), zap.Stringer("key", c.offer.Key), zap.String("upstream", upstream),
-		zap.String("outcome", outcomeNames[o]), zap.Duration("took", took), zap.Duration("left", time.Until(c.deadline))}
-	if f != nil {
-		fields = append(fields, zap.String("detail", f.detail))
-	}
-	if a != nil {
-		fields = append(fields, zap.Int("status", a.status))
-	}
-	g.log.Info("attempt without a good answer", fields...)
-}
-
-// result turns the upstream's answer into the message for the ingress.
-func (g *Gate) result(c *call, a *answer, f *failure) (*link.Frame, Outcome) {
-	k := c.offer.Key
-	switch {
-	case f != nil && f.reason != link.ReasonNone:
-		return &link.Frame{Refused: &link.Refused{Key: k, Reason: f.reason}}, f.outcome
-	case f != nil:
-		return &link.Frame{Failed: &link.Failed{Key: k, Detail: f.detail}}, f.outcome
-	}
-	outcome := Good
-	if a.status >= 500 {
-		outcome = Erred
-		if !time.Now().Before(c.deadline) {
-			outcome = NoEvidence // The deadline was short; that says nothing of the upstream.
-		}
-	}
-	return &link.Frame{Answer: &link.Answer{Key: k, Status: a.status, Header: a.header, Body: a.body}}, outcome
-}
-
-func (g *Gate) finish(c *call, frame *link.Frame) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.calls, c.offer.Key)
-	if !c.offer.Retryable {
-		g.ended[c.offer.Key] = ended{frame: frame, expires: time.Now().Add(keptAnswers)}
-	}
-	c.sink.Send(frame)
-}
-
 func (g *Gate) expire(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -400,48 +316,6 @@
 	g.client.drop(false)
 }
 
-// confirm finds out whether an incarnation leaves: from the records, and while
-// those cannot be read, from the upstream itself.
-func (g *Gate) confirm(upstream string) {
-	for {
-		leaving, source, err := g.leaves(upstream)
-		if err == nil {
-			g.log.Info("upstream confirmed", zap.String("upstream", upstream), zap.Bool("leaving", leaving), zap.String("source", source))
-			g.update(Confirmed{At: time.Now(), Upstream: upstream, Leaving: leaving})
-			return
-		}
-		g.log.Info("upstream not confirmed", zap.String("upstream", upstream), zap.Error(err))
-		select {
-		case <-g.done:
-			return
-		case <-time.After(confirmPause):
-		}
-	}
-}
-
-func (g *Gate) leaves(upstream string) (leaving bool, source string, err error) {
-	if g.records == nil {
-		return false, "no records", nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-	defer cancel()
-	leaving, err = g.records.Leaving(ctx, upstream)
-	if err == nil {
-		return leaving, "records", nil
-	}
-	path := g.health()
-	if path == "" {
-		return false, "", err
-	}
-	check, stop := context.WithTimeout(context.Background(), connectTimeout)
-	defer stop()
-	who, checked := g.client.checkHealth(check, path)
-	if checked != nil {
-		return false, "", checked
-	}
-	return who != upstream, "health check", nil
-}
-
 func (g *Gate) count(name string) {
 	if g.counters != nil {
 		g.counters.Count(name)
--- a/gate/message.go
+++ b/gate/message.go
@@ -50,6 +50,16 @@
 	NoEvidence                // Broken off from our side.
 )
 
+var outcomeNames = [...]string{"good", "erred", "broken", "unreached", "shed", "replaced", "no-evidence"}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "unknown"
+}
+
 // Ended says that an attempt is over.
 type Ended struct {
 	At      time.Time
