mesh: a concept a file

links.go, configuration.go, directory.go and metrics.go held several things each, and type peer was far from its methods. Which nodes to dial, the order of the fleet, inbound links, the way to the own gate, watching, asking peers, the record of what leaves and the dump have files of their own, with their constants; Run's start of the servers is a function; functions, fields and constants without a comment got one. Result: behaviour is the same; go test ./mesh passed, staticcheck ./mesh is clean.

--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,13 +14,9 @@
 	"eiderfold/port"
 )
 
-// Keys of the fleet's own in the store.
-const (
-	nodesPrefix   = "eiderfold/nodes/"
-	leavingPrefix = "eiderfold/leaving/"
-)
-
 const (
+	// nodesPrefix is where the records of nodes are in the store.
+	nodesPrefix = "eiderfold/nodes/"
 	// leaseTime is how long a record outlives its node. Who is alive is seen by
 	// the links; the record only tells newcomers whom to ask.
 	leaseTime = 60 * time.Second
@@ -33,16 +28,13 @@
 	// storeRetry is the pause after a failed call; a lapsed record must be back
 	// within two seconds of the store's return.
 	storeRetry = 700 * time.Millisecond
-	// recordRetry is the pause between tries to record a leaving upstream, whose
-	// report waits for it.
-	recordRetry = 150 * time.Millisecond
 )
 
 // directory keeps this node's record in the store and reads the others'.
 type directory struct {
 	node    *Node
 	lease   port.Lease
-	renewAt time.Time
+	renewAt time.Time // Zero to look after the record at once.
 	readAt  time.Time
 	reached bool          // The last call to the store succeeded.
 	regain  chan struct{} // The store answers again, as another part has seen.
@@ -122,6 +114,7 @@
 	return d.register(ctx, now)
 }
 
+// register writes the record under a lease of its own, so that it goes with the node.
 func (d *directory) register(ctx context.Context, now time.Time) error {
 	lease, err := d.node.platform.Store.Grant(ctx, leaseTime)
 	if err != nil {
@@ -140,6 +133,7 @@
 	return nil
 }
 
+// read learns the nodes whose records are there.
 func (d *directory) read(ctx context.Context) error {
 	entries, err := d.node.platform.Store.Range(ctx, nodesPrefix)
 	if err != nil {
@@ -178,47 +172,3 @@
 		d.node.log.Info("record not withdrawn; it lapses", zap.Error(err))
 	}
 }
-
-// Leaving tells whether an incarnation was recorded as leaving.
-func (d *directory) Leaving(ctx context.Context, upstream string) (bool, error) {
-	_, _, err := d.node.platform.Store.Get(ctx, leavingKey(upstream))
-	if errors.Is(err, port.ErrMissing) {
-		return false, nil
-	}
-	return err == nil, err
-}
-
-// recordLeaving writes that an incarnation leaves, trying until ctx ends. The
-// record has no lease: it must outlast this process, whatever becomes of leases.
-func (d *directory) recordLeaving(ctx context.Context, upstream string) error {
-	d.mu.Lock()
-	known := d.left[upstream]
-	d.mu.Unlock()
-	if known {
-		return nil
-	}
-	for {
-		err := d.node.platform.Store.Put(ctx, leavingKey(upstream), []byte(d.node.self.Name), 0)
-		if err == nil {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			d.left[upstream] = true
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-time.After(recordRetry):
-		}
-	}
-}
-
-// maxUpstreamName keeps a key within the store's bound of 200 bytes.
-const maxUpstreamName = 150
-
-func leavingKey(upstream string) string {
-	if len(upstream) > maxUpstreamName {
-		upstream = upstream[:maxUpstreamName]
-	}
-	return leavingPrefix + strings.ReplaceAll(upstream, "/", "_")
-}
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -12,8 +12,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"go.uber.org/zap"
-
-	"eiderfold/link"
 )
 
 const (
@@ -90,48 +88,6 @@
 	}
 }
 
-// Dump is a node's state for people.
-type Dump struct {
-	Node          link.Member `json:"node"`
-	Configuration uint64      `json:"configuration"`
-	Ready         bool        `json:"ready"`
-	Gate          gateDump    `json:"gate"`
-	Peers         []peerDump  `json:"peers"`
-}
-
-type gateDump struct {
-	Mode     string  `json:"mode"`
-	Upstream string  `json:"upstream"`
-	Slots    int     `json:"slots"`
-	InHand   int     `json:"in_hand"`
-	Suspect  float64 `json:"suspicion"`
-}
-
-type peerDump struct {
-	link.Member
-	Reachable bool   `json:"reachable"`
-	Mode      string `json:"mode"`
-	Upstream  string `json:"upstream"`
-}
-
-// Dump returns the node's state.
-func (n *Node) Dump() Dump {
-	s := n.gate.Status()
-	version, _ := n.config.current()
-	d := Dump{
-		Node:          n.self,
-		Configuration: version,
-		Ready:         n.ready(),
-		Gate:          gateDump{Mode: s.Mode.String(), Upstream: s.Upstream, Slots: s.Slots, InHand: n.gate.Busy(), Suspect: s.Suspect},
-	}
-	for _, p := range n.links.all() {
-		t := p.current()
-		s := t.Status()
-		d.Peers = append(d.Peers, peerDump{Member: t.Member(), Reachable: t.Reachable(), Mode: s.Mode.String(), Upstream: s.Upstream})
-	}
-	return d
-}
-
 // observability serves metrics and the dump.
 func (n *Node) observability() http.Handler {
 	mux := http.NewServeMux()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -97,6 +97,7 @@
 	return route.Limits{}
 }
 
+// healthPath returns where the own upstream answers health checks, "" if unknown.
 func (n *Node) healthPath() string {
 	if t := n.forwarder.Table(); t != nil {
 		s, _ := t.Service(n.self.Service)
@@ -117,19 +118,13 @@
 		return err
 	}
 	n.log.Info("start", zap.String("node", n.self.Name), zap.String("service", n.self.Service), zap.Uint64("process", n.process))
-	running, cancel := context.WithCancel(context.Background())
+	running, cancel := context.WithCancel(context.Background()) // Until the stop has ended, past ctx.
 	defer cancel()
 	var background sync.WaitGroup
 	for _, f := range []func(context.Context){n.gate.Run, n.config.run, n.directory.run, n.links.run, n.summarize} {
 		background.Go(func() { f(running) })
 	}
-	go n.links.accept(listeners.links)
-	go n.server.Serve(listeners.callers) //nolint:errcheck // It ends without an error when its listener is closed.
-	go serveHTTP(listeners.reports, http.HandlerFunc(n.serveReport))
-	go serveHTTP(listeners.ready, http.HandlerFunc(n.serveReady))
-	if listeners.metrics != nil {
-		go serveHTTP(listeners.metrics, n.observability())
-	}
+	n.serve(listeners)
 	<-ctx.Done()
 	n.stop(listeners)
 	cancel()
@@ -139,11 +134,23 @@
 	return nil
 }
 
+// serve begins to answer on every socket.
+func (n *Node) serve(l *listeners) {
+	go n.links.accept(l.links)
+	go n.server.Serve(l.callers) //nolint:errcheck // It ends without an error when its listener is closed.
+	go serveHTTP(l.reports, http.HandlerFunc(n.serveReport))
+	go serveHTTP(l.ready, http.HandlerFunc(n.serveReady))
+	if l.metrics != nil {
+		go serveHTTP(l.metrics, n.observability())
+	}
+}
+
 // listeners are the sockets of a node.
 type listeners struct {
 	callers, links, reports, ready, metrics net.Listener
 }
 
+// listen opens the sockets. An error ends the process, and with it those that are open.
 func (n *Node) listen() (*listeners, error) {
 	l := &listeners{}
 	s := n.settings.Load()
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,6 +11,34 @@
 	"eiderfold/link"
 )
 
+const (
+	// busyPing is how long a link with work may be silent before it is asked.
+	busyPing = 500 * time.Millisecond
+	// idlePing is the same for a link without work.
+	idlePing = 5 * time.Second
+	// deadAfter is how long a link that was asked may stay silent. A lossy link
+	// needs several retransmissions.
+	deadAfter = 2500 * time.Millisecond
+	// Dialing again begins after dialLeast and slows down to dialMost.
+	dialLeast = 100 * time.Millisecond
+	dialMost  = 1 * time.Second
+	// forgetAfter is how long an unreachable node is dialed.
+	forgetAfter = 2 * time.Minute
+)
+
+// peer is another node, dialed until it has been away for long.
+type peer struct {
+	links   *links
+	address string
+	mu      sync.Mutex
+	member  link.Member
+	target  *ingress.Target
+	link    *link.Link // nil while there is none.
+	version uint64     // Of the configuration it is known to have.
+	pinged  time.Time  // When the link was last asked for a sign of life.
+	seen    time.Time  // When it could last be reached.
+}
+
 // run dials the node until it has been away for long.
 func (p *peer) run(ctx context.Context) {
 	pause := dialLeast
@@ -31,6 +60,7 @@
 	}
 }
 
+// lastSeen returns when the node could last be reached.
 func (p *peer) lastSeen() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -103,18 +133,21 @@
 // uses tells whether the peer is reached by a link.
 func (p *peer) uses(l *link.Link) bool { return p.way() == l }
 
+// current returns the gate that is at the address now.
 func (p *peer) current() *ingress.Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.target
 }
 
+// know takes note that the node has a version of the configuration.
 func (p *peer) know(version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.version = max(p.version, version)
 }
 
+// offerVersion tells the node of a version that it is not known to have.
 func (p *peer) offerVersion(version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -18,11 +18,13 @@
 	headerTimeout = 5 * time.Second
 )
 
+// serveHTTP serves until the listener is closed.
 func serveHTTP(l net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	_ = s.Serve(l) // It ends when the listener is closed.
+	_ = s.Serve(l) // Its error says that the listener is closed.
 }
 
+// serveReady tells the platform whether to send callers here.
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != n.platform.ReadinessPath {
 		http.NotFound(w, r)
@@ -57,6 +59,7 @@
 	n.platform.AcknowledgeReport(w)
 }
 
+// recordLeaving reports whether the store has it within the sender's patience.
 func (n *Node) recordLeaving(ctx context.Context, r port.Report) bool {
 	ctx, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -14,9 +14,11 @@
 	unreadyTime = 2500 * time.Millisecond
 	// killMargin is kept before the platform kills the process.
 	killMargin = 900 * time.Millisecond
-	stopPoll   = 20 * time.Millisecond
+	// stopPoll is the pace at which a stopping node looks whether work is left.
+	stopPoll = 20 * time.Millisecond
 	// settleTime is kept for last answers to leave the socket.
 	settleTime = 50 * time.Millisecond
+	// endTimeout bounds the last call to the store; without it the record lapses.
 	endTimeout = 300 * time.Millisecond
 )
 
--- /dev/null
+++ b/mesh/watch.go
@@ -0,0 +1,113 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"eiderfold/port"
+)
+
+const (
+	// A watch may go deaf without a sign until its wait is over. So those that watch
+	// end their waits in turn, one each watchPerNode, and pass on what they find. A
+	// wait is watchLeast at least, for fleets of a few nodes.
+	watchPerNode = 300 * time.Millisecond
+	watchLeast   = 1 * time.Second
+	// watchers is how many nodes of a fleet watch the store. The others hear of a
+	// change from them, so that the store's work does not grow with the fleet. Any
+	// few of them would do; this many outlast a data centre that is cut off.
+	watchers = 24
+	// unwatchedRead is how often a node that does not watch reads the key, should
+	// no word ever reach it.
+	unwatchedRead = 30 * time.Second
+	// watchCheck is the pace at which a node that does not watch looks whether it
+	// has to begin.
+	watchCheck = 250 * time.Millisecond
+	// watchRetry is the pause after a failed read or watch.
+	watchRetry = 300 * time.Millisecond
+)
+
+// run follows the operator's key until ctx ends.
+func (c *configuration) run(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		err := c.follow(ctx, lost)
+		if lost = err != nil; lost && ctx.Err() == nil {
+			c.node.log.Info("configuration not followed", zap.Error(err))
+			select {
+			case <-ctx.Done():
+			case <-time.After(jitter(watchRetry)):
+			}
+		}
+	}
+}
+
+// follow reads the key and watches it until something fails. Lost history is no
+// failure: the key is read again.
+func (c *configuration) follow(ctx context.Context, lost bool) error {
+	store := c.node.platform.Store
+	entry, revision, err := store.Get(ctx, c.node.platform.ConfigurationKey)
+	if err != nil && !errors.Is(err, port.ErrMissing) {
+		return err
+	}
+	if lost {
+		c.node.directory.check()
+	}
+	if err == nil {
+		c.take(entry.Value, "store")
+	}
+	for {
+		if !c.node.links.among(c.watchers) {
+			return c.rest(ctx)
+		}
+		wait := watchWait(time.Now(), c.node.links.place(), min(c.node.links.fleet(), c.watchers))
+		entries, at, err := store.Watch(ctx, c.node.platform.ConfigurationKey, revision, wait)
+		if errors.Is(err, port.ErrCompacted) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		revision = max(at, revision)
+		for _, e := range entries {
+			if e.Key == c.node.platform.ConfigurationKey {
+				c.take(e.Value, "watch")
+			}
+		}
+	}
+}
+
+// rest waits, without a call to the store, until it is time to read the key again
+// or the node has become one of those that watch.
+func (c *configuration) rest(ctx context.Context) error {
+	until := time.Now().Add(jitter(unwatchedRead))
+	for time.Now().Before(until) && !c.node.links.among(c.watchers) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(watchCheck):
+		}
+	}
+	return nil
+}
+
+// watchWait is how long a watch waits that begins now on the node at a place among
+// so many: until the node's next turn by the time of day. Clocks that are apart
+// move the turns, and no more.
+func watchWait(now time.Time, place, among int) time.Duration {
+	round := watchRound(among)
+	turn := round * time.Duration(min(place, among-1)) / time.Duration(among)
+	wait := (turn - time.Duration(now.UnixNano()%int64(round)) + round) % round
+	if wait < watchPerNode/2 {
+		wait += round
+	}
+	return wait
+}
+
+// watchRound is the time in which each of so many watching nodes has its turn.
+func watchRound(among int) time.Duration {
+	return max(time.Duration(among)*watchPerNode, watchLeast)
+}
