bench/soak: a concept a file

soak.go held the run, the faults and the processes, and ledger.go the callers. Result: behaviour is the same; go vet and staticcheck of ./bench/soak are clean. The soak itself was not run.

--- a/bench/soak/ledger.go
+++ b/bench/soak/ledger.go
@@ -1,20 +1,14 @@
 package soak
 
 import (
-	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
-	"net"
-	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
+// runsOn is how long an upstream may still work after the last caller has left.
+const runsOn = time.Second
+
 // entry is what is known of one attempt.
 type entry struct {
 	once   bool // It may run only once.
@@ -27,7 +21,7 @@
 type ledger struct {
 	mu      sync.Mutex
 	entries map[string]*entry
-	found   []string
+	found   []string // Violations.
 }
 
 func newLedger() *ledger { return &ledger{entries: map[string]*entry{}} }
@@ -44,6 +38,7 @@
 	return append([]string(nil), l.found...)
 }
 
+// send takes note of a request before it is sent.
 func (l *ledger) send(attempt, request string, once bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -87,80 +82,4 @@
 }
 
 // settle waits for what still runs.
-func (l *ledger) settle() { time.Sleep(time.Second) }
-
-const (
-	callPause   = 40 * time.Millisecond
-	callTimeout = 6 * time.Second
-	// harmTime is how long after a kill or a pause a broken connection is excused.
-	harmTime = 6 * time.Second
-	orderOf  = 3 // One request in so many is an order.
-)
-
-// call sends requests to one node until ctx ends, over connections that it keeps.
-func (s *soak) call(ctx context.Context, n *node, caller int) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
-	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport, Timeout: callTimeout}
-	for i := 0; ctx.Err() == nil; i++ {
-		s.request(ctx, client, n, fmt.Sprintf("s%d-c%d-%d", s.options.Seed, caller, i), i%orderOf == 0)
-		time.Sleep(callPause/2 + rand.N(callPause))
-	}
-}
-
-func (s *soak) request(ctx context.Context, client *http.Client, n *node, attempt string, once bool) {
-	method, path, body := http.MethodGet, "/look/"+attempt, ""
-	if once {
-		method, path, body = http.MethodPost, "/order/"+attempt, "order of "+attempt
-	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+path, strings.NewReader(body))
-	if err != nil {
-		s.ledger.violate("harness: %v", err)
-		return
-	}
-	r.Host = "soak.example"
-	r.Header.Set("Attempt-Id", attempt)
-	r.Header.Set("Deadline-Ms", strconv.Itoa(int((4 * time.Second).Milliseconds())))
-	s.ledger.send(attempt, method+" "+path+" "+body, once)
-	s.asked.Add(1)
-	life := n.lives.Load()
-	answer, err := client.Do(r)
-	if err != nil {
-		s.unanswered(ctx, n, attempt, life, err)
-		return
-	}
-	defer answer.Body.Close() //nolint:errcheck // Nothing is written to it.
-	text, err := io.ReadAll(answer.Body)
-	s.check(n, attempt, answer.StatusCode, string(text), err)
-}
-
-// check compares an answer with what belongs to the attempt.
-func (s *soak) check(n *node, attempt string, status int, body string, err error) {
-	switch {
-	case status == http.StatusOK && err == nil && body == expectedBody(attempt):
-		s.served.Add(1)
-	case status == http.StatusOK && err == nil:
-		s.ledger.violate("MIXED: %s got %q", attempt, body[:min(len(body), 60)])
-	case status == http.StatusNotFound:
-		s.ledger.violate("DENIED: %s by %s", attempt, n.name)
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-		s.ledger.deny(attempt)
-	}
-}
-
-// unanswered looks at a connection that ended without an answer. A planned stop is
-// no excuse if an upstream has run the request.
-func (s *soak) unanswered(ctx context.Context, n *node, attempt string, life int64, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	harmed := time.Since(time.Unix(0, n.harmed.Load())) < harmTime
-	var late net.Error
-	if errors.As(err, &late) && late.Timeout() && !harmed {
-		s.ledger.violate("LOST: %s by %s, life %d: no answer in %v", attempt, n.name, life, callTimeout)
-		return
-	}
-	if !harmed && s.ledger.runs(attempt) > 0 {
-		s.ledger.violate("LOST: %s by %s, life %d: %v", attempt, n.name, life, err)
-	}
-}
+func (l *ledger) settle() { time.Sleep(runsOn) }
--- /dev/null
+++ b/bench/soak/node.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eiderfold/bench/fleet"
+	"eiderfold/bench/standin"
+)
+
+const (
+	// stopGrace is how long after SIGTERM a node may run.
+	stopGrace = 4 * time.Second
+	// superviseEvery is how soon a process that ended by itself is started again.
+	superviseEvery = 100 * time.Millisecond
+)
+
+// node is one process, started again whenever it ends.
+type node struct {
+	name, ip, program, dir, settings, callers string
+	upstream                                  *upstream
+	mu                                        sync.Mutex // Held while the process changes.
+	process                                   *fleet.Process
+	lives                                     atomic.Int64 // How often it was started.
+	harmed                                    atomic.Int64 // UnixNano of the last kill or pause.
+}
+
+// newNode starts an upstream and the node beside it.
+func (s *soak) newNode(ctx context.Context, i int) (*node, error) {
+	name := fmt.Sprintf("n%d", i)
+	n := &node{name: name, ip: fmt.Sprintf("127.0.%d.%d", 1+s.options.Seed%200, 10+i), program: s.options.Program, dir: s.options.Dir}
+	var links, reports, callers, ready string
+	for _, to := range []*string{&links, &reports, &callers, &ready} {
+		address, err := freeAddress(n.ip)
+		if err != nil {
+			return nil, err
+		}
+		*to = address
+	}
+	advertised, err := s.cutter.Open(standin.Link{Name: name, Network: "tcp", Listen: n.ip + ":0", Target: links})
+	if err != nil {
+		return nil, errors.Wrap(err, "cutter")
+	}
+	if n.upstream, err = startUpstream(ctx, n.ip, reports, s.ledger); err != nil {
+		return nil, err
+	}
+	n.callers = callers
+	n.settings = filepath.Join(s.options.Dir, name+".yaml")
+	text := fmt.Sprintf("node: %s\ndata_centre: d%d\nupstream: {address: %q, service: a}\nlisten: {callers: %q, links: %q, advertise: %q, reports: %q, ready: %q}\nstore: %q\nstop: {grace: %v}\n",
+		name, i%2, n.upstream.address, callers, links, advertised, reports, ready, s.address, stopGrace)
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	if err := n.start(); err != nil {
+		return nil, err
+	}
+	go n.supervise(ctx)
+	return n, nil
+}
+
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return "", errors.Wrap(err, "address")
+	}
+	defer l.Close() //nolint:errcheck // It has served its purpose.
+	return l.Addr().String(), nil
+}
+
+func (n *node) start() error {
+	p, err := fleet.StartProgram(n.name, n.dir, n.program, "mesh", "--settings", n.settings)
+	n.process = p
+	n.lives.Add(1)
+	return err
+}
+
+// restart ends the process with a signal and starts it again.
+func (n *node) restart(with syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if with == syscall.SIGKILL {
+		n.harmed.Store(time.Now().UnixNano())
+		n.process.Kill()
+	} else {
+		n.process.Stop()
+	}
+	_ = n.start() // The next restart tries again.
+}
+
+func (n *node) pause(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.harmed.Store(time.Now().UnixNano())
+	_ = n.process.Signal(syscall.SIGSTOP) // It may have ended.
+	time.Sleep(d)
+	_ = n.process.Signal(syscall.SIGCONT)
+	n.harmed.Store(time.Now().UnixNano())
+}
+
+// supervise starts the process again when it has ended by itself.
+func (n *node) supervise(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(superviseEvery)
+		n.mu.Lock()
+		if !n.process.Running() && ctx.Err() == nil {
+			n.harmed.Store(time.Now().UnixNano())
+			_ = n.start() // The next look tries again.
+		}
+		n.mu.Unlock()
+	}
+}
+
+func (n *node) signal(sig syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.process.Signal(sig) // It may have ended.
+}
+
+func (n *node) kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		n.process.Kill()
+	}
+}
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -17,16 +17,19 @@
 )
 
 const (
+	// heartbeatEvery is the pace of heartbeats.
 	heartbeatEvery = 250 * time.Millisecond
 	// leaveTime is how long a leaving upstream goes on serving.
 	leaveTime = 2500 * time.Millisecond
 	// drainTime is how long after its acknowledgement new work may still come.
 	drainTime = 2 * time.Second
+	// Work takes between workLeast and workMost, evenly.
 	workLeast = 10 * time.Millisecond
 	workMost  = 80 * time.Millisecond
 	// breakShare of its requests a failing upstream resets, half of them after the work.
 	breakShare = 0.7
-	slots      = 4
+	// slots is what an upstream says of itself; it keeps to no bound.
+	slots = 4
 )
 
 // upstream does a service's work and reports to the node beside it.
@@ -67,6 +70,7 @@
 	u.state, u.seq, u.left = "ready", 0, time.Time{}
 }
 
+// ServeHTTP implements http.Handler.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
 	id, state, left := u.id, u.state, u.left
