cmd/eiderfold: loggers in one file, the writer of lines in its own

main.go held the logger of the other commands and the sampling that the one of mesh shares, and log.go the background writer.

--- a/cmd/eiderfold/log.go
+++ b/cmd/eiderfold/log.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"io"
 	"os"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,88 +10,13 @@
 	"eiderfold/mesh"
 )
 
+// Equal events of one second are logged this often in full, and then one in so
+// many: a decision that flaps must not fill the operators' logs.
 const (
-	// linesKept is how many log lines wait for a slow reader of standard output;
-	// what comes on top is dropped and counted.
-	linesKept = 2048
-	// writeEvery bundles lines into few writes.
-	writeEvery = 100 * time.Millisecond
-	// flushTime bounds the last write of a stopping process.
-	flushTime = 200 * time.Millisecond
+	logInFull = 20
+	logOneIn  = 100
 )
 
-// lineWriter writes log lines in the background, so that a stalled reader costs
-// lines and not requests.
-type lineWriter struct {
-	out     io.Writer
-	lines   chan []byte
-	closing chan struct{}
-	done    chan struct{}
-	once    sync.Once
-	dropped func()
-}
-
-func newLineWriter(out io.Writer, dropped func()) *lineWriter {
-	w := &lineWriter{out: out, lines: make(chan []byte, linesKept), closing: make(chan struct{}), done: make(chan struct{}), dropped: dropped}
-	go w.run()
-	return w
-}
-
-// Write queues a line or drops it.
-func (w *lineWriter) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.dropped()
-	}
-	return len(line), nil
-}
-
-// Sync does nothing: lines are on their way.
-func (w *lineWriter) Sync() error { return nil }
-
-func (w *lineWriter) run() {
-	defer close(w.done)
-	var bundle []byte
-	for last := false; !last; {
-		bundle = append(bundle[:0], <-w.lines...)
-		select {
-		case <-w.closing:
-			last = true
-		case <-time.After(writeEvery):
-		}
-		bundle = w.collect(bundle)
-		_, _ = w.out.Write(bundle) // There is nowhere left to report it.
-	}
-}
-
-// collect takes what waits, without waiting for more.
-func (w *lineWriter) collect(bundle []byte) []byte {
-	for {
-		select {
-		case line := <-w.lines:
-			bundle = append(bundle, line...)
-		default:
-			return bundle
-		}
-	}
-}
-
-// close writes what waits, within flushTime.
-func (w *lineWriter) close() {
-	w.once.Do(func() {
-		close(w.closing)
-		select {
-		case w.lines <- nil: // It may wait for a first line.
-		default:
-		}
-		select {
-		case <-w.done:
-		case <-time.After(flushTime):
-		}
-	})
-}
-
 // plainErrors writes errors as their text, without the stack that pkg/errors keeps.
 type plainErrors struct{ zapcore.Core }
 
@@ -115,6 +38,7 @@
 	return c.Core.Write(e, plain(fields))
 }
 
+// plain returns the fields with the texts of their errors.
 func plain(fields []zapcore.Field) []zapcore.Field {
 	out := make([]zapcore.Field, len(fields))
 	for i, f := range fields {
@@ -146,3 +70,17 @@
 	core := zapcore.NewSamplerWithOptions(plainErrors{zapcore.NewCore(zapcore.NewJSONEncoder(e), w, least)}, time.Second, logInFull, logOneIn, zapcore.SamplerHook(sampled))
 	return zap.New(core), w.close, nil
 }
+
+// logger is the log of every command but mesh.
+func logger(level, format string) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	c.Encoding = format
+	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	c.Sampling = &zap.SamplingConfig{Initial: logInFull, Thereafter: logOneIn}
+	c.DisableStacktrace = true
+	var err error
+	if c.Level, err = zap.ParseAtomicLevel(level); err != nil {
+		return nil, err
+	}
+	return c.Build()
+}
--- a/cmd/eiderfold/main.go
+++ b/cmd/eiderfold/main.go
@@ -18,8 +18,6 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 )
 
 func main() {
@@ -60,23 +58,3 @@
 		},
 	}
 }
-
-// Equal events of one second are logged this often in full, and then one in so
-// many: a decision that flaps must not fill the operators' logs.
-const (
-	logInFull = 20
-	logOneIn  = 100
-)
-
-func logger(level, format string) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	c.Encoding = format
-	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	c.Sampling = &zap.SamplingConfig{Initial: logInFull, Thereafter: logOneIn}
-	c.DisableStacktrace = true
-	var err error
-	if c.Level, err = zap.ParseAtomicLevel(level); err != nil {
-		return nil, err
-	}
-	return c.Build()
-}
