settings: checks of a mesh node in their own file, and tested

It is one step for names, addresses, bounds and the log now; the least grace is a constant with its reason.

--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -1,10 +1,7 @@
 package settings
 
 import (
-	"fmt"
-	"net/netip"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
@@ -15,12 +12,16 @@
 // Standard values of fields of a mesh node that may be left out.
 const (
 	standardMeshGrace   = 6 * time.Second // Until the platform kills a stopping process.
-	standardRetryRatio  = 0.2
-	standardRetrySlack  = 20
-	standardFloorShare  = 0.7
+	standardRetryRatio  = 0.2             // Repeats for each request of the fleet.
+	standardRetrySlack  = 20              // Repeats above the ratio.
+	standardFloorShare  = 0.7             // Of a service's gates.
 	standardAcknowledge = 4 * time.Second
 )
 
+// leastMeshGrace leaves something of the time that a node keeps free before it is
+// killed (killMargin of package mesh).
+const leastMeshGrace = time.Second
+
 // meshFile is the YAML of a node of `eiderfold mesh`.
 type meshFile struct {
 	Node       string     `yaml:"node"`
@@ -142,6 +143,7 @@
 // LogLevel returns the least level that is logged.
 func (m *Mesh) LogLevel() string { return m.file.Log.Level }
 
+// defaults fills what was left out; 0 counts as left out.
 func (m *Mesh) defaults() {
 	f := &m.file
 	orDuration(&f.Stop.Grace, standardMeshGrace)
@@ -165,54 +167,3 @@
 		*field = standard
 	}
 }
-
-func (m *Mesh) check() []string {
-	f := m.file
-	var faults []string
-	fault := func(field, format string, arguments ...any) {
-		faults = append(faults, field+": "+fmt.Sprintf(format, arguments...))
-	}
-	for field, value := range map[string]string{"node": f.Node, "data_centre": f.DataCentre, "upstream.service": f.Upstream.Service} {
-		if value == "" {
-			fault(field, "is missing")
-		}
-	}
-	addresses := map[string]string{
-		"upstream.address": f.Upstream.Address,
-		"listen.callers":   f.Listen.Callers,
-		"listen.links":     f.Listen.Links,
-		"listen.reports":   f.Listen.Reports,
-		"listen.ready":     f.Listen.Ready,
-		"store":            f.Store,
-	}
-	for field, value := range map[string]string{"listen.metrics": f.Listen.Metrics, "listen.advertise": f.Listen.Advertise} {
-		if value != "" {
-			addresses[field] = value
-		}
-	}
-	for field, value := range addresses {
-		if _, err := netip.ParseAddrPort(value); err != nil {
-			fault(field, "%q is no IP:port", value)
-		}
-	}
-	if f.Fleet.FloorShare < 0 || f.Fleet.FloorShare > 1 {
-		fault("fleet.floor_share", "%v is not between 0 and 1", f.Fleet.FloorShare)
-	}
-	if f.Retries.Ratio < 0 || f.Retries.Slack < 0 {
-		fault("retries", "ratio %v and slack %v must not be under 0", f.Retries.Ratio, f.Retries.Slack)
-	}
-	if f.Stop.Grace < time.Second {
-		fault("stop.grace", "%v is under 1s", f.Stop.Grace)
-	}
-	if f.Fleet.Acknowledge < 0 {
-		fault("fleet.acknowledge", "%v is under 0", f.Fleet.Acknowledge)
-	}
-	if !slices.Contains([]string{"debug", "info", "warn", "error"}, f.Log.Level) {
-		fault("log.level", "%q is none of debug, info, warn, error", f.Log.Level)
-	}
-	if f.Log.Format != "" && f.Log.Format != "json" {
-		fault("log.format", "%q: a mesh node logs json", f.Log.Format)
-	}
-	slices.Sort(faults)
-	return faults
-}
