--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,7 +25,8 @@
 	eventsKept = 64
 )
 
-// Counters is told what happens, for metrics.
+// Counters is told what happens, for metrics. It is what this package needs of
+// them; that package gate needs the same is chance.
 type Counters interface {
 	Count(name string)
 	Observe(name string, d time.Duration)
@@ -42,7 +41,7 @@
 	log      *zap.Logger
 	counters Counters
 	table    atomic.Pointer[route.Table]
-	origin   uint64
+	origin   uint64 // Of this process's offers; differs after a restart.
 	number   atomic.Uint64
 	usual    sync.Map // *core.Usual by the route's name.
 	mu       sync.Mutex
@@ -69,13 +68,6 @@
 // Table returns the configuration in force, nil if there is none.
 func (f *Forwarder) Table() *route.Table { return f.table.Load() }
 
-// InFlight returns how many requests have no answer yet.
-func (f *Forwarder) InFlight() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.flights)
-}
-
 // Serve answers a request; nil if the caller has left.
 func (f *Forwarder) Serve(ctx context.Context, r *Request) *Response {
 	fl, refused := f.prepare(r)
@@ -107,7 +99,7 @@
 		return nil, refusal(result.New(result.NoRoute, path))
 	}
 	header := r.Header.Clone()
-	stripHop(header)
+	strip(header)
 	header.Del("Content-Length")
 	return &flight{
 		forwarder: f,
@@ -149,79 +141,11 @@
 		return r
 	}
 	header := http.Header(r.Header)
-	stripHop(header)
+	strip(header)
 	r.Header = header
 	return r
 }
 
-// explain logs what became of a request and why. An answer that came in time is
-// only counted at the usual level of the log.
-func (f *Forwarder) explain(r *Request, fl *flight, answer *Response) {
-	took := time.Since(r.Arrived)
-	f.counters.Observe("request", took)
-	outcome := outcomeOf(fl, answer, took)
-	f.counters.Count("request_" + outcome)
-	level := zap.InfoLevel
-	if outcome == answeredInTime {
-		level = zap.DebugLevel
-	}
-	line := f.log.Check(level, "request "+outcome)
-	if line == nil {
-		return
-	}
-	fields := []zap.Field{zap.String("attempt", f.dialect.Request(r.Header).Attempt), zap.Duration("took", took)}
-	if t := f.table.Load(); t != nil {
-		fields = append(fields, zap.Uint64("configuration", t.Version()))
-	}
-	if answer != nil {
-		fields = append(fields, zap.Int("status", answer.Status), zap.Bool("own", answer.own))
-	}
-	if answer != nil && answer.own {
-		fields = append(fields, zap.Stringer("result", answer.code))
-	}
-	if fl != nil {
-		fields = append(fields, fl.story()...)
-	}
-	line.Write(fields...)
-}
-
-// Outcomes of a request, as logged and counted.
-const (
-	answeredInTime = "answered"
-	answeredLate   = "late"
-	failedRequest  = "failed"
-	callerGone     = "abandoned"
-)
-
-func outcomeOf(fl *flight, answer *Response, took time.Duration) string {
-	switch {
-	case answer == nil:
-		return callerGone
-	case fl == nil || answer.Status >= http.StatusInternalServerError:
-		return failedRequest
-	case fl.route.Target > 0 && took > fl.route.Target:
-		return answeredLate
-	default:
-		return answeredInTime
-	}
-}
-
-// story is what decided about the request, for its log line.
-func (f *flight) story() []zap.Field {
-	fields := []zap.Field{zap.String("route", f.route.Name), zap.String("service", f.service), zap.Int("offers", f.made),
-		zap.Int("runs", f.runs), zap.Strings("gates", f.gates)}
-	if !f.committed.IsZero() {
-		fields = append(fields, zap.Duration("waited", f.committed.Sub(f.began)))
-	}
-	if f.last != link.ReasonNone {
-		fields = append(fields, zap.Stringer("refused", f.last))
-	}
-	if f.doubt != "" {
-		fields = append(fields, zap.String("doubt", f.doubt))
-	}
-	return fields
-}
-
 func (f *Forwarder) key() link.Key {
 	return link.Key{Origin: f.origin, Number: f.number.Add(1)}
 }
@@ -306,37 +230,3 @@
 }
 
 func (f *Forwarder) count(name string) { f.counters.Count(name) }
-
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
-
-// stripHop removes what counts for one connection only (RFC 9110, 7.6.1).
-func stripHop(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
-// Request is a caller's request, read whole.
-type Request struct {
-	Method     string
-	RequestURI string
-	URL        *url.URL
-	Host       string
-	Header     http.Header
-	Body       []byte
-	Arrived    time.Time
-}
-
-// Response is an answer to a caller.
-type Response struct {
-	Status int
-	Header map[string][]string
-	Body   []byte
-	own    bool // Made by this node, not by an upstream.
-	code   result.Code
-}
