Far nodes hear of trials once a second

Change: near nodes and closings are told at once, far ones once a second with the last state; fleet.acknowledge bounds how long a report is held.

--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -28,10 +28,59 @@
 	}
 }
 
+// farStatusEvery is the pace at which nodes of other data centres are told that the
+// gate goes on trial or comes back. They have others nearer, and a refusal tells
+// them too; telling all at once was most of what large fleets sent each other.
+const farStatusEvery = 1 * time.Second
+
+// inbound is what is known of a node that dialed.
+type inbound struct {
+	near bool      // It is in the own data centre.
+	owed bool      // It has not been told of the last status.
+	next time.Time // When it may be told.
+}
+
+// announce tells everybody of the own gate's status: at once where it closes or
+// opens, or the node is near, and else when its turn has come.
+func (l *links) announce(s link.Status) {
+	l.local.SetStatus(s)
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	urgent := s.Mode == link.ModeClosed || l.told == link.ModeClosed
+	l.told = s.Mode
+	for in, from := range l.inbound {
+		from.owed = true
+		if urgent || from.near {
+			from.next = now
+		}
+		from.tell(in, s, now)
+	}
+}
+
+// tell sends the status if it is owed and due.
+func (i *inbound) tell(in *link.Link, s link.Status, now time.Time) {
+	if !i.owed || now.Before(i.next) {
+		return
+	}
+	in.Send(&link.Frame{Status: &s})
+	i.owed = false
+	i.next = now.Add(farStatusEvery)
+}
+
+// locate takes note of where the node that dialed is.
+func (l *links) locate(in *link.Link, dataCentre string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from := l.inbound[in]; from != nil {
+		from.near = dataCentre == l.node.self.DataCentre
+	}
+}
+
 // serve answers one dialed link until it ends.
 func (l *links) serve(in *link.Link) {
 	l.mu.Lock()
-	l.inbound[in] = true
+	l.inbound[in] = &inbound{}
 	l.mu.Unlock()
 	in.Send(l.hello())
 	err := in.Run(func(f *link.Frame) { l.fromIngress(in, f) })
@@ -47,6 +96,7 @@
 	switch {
 	case f.Hello != nil:
 		l.learn(f.Hello.Member)
+		l.locate(in, f.Hello.Member.DataCentre)
 		l.node.config.handle(&link.Configuration{Version: f.Hello.Version}, in)
 	case f.Configuration != nil:
 		l.node.config.handle(f.Configuration, in)
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -28,13 +28,14 @@
 	ctx     context.Context        // Set while the node runs.
 	known   map[string]link.Member // By address; not all of them are dialed.
 	peers   map[string]*peer
-	inbound map[*link.Link]bool
+	inbound map[*link.Link]*inbound
+	told    link.Mode     // As all inbound links were told last.
 	pending []link.Member // Learned before run.
 }
 
 func newLinks(n *Node) *links {
 	host, _, _ := net.SplitHostPort(n.settings.Load().Links()) // Checked with the settings.
-	return &links{node: n, from: net.ParseIP(host), known: map[string]link.Member{}, peers: map[string]*peer{}, inbound: map[*link.Link]bool{}}
+	return &links{node: n, from: net.ParseIP(host), known: map[string]link.Member{}, peers: map[string]*peer{}, inbound: map[*link.Link]*inbound{}}
 }
 
 // run checks the links until ctx ends.
@@ -98,20 +99,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for in := range l.inbound {
+	for in, from := range l.inbound {
 		if now.Sub(in.Received()) > idleDead {
 			in.Close()
 		}
-	}
-}
-
-// announce tells everybody of the own gate's status.
-func (l *links) announce(s link.Status) {
-	l.local.SetStatus(s)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for in := range l.inbound {
-		in.Send(&link.Frame{Status: &s})
+		from.tell(in, l.local.Status(), now)
 	}
 }
 
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -105,3 +106,33 @@
 		assert.Equal(t, watchWait(time.Unix(5, 0), among-1, among), watchWait(time.Unix(5, 0), among+7, among), "one that is cut off takes the last turn")
 	}
 }
+
+// TestFarNodesHearOfTrialsInTurn counts what a node far away and a near one are
+// told while a gate goes on trial and back ten times a second.
+func TestFarNodesHearOfTrialsInTurn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	conn, other := net.Pipe()
+	defer conn.Close()  //nolint:errcheck // Nothing is sent on it.
+	defer other.Close() //nolint:errcheck // Nothing is sent on it.
+	in := link.New(conn)
+	near, far := &inbound{near: true}, &inbound{}
+	told := map[*inbound]int{}
+	for i := range 50 {
+		at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+		for _, from := range []*inbound{near, far} {
+			from.owed = true
+			if from.near {
+				from.next = at
+			}
+			from.tell(in, link.Status{}, at)
+			if !from.owed {
+				told[from]++
+			}
+		}
+	}
+	assert.Equal(t, 50, told[near])
+	assert.Equal(t, 5, told[far])
+	far.owed = true
+	far.tell(in, link.Status{}, now.Add(7*time.Second))
+	assert.False(t, far.owed, "the last state is told in the end")
+}
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -61,7 +61,7 @@
 
 // recordLeaving reports whether the store has it within the sender's patience.
 func (n *Node) recordLeaving(ctx context.Context, r port.Report) bool {
-	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	ctx, cancel := context.WithTimeout(ctx, min(answerWithin, n.settings.Load().Acknowledge()))
 	defer cancel()
 	err := n.directory.recordLeaving(ctx, r.Upstream)
 	n.log.Info("upstream leaves", zap.String("upstream", r.Upstream), zap.Bool("final", r.Final), zap.Bool("recorded", err == nil), zap.NamedError("cause", err))
