--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,107 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// pair returns two ends of one connection.
+func pair(t *testing.T) (*Link, *Link) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close() //nolint:errcheck // One connection is enough.
+	near, err := Dial(t.Context(), net.ParseIP("127.0.0.1"), l.Addr().String())
+	require.NoError(t, err)
+	far, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(near.Close)
+	other := New(far)
+	t.Cleanup(other.Close)
+	return near, other
+}
+
+// TestOrder sends messages of each kind and reads them in their order, unchanged.
+func TestOrder(t *testing.T) {
+	a, b := pair(t)
+	sent := []*Frame{
+		{Hello: &Hello{Member: Member{Name: "n", Service: "s"}, Process: 7, Version: 9}},
+		{Offer: &Offer{Key: Key{1, 2}, Attempt: "x", Left: time.Second, Content: &Content{Method: "GET", Body: []byte{0, 255}}}},
+		{Commit: &Commit{Key: Key{1, 2}, Content: &Content{Header: map[string][]string{"A": {"b", "c"}}}}},
+		{Answer: &Answer{Key: Key{1, 2}, Status: 200, Body: bytes.Repeat([]byte("x"), 1<<20)}},
+		{Refused: &Refused{Key: Key{1, 2}, Reason: ReasonTrial, After: time.Second}},
+		{Configuration: &Configuration{Version: 3, Text: []byte("{}")}},
+	}
+	got := make(chan *Frame, len(sent))
+	go b.Run(func(f *Frame) { got <- f }) //nolint:errcheck // It ends with the test.
+	go a.Run(func(*Frame) {})             //nolint:errcheck // It ends with the test.
+	assert.True(t, a.Send(&Frame{Ping: &Ping{}}), "a ping is answered and not handed on")
+	for _, f := range sent {
+		require.True(t, a.Send(f))
+	}
+	for _, f := range sent {
+		assert.Equal(t, f, <-got)
+	}
+	require.Eventually(t, func() bool { return time.Since(a.Received()) < time.Minute }, 5*time.Second, time.Millisecond)
+}
+
+// TestClosed says so to senders, and ends the other side.
+func TestClosed(t *testing.T) {
+	a, b := pair(t)
+	ended := make(chan error, 1)
+	go func() { ended <- b.Run(func(*Frame) {}) }()
+	a.Close()
+	assert.Error(t, <-ended)
+	<-b.Closed()
+	assert.False(t, a.Send(&Frame{}))
+	assert.False(t, b.Send(&Frame{}))
+}
+
+// TestPeerThatDoesNotRead is given up instead of blocking its senders.
+func TestPeerThatDoesNotRead(t *testing.T) {
+	a, _ := pair(t)
+	go a.Run(func(*Frame) {}) //nolint:errcheck // It ends with the link.
+	big := &Frame{Answer: &Answer{Body: make([]byte, 64<<10)}}
+	for range 2 * outboxLength {
+		if !a.Send(big) {
+			<-a.Closed()
+			return
+		}
+	}
+	t.Fatal("still open")
+}
+
+// TestTooLarge refuses a message by its announced length, before reading it.
+func TestTooLarge(t *testing.T) {
+	var prefix [prefixLength]byte
+	binary.BigEndian.PutUint32(prefix[:], maxFrame+1)
+	_, err := read(bufio.NewReader(bytes.NewReader(prefix[:])))
+	assert.ErrorIs(t, err, ErrFrameTooLarge)
+}
+
+// FuzzRead feeds arbitrary bytes: they are a message or an error.
+func FuzzRead(f *testing.F) {
+	text, err := cbor.Marshal(&Frame{Offer: &Offer{Key: Key{1, 2}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append([]byte{0, 0, 0, byte(len(text))}, text...))
+	f.Add([]byte{0, 0, 0, 1, 0xff})
+	f.Fuzz(func(t *testing.T, input []byte) {
+		if len(input) > 4 && binary.BigEndian.Uint32(input) > 1<<20 {
+			return // The length is announced; the bytes would not come.
+		}
+		m, err := read(bufio.NewReader(bytes.NewReader(input)))
+		if err == nil {
+			assert.NotNil(t, m)
+		}
+	})
+}
