--- a/mesh/links.go
+++ b/mesh/links.go
@@ -15,7 +15,7 @@
 	// checkEvery is the pace at which silent links are looked for.
 	checkEvery = 250 * time.Millisecond
 	// idleDead ends a link from a peer that sends not even pings.
-	idleDead = 20 * time.Second
+	idleDead = 50 * time.Second
 )
 
 // links are the connections to all other nodes. This node dials every gate; what
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -15,7 +15,7 @@
 	// busyPing is how long a link with work may be silent before it is asked.
 	busyPing = 500 * time.Millisecond
 	// idlePing is the same for a link without work.
-	idlePing = 5 * time.Second
+	idlePing = 15 * time.Second
 	// deadAfter is how long a link that was asked may stay silent. A lossy link
 	// needs several retransmissions.
 	deadAfter = 2500 * time.Millisecond
