link, route, core, memory: comments on constants and on what needs the lock

Constants without a unit or reason got one, as did functions that did not say that the lock is held. The link's writer is one loop for one bundle; encode was a method that used nothing of its link.

--- a/core/usual.go
+++ b/core/usual.go
@@ -15,12 +15,16 @@
 }
 
 const (
-	usualShare   = 0.95
+	// usualShare is the quantile that is followed.
+	usualShare = 0.95
+	// A step is firstStep of the value at first, and shrinks with the square root of
+	// the answers to lastStep, so that a change of the route's work is still followed.
 	firstStep    = 0.5
 	lastStep     = 0.02
 	usualLeast   = 2 * time.Millisecond   // Under this, scheduling noise is larger than the work.
 	usualUnknown = 500 * time.Millisecond // Before the first answers.
-	warmAnswers  = 20
+	// warmAnswers is how many answers are needed before the value is used.
+	warmAnswers = 20
 	// stallFactor times the cut: with a heavy tail (a lognormal of sigma 1) some
 	// 0.12% of good answers take longer, less than what is forgiven as failures.
 	stallFactor = 4
@@ -45,6 +49,8 @@
 	}
 }
 
+// move returns by what factor an answer time moves the value: up and down balance
+// where usualShare of the answers are under it.
 func move(x, q, step float64) float64 {
 	if x > q {
 		return 1 + step*usualShare
--- a/link/link.go
+++ b/link/link.go
@@ -38,8 +38,10 @@
 	silence = 4 * time.Second
 	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
 	tcpUserTimeout = 0x12
-	prefixLength   = 4
-	bufferBytes    = 4 << 10
+	// prefixLength is the size in bytes of a message's length, big-endian.
+	prefixLength = 4
+	// bufferBytes is the size of a link's buffers: a dozen messages without content.
+	bufferBytes = 4 << 10
 )
 
 // ErrFrameTooLarge says that a peer sent a message over the bound.
@@ -64,6 +66,7 @@
 	return New(conn), nil
 }
 
+// control lets the kernel end a connection whose bytes are not acknowledged.
 func control(_, _ string, c syscall.RawConn) error {
 	return c.Control(func(fd uintptr) {
 		// A kernel without the option still has the pings to find a dead peer.
@@ -123,16 +126,17 @@
 			return err
 		}
 		l.received.Store(time.Now().UnixNano())
-		if f.Ping != nil {
-			if !f.Ping.Reply {
-				l.Send(&Frame{Ping: &Ping{Reply: true}})
-			}
+		if f.Ping == nil {
+			handle(f)
 			continue
 		}
-		handle(f)
+		if !f.Ping.Reply {
+			l.Send(&Frame{Ping: &Ping{Reply: true}})
+		}
 	}
 }
 
+// read takes one message.
 func read(in *bufio.Reader) (*Frame, error) {
 	var prefix [prefixLength]byte
 	if _, err := io.ReadFull(in, prefix[:]); err != nil {
@@ -157,22 +161,12 @@
 	for {
 		select {
 		case f := <-l.outbox:
-			if l.encode(out, f) != nil {
+			if l.bundle(out, f) != nil {
 				return
 			}
 		case <-l.closed:
 			return
 		}
-		for more := true; more; {
-			select {
-			case f := <-l.outbox:
-				if l.encode(out, f) != nil {
-					return
-				}
-			default:
-				more = false
-			}
-		}
 		_ = l.conn.SetWriteDeadline(time.Now().Add(silence)) // Fails only on a closed connection, as the write does.
 		if out.Flush() != nil {
 			return
@@ -180,7 +174,22 @@
 	}
 }
 
-func (l *Link) encode(out *bufio.Writer, f *Frame) error {
+// bundle encodes a message and what waits behind it.
+func (l *Link) bundle(out *bufio.Writer, f *Frame) error {
+	for {
+		if err := encode(out, f); err != nil {
+			return err
+		}
+		select {
+		case f = <-l.outbox:
+		default:
+			return nil
+		}
+	}
+}
+
+// encode writes one message with its length before it.
+func encode(out *bufio.Writer, f *Frame) error {
 	text, err := cbor.Marshal(f)
 	if err != nil {
 		return errors.Wrap(err, "encode")
--- a/memory/directory.go
+++ b/memory/directory.go
@@ -40,7 +40,7 @@
 	oldest   uint64 // Changes up to this revision are forgotten.
 	revision uint64
 	last     port.Lease
-	changed  chan struct{}
+	changed  chan struct{} // Closed, and replaced, with every change.
 }
 
 var _ port.Directory = (*Directory)(nil)
@@ -132,6 +132,7 @@
 	}
 }
 
+// look returns what a watch finds now, and the channel that ends its wait.
 func (d *Directory) look(prefix string, after uint64) ([]port.Entry, uint64, chan struct{}, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -222,7 +223,8 @@
 	return d.answer()
 }
 
-// begin lets leases end that are over, and fails while the directory is out.
+// begin lets leases end that are over, and fails while the directory is out. The
+// lock is held.
 func (d *Directory) begin() error {
 	now := d.clock()
 	for l, at := range d.leases {
@@ -244,6 +246,7 @@
 	return nil
 }
 
+// end removes a lease and its keys, with the lock held.
 func (d *Directory) end(l port.Lease) {
 	delete(d.leases, l)
 	delete(d.ttl, l)
@@ -268,6 +271,7 @@
 	d.wake()
 }
 
+// wake lets all watches look again, with the lock held.
 func (d *Directory) wake() {
 	close(d.changed)
 	d.changed = make(chan struct{})
--- a/route/route.go
+++ b/route/route.go
@@ -36,7 +36,7 @@
 	Target    time.Duration // Within it, an answer is worth most.
 	Attempts  int           // At how many upstreams one request may run.
 	Shares    []Share
-	turn      *atomic.Uint64
+	turn      *atomic.Uint64 // How often a service was picked.
 }
 
 // Service is what the configuration says of a service.
@@ -99,6 +99,7 @@
 	return t, nil
 }
 
+// fault returns what is wrong with a route, "" if nothing is.
 func (t *Table) fault(r Route) string {
 	switch {
 	case r.Host == "":
