Comments on what was left without one, saying why

Steps of the gate, of a request and of the adapters had names alone; a newcomer had to find out when each may be called and what it leaves alone. Comments only.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -13,6 +13,7 @@
 	grantTime = 400 * time.Millisecond
 )
 
+// phase is how far an offer has come.
 type phase uint8
 
 const (
@@ -94,6 +95,8 @@
 	return link.Status{Mode: a.Mode(), Upstream: a.upstream, Slots: a.slots, Usual: a.usual, Suspect: a.suspicion}
 }
 
+// offered grants a slot, queues the offer, or refuses it when the queue would make
+// its answer come too late to be worth much.
 func (a *Admission) offered(m Offered) []Command {
 	if reason := a.objection(m); reason != link.ReasonNone {
 		return []Command{Refuse{Key: m.Key, Reason: reason, After: a.after(m.At, reason)}}
@@ -126,6 +129,7 @@
 	return a.nextTrial(at, len(a.entries) > len(a.queue))
 }
 
+// objection returns why an offer is not taken at all, whatever is free.
 func (a *Admission) objection(m Offered) link.Reason {
 	switch mode := a.Mode(); {
 	case m.Service != a.service || (m.Upstream != "" && a.upstream != "" && m.Upstream != a.upstream):
@@ -166,12 +170,15 @@
 	return []Command{Grant{Key: e.Key}}
 }
 
+// start marks the entry as running, from when on it may have run.
 func (a *Admission) start(at time.Time, e *entry) []Command {
 	e.phase = running
 	e.started = at
 	return []Command{Start{Key: e.Key}}
 }
 
+// committed starts a granted offer. Without its grant, which may have lapsed, it
+// has not run, and the ingress is told so.
 func (a *Admission) committed(m Committed) []Command {
 	e := a.entries[m.Key]
 	if e == nil || e.phase != granted {
@@ -180,6 +187,7 @@
 	return a.start(m.At, e)
 }
 
+// withdrawn frees what the offer holds.
 func (a *Admission) withdrawn(m Withdrawn) []Command {
 	e := a.entries[m.Key]
 	if e == nil {
@@ -195,6 +203,7 @@
 	return nil
 }
 
+// ended frees the slot and learns from the outcome.
 func (a *Admission) ended(m Ended) []Command {
 	e := a.entries[m.Key]
 	if e == nil {
@@ -209,6 +218,7 @@
 	return nil
 }
 
+// ticked ends what has waited for too long, and counts attempts that hang.
 func (a *Admission) ticked(at time.Time) []Command {
 	a.tick(at)
 	var out []Command
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -151,6 +151,7 @@
 	}
 }
 
+// offer takes an offer in hand and lets the admission decide.
 func (g *Gate) offer(now time.Time, from Sink, o *link.Offer) {
 	g.mu.Lock()
 	if g.calls[o.Key] != nil {
@@ -174,6 +175,8 @@
 	})
 }
 
+// aim returns when an answer loses most of its worth; without a word about it, at
+// the deadline.
 func aim(now, deadline time.Time, left time.Duration) time.Time {
 	if left == 0 || now.Add(left).After(deadline) {
 		return deadline
@@ -181,6 +184,7 @@
 	return now.Add(left)
 }
 
+// commit gives a granted offer its content and its go-ahead.
 func (g *Gate) commit(now time.Time, from Sink, m *link.Commit) {
 	g.mu.Lock()
 	c := g.calls[m.Key]
@@ -196,6 +200,7 @@
 	g.update(Committed{At: now, Key: m.Key})
 }
 
+// withdraw forgets an offer that does not run; what runs is kept until it ends.
 func (g *Gate) withdraw(now time.Time, k link.Key) {
 	g.update(Withdrawn{At: now, Key: k})
 	g.mu.Lock()
@@ -299,12 +304,14 @@
 	}
 }
 
+// answer sends a message about an offer, with the lock held.
 func (g *Gate) answer(k link.Key, f *link.Frame) {
 	if c := g.calls[k]; c != nil {
 		c.sink.Send(f)
 	}
 }
 
+// expire forgets ended answers and idle connections past their time.
 func (g *Gate) expire(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gate/health.go
+++ b/gate/health.go
@@ -77,6 +77,7 @@
 	}
 }
 
+// learn moves the mean answer time, of good answers alone: errors are often quick.
 func (h *health) learn(took time.Duration) {
 	if h.usual == 0 {
 		h.usual = took
@@ -85,6 +86,7 @@
 	h.usual += time.Duration(usualGain * float64(took-h.usual))
 }
 
+// good lowers the suspicion and ends a trial that has seen enough good answers.
 func (h *health) good(at time.Time) {
 	h.suspicion *= goodFactor
 	h.badRatio -= ratioGain * h.badRatio
@@ -111,6 +113,7 @@
 	return h.bads + 1
 }
 
+// bad raises the suspicion by a weight, and begins a trial or puts its next try off.
 func (h *health) bad(at time.Time, weight float64) {
 	h.suspicion = min(h.suspicion+weight, maxSuspicion)
 	h.badRatio += ratioGain * (1 - h.badRatio)
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -81,6 +81,7 @@
 	return b.fits(b.at(service, now), reserve)
 }
 
+// fits tells whether one more repeat keeps the bound, with the lock held.
 func (b *Budget) fits(w *window, reserve float64) bool {
 	return sum(w.repeats)+1 <= (1-reserve)*(b.ratio*sum(w.requests)+b.slack/float64(b.fleet))
 }
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -177,6 +177,7 @@
 	return true
 }
 
+// answer fills the request's place in the order of answers.
 func (c *serverConn) answer(ctx context.Context, p *slot, r *parsed) {
 	p.response <- c.server.serve(ctx, &Request{
 		Method:     r.Method,
@@ -225,6 +226,7 @@
 // wakeReader ends a read that waits for a request which is no longer wanted.
 func (c *serverConn) wakeReader() { _ = c.SetReadDeadline(time.Now()) }
 
+// closeIdle ends the connection if nothing is in hand.
 func (c *serverConn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -127,6 +127,8 @@
 	return nil
 }
 
+// granted commits the request to the gate, unless an attempt runs that is not yet
+// slow.
 func (f *flight) granted(o *offer, started bool, now time.Time) {
 	switch {
 	case o.state == running || o.state == doubtful:
@@ -141,6 +143,7 @@
 	}
 }
 
+// commit lets a granted offer run, and gives the others up.
 func (f *flight) commit(o *offer, now time.Time) {
 	o.state = running
 	f.count(o, now)
@@ -151,6 +154,7 @@
 	}
 }
 
+// queued asks a further gate while the request waits at this one.
 func (f *flight) queued(o *offer, now time.Time) {
 	if o.direct {
 		f.uncount(o, false)
@@ -173,6 +177,7 @@
 	return f.again(now)
 }
 
+// answered returns the answer, unless it is an error that a repeat may better.
 func (f *flight) answered(o *offer, a *link.Answer, now time.Time) *Response {
 	f.forget(o)
 	r := &Response{Status: a.Status, Header: a.Header, Body: a.Body}
@@ -196,6 +201,7 @@
 	return r
 }
 
+// failed repeats what may have run, if it may run again.
 func (f *flight) failed(o *offer, detail string, now time.Time) *Response {
 	f.forget(o)
 	f.doubt = detail
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -84,6 +84,7 @@
 	return f.outgoing(response)
 }
 
+// prepare finds the route and its terms, or says why there is none.
 func (f *Forwarder) prepare(r *Request) (*flight, *Response) {
 	table := f.table.Load()
 	if table == nil {
@@ -114,6 +115,7 @@
 	}, nil
 }
 
+// usualOf returns a route's answer times; they outlive its configuration.
 func (f *Forwarder) usualOf(r *route.Route) *core.Usual {
 	if u, ok := f.usual.Load(r.Name); ok {
 		return u.(*core.Usual)
@@ -122,6 +124,7 @@
 	return u.(*core.Usual)
 }
 
+// patience is the shorter of what the caller waits and what the operator allows.
 func patience(caller, operator time.Duration) time.Duration {
 	switch {
 	case caller > 0 && operator > 0:
@@ -176,6 +179,7 @@
 	}
 }
 
+// keyOf returns the offer that a gate's message is about.
 func keyOf(f *link.Frame) (link.Key, bool) {
 	switch {
 	case f.Granted != nil:
@@ -217,6 +221,7 @@
 	f.tell(event{target: t, lost: true})
 }
 
+// tell hands an event to every request once, however many offers it has.
 func (f *Forwarder) tell(e event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/ingress/lost.go
+++ b/ingress/lost.go
@@ -42,6 +42,8 @@
 	return r
 }
 
+// rejoin asks over the new link what became of an order, unless its gate's process
+// has been replaced and cannot know.
 func (f *flight) rejoin(o *offer, now time.Time) *Response {
 	w := o.target.way.Load()
 	if o.state != doubtful || w == nil {
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -46,6 +46,7 @@
 	return &parsed{Request: r, body: body, arrived: time.Now()}, fault
 }
 
+// body reads a request's body whole, or says what is wrong with it.
 func (c *serverConn) body(r *http.Request, l route.Limits) ([]byte, *Response) {
 	most := l.BodyBytes
 	if most == 0 {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -109,6 +109,7 @@
 // Remove takes a target out.
 func (t *Targets) Remove(n *Target) { t.edit(n, false) }
 
+// edit puts a copy of the map in place, so that readers need no lock.
 func (t *Targets) edit(n *Target, add bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/memory/directory.go
+++ b/memory/directory.go
@@ -257,6 +257,7 @@
 	}
 }
 
+// remove deletes a key, with the lock held.
 func (d *Directory) remove(key string) {
 	if _, ok := d.entries[key]; !ok {
 		return
@@ -266,6 +267,7 @@
 	d.record(change{entry: port.Entry{Key: key, Version: d.revision}, gone: true})
 }
 
+// record adds to the history and wakes watches, with the lock held.
 func (d *Directory) record(c change) {
 	d.history = append(d.history, c)
 	d.wake()
