What a peer hears last is so; large messages after a rest; answers that end in a send

A final answer that came of a failed send was dropped, and the caller waited for its deadline. Change: greeting and statuses go out under one lock, with the gate's state of that moment; the deadline is set before the first byte; run returns what a send ended. Tests: TestLargeAfterRest and TestFailedSendEndsAtOnce fail without the mend; TestHelloIsNotOlderThanStatus does not in 300 tries, so it only guards.

--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -41,6 +41,7 @@
 	pause     time.Duration // Before the latest round.
 	last      link.Reason   // Of the latest refusal.
 	fallback  *Response     // What is answered unless a repeat does better.
+	ended     *Response     // The final answer, where sending brought it about.
 	gates     []string      // Where it was committed, for the log.
 	committed time.Time     // When it first was.
 	cause     string        // Why it would be sent again.
@@ -53,7 +54,7 @@
 	f.next(time.Now())
 	timer := time.NewTimer(time.Until(f.wake()))
 	defer timer.Stop()
-	for {
+	for f.ended == nil {
 		var r *Response
 		select {
 		case e := <-f.events:
@@ -68,6 +69,7 @@
 		}
 		timer.Reset(time.Until(f.wake()))
 	}
+	return f.ended
 }
 
 // next offers the request to another gate.
@@ -150,7 +152,14 @@
 	f.withdrawOthers()
 	left := f.deadline.Sub(now)
 	if !o.target.send(&link.Frame{Commit: &link.Commit{Key: o.key, Left: left, Content: f.content}}) {
-		f.broken(o, now)
+		f.end(f.broken(o, now))
+	}
+}
+
+// end takes a final answer that came of sending, for run to return.
+func (f *flight) end(r *Response) {
+	if r != nil {
+		f.ended = r
 	}
 }
 
--- a/ingress/flight_test.go
+++ b/ingress/flight_test.go
@@ -98,3 +98,24 @@
 	require.NotNil(t, r)
 	assert.Equal(t, 502, r.Status)
 }
+
+// deadWay is a way that takes nothing.
+type deadWay struct{}
+
+func (deadWay) Send(*link.Frame) bool { return false }
+
+// TestFailedSendEndsAtOnce commits a retryable request, without a further attempt
+// left, to a gate whose link dies under the commit: the answer is there at once.
+func TestFailedSendEndsAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fl, all, _ := orderInFlight(t, now, 1)
+	fl.withdrawAll()
+	fl.route = &route.Route{Target: time.Second, Attempts: 1, Retryable: true}
+	fl.runs, fl.arrivals, fl.made, fl.gates, fl.tried = 0, 0, 1, nil, nil
+	fl.next(now)
+	require.Len(t, fl.offers, 1)
+	fl.forwarder.Connected(all[0], deadWay{}, 1)
+	fl.on(event{frame: &link.Frame{Granted: &link.Granted{Key: fl.offers[0].key}}, key: fl.offers[0].key.Number}, now)
+	require.NotNil(t, fl.ended)
+	assert.Equal(t, 502, fl.ended.Status)
+}
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -59,7 +59,7 @@
 	c.target.inFlight.Add(1)
 	f.forwarder.register(o.key, f)
 	if !w.sink.Send(&link.Frame{Offer: message}) {
-		f.refused(o, link.ReasonNotConnected, now)
+		f.end(f.refused(o, link.ReasonNotConnected, now))
 	}
 }
 
@@ -95,6 +95,9 @@
 // uncount takes note that it did not run after all.
 func (f *flight) uncount(o *offer, reached bool) {
 	f.runs--
+	if f.gates = f.gates[:len(f.gates)-1]; len(f.gates) == 0 {
+		f.committed = time.Time{}
+	}
 	if !reached {
 		f.arrivals--
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -159,16 +159,15 @@
 	defer l.Close()
 	out := bufio.NewWriterSize(l.conn, bufferBytes)
 	for {
+		var f *Frame
 		select {
-		case f := <-l.outbox:
-			if l.bundle(out, f) != nil {
-				return
-			}
+		case f = <-l.outbox:
 		case <-l.closed:
 			return
 		}
+		// A message over the buffer is written in part before the flush.
 		_ = l.conn.SetWriteDeadline(time.Now().Add(silence)) // Fails only on a closed connection, as the write does.
-		if out.Flush() != nil {
+		if l.bundle(out, f) != nil || out.Flush() != nil {
 			return
 		}
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -79,6 +79,24 @@
 	t.Fatal("still open")
 }
 
+// TestLargeAfterRest sends a message over the buffer on a link whose last write is
+// long ago.
+func TestLargeAfterRest(t *testing.T) {
+	a, b := pair(t)
+	got := make(chan *Frame, 1)
+	go b.Run(func(f *Frame) { got <- f }) //nolint:errcheck // It ends with the test.
+	require.NoError(t, a.conn.SetWriteDeadline(time.Now().Add(-time.Second)))
+	go a.Run(func(*Frame) {}) //nolint:errcheck // It ends with the test.
+	sent := &Frame{Answer: &Answer{Body: make([]byte, 4*bufferBytes)}}
+	require.True(t, a.Send(sent))
+	select {
+	case f := <-got:
+		assert.Equal(t, sent, f)
+	case <-a.Closed():
+		t.Fatal("the link broke")
+	}
+}
+
 // TestTooLarge refuses a message by its announced length, before reading it.
 func TestTooLarge(t *testing.T) {
 	var prefix [prefixLength]byte
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -42,11 +42,12 @@
 
 // announce tells everybody of the own gate's status: at once where it closes or
 // opens, or the node is near, and else when its turn has come.
-func (l *links) announce(s link.Status) {
-	l.local.SetStatus(s)
+func (l *links) announce(link.Status) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s := l.node.gate.Status() // What is told last must be what is so now.
+	l.local.SetStatus(s)
 	urgent := s.Mode == link.ModeClosed || l.told == link.ModeClosed
 	l.told = s.Mode
 	for in, from := range l.inbound {
@@ -81,8 +82,8 @@
 func (l *links) serve(in *link.Link) {
 	l.mu.Lock()
 	l.inbound[in] = &inbound{}
+	in.Send(l.hello()) // Under the lock, or a newer status could go out before it.
 	l.mu.Unlock()
-	in.Send(l.hello())
 	err := in.Run(func(f *link.Frame) { l.fromIngress(in, f) })
 	l.mu.Lock()
 	delete(l.inbound, in)
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -13,6 +13,7 @@
 
 	"eiderfold/link"
 	"eiderfold/memory"
+	"eiderfold/port"
 	"eiderfold/settings"
 )
 
@@ -27,7 +28,7 @@
 store: "127.0.0.1:6"
 `, name, dataCentre))
 	require.NoError(t, err)
-	n := New(s, Platform{Store: memory.NewDirectory(nil)}, NewMetrics(), zap.NewNop())
+	n := New(s, Platform{Store: memory.NewDirectory(time.Now)}, NewMetrics(), zap.NewNop())
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	n.links.ctx = ended
@@ -136,3 +137,37 @@
 	far.tell(in, link.Status{}, now.Add(7*time.Second))
 	assert.False(t, far.owed, "the last state is told in the end")
 }
+
+// TestHelloIsNotOlderThanStatus opens a gate while a node dials: whatever the order
+// in which it is told, what it hears last is that the gate is open.
+func TestHelloIsNotOlderThanStatus(t *testing.T) {
+	for range 300 {
+		n := idleNode(t, "x", "d0", nil)
+		conn, other := net.Pipe()
+		go n.links.serve(link.New(other))
+		last := make(chan link.Status, 64)
+		dialed := link.New(conn)
+		go dialed.Run(func(f *link.Frame) { //nolint:errcheck // It ends with the link.
+			switch {
+			case f.Hello != nil:
+				last <- f.Hello.Status
+			case f.Status != nil:
+				last <- *f.Status
+			}
+		})
+		go n.gate.Report(port.Report{Upstream: "i-1", Service: "s0", Slots: 2, Sequence: 1})
+		require.Eventually(t, func() bool { return n.gate.Status().Mode == link.ModeOpen }, patient, time.Millisecond)
+		heard := link.Status{}
+		require.Eventually(t, func() bool {
+			for {
+				select {
+				case heard = <-last:
+					continue
+				default:
+				}
+				return heard.Mode == link.ModeOpen
+			}
+		}, time.Second, time.Millisecond, "the peer believes the gate closed")
+		dialed.Close()
+	}
+}
