--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -221,10 +221,10 @@
 	f.tell(event{target: t, lost: true})
 }
 
-// tell hands an event to every request once, however many offers it has.
 // Finish has every request in flight answered with what is known of it now.
 func (f *Forwarder) Finish() { f.tell(event{finish: true}) }
 
+// tell hands an event to every request once, however many offers it has.
 func (f *Forwarder) tell(e event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
