Soak: a seed that does not recover says how its requests ended, and its logs stay

Change: requests are counted by node, status and result code while recovery is checked, and the violation lists them; a test keeps the nodes' logs when it fails.

--- a/bench/soak/ledger.go
+++ b/bench/soak/ledger.go
@@ -21,10 +21,27 @@
 type ledger struct {
 	mu      sync.Mutex
 	entries map[string]*entry
-	found   []string // Violations.
+	found   []string       // Violations.
+	ends    map[string]int // How often a node's requests ended so, since the last reset.
 }
 
-func newLedger() *ledger { return &ledger{entries: map[string]*entry{}} }
+func newLedger() *ledger { return &ledger{entries: map[string]*entry{}, ends: map[string]int{}} }
+
+// end counts how a request ended, by the node that was asked.
+func (l *ledger) end(how string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ends[how]++
+}
+
+// resetEnds begins a new count of how requests end, and returns the old one.
+func (l *ledger) resetEnds() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.ends
+	l.ends = map[string]int{}
+	return old
+}
 
 func (l *ledger) violate(format string, arguments ...any) {
 	l.mu.Lock()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -148,9 +148,10 @@
 // checkRecovery counts what callers get once all faults are over.
 func (s *soak) checkRecovery() {
 	asked, served := s.asked.Load(), s.served.Load()
+	s.ledger.resetEnds()
 	time.Sleep(recoverProbe)
 	asked, served = s.asked.Load()-asked, s.served.Load()-served
 	if float64(served) < recoveredShare*float64(asked) || asked == 0 {
-		s.ledger.violate("RECOVER: %d of %d requests served after all faults", served, asked)
+		s.ledger.violate("RECOVER: %d of %d requests served after all faults; ends by node, status, result: %v", served, asked, s.ledger.resetEnds())
 	}
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -17,13 +19,20 @@
 // TestSeed58 found an order in doubt when its ingress's grace time was over.
 func TestSeed58(t *testing.T) { playSeed(t, 58, 5, 8*time.Second) }
 
+// playSeed plays a seed. The nodes' logs stay when it breaks a promise, since
+// another play may not.
 func playSeed(t *testing.T, seed uint64, nodes int, length time.Duration) {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "eiderfold")
 	output, err := exec.Command("go", "build", "-o", program, "eiderfold/cmd/eiderfold").CombinedOutput()
 	require.NoError(t, err, string(output))
-	report, err := Run(t.Context(), Options{Program: program, Dir: t.TempDir(), Seed: seed, For: length, Nodes: nodes})
+	logs, err := os.MkdirTemp("", fmt.Sprintf("eiderfold-seed%d-", seed))
 	require.NoError(t, err)
-	assert.Empty(t, report.Violations, "faults: %v", report.Faults)
+	report, err := Run(t.Context(), Options{Program: program, Dir: logs, Seed: seed, For: length, Nodes: nodes})
+	require.NoError(t, err)
+	assert.Empty(t, report.Violations, "logs: %s, faults: %v", logs, report.Faults)
 	assert.Positive(t, report.Served)
+	if !t.Failed() {
+		require.NoError(t, os.RemoveAll(logs))
+	}
 }
