A request that no gate takes is refused before a quarter of its aim

Cause: a request waited in rounds of offers whose pauses double, and patience was only looked at when a round was over: with an aim of 800 ms and a patience of 200 ms it was refused after 300 ms. Change: the last round falls on the end of the patience, which is a fifth of the aim. Test: TestUnservedIsRefusedInTime fails without the change (140 ms of 62.5, 300 of 200).

--- a/ingress/flight_test.go
+++ b/ingress/flight_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -119,3 +120,26 @@
 	require.NotNil(t, fl.ended)
 	assert.Equal(t, 502, fl.ended.Status)
 }
+
+// TestUnservedIsRefusedInTime lets no gate take a request: its caller is told well
+// before a quarter of the route's aim has passed, whatever the pauses between the
+// rounds of offers.
+func TestUnservedIsRefusedInTime(t *testing.T) {
+	for _, aim := range []time.Duration{250 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second} {
+		now := time.Unix(1000, 0)
+		fl, all, _ := orderInFlight(t, now, 1)
+		fl.withdrawAll()
+		all[0].refuse(&link.Refused{Reason: link.ReasonBusy, After: time.Hour}, 0, now.Add(time.Hour))
+		fl.route = &route.Route{Target: aim, Attempts: 2}
+		fl.runs, fl.arrivals, fl.made, fl.gates, fl.tried = 0, 0, 0, nil, nil
+		fl.next(now)
+		for at := fl.wake(); ; at = fl.wake() {
+			if r := fl.tick(at); r != nil {
+				assert.Equal(t, 503, r.Status)
+				assert.NotEmpty(t, http.Header(r.Header).Get("Retry-After"))
+				assert.Less(t, at.Sub(now), aim/4, "aim %v", aim)
+				break
+			}
+		}
+	}
+}
--- a/ingress/repeat.go
+++ b/ingress/repeat.go
@@ -11,8 +11,8 @@
 	roundMost  = 160 * time.Millisecond
 	// waitShare of the route's target is how long a request is kept that no gate
 	// takes: a caller that comes back may find another node that can.
-	waitShare = 0.25
-	waitLeast = 60 * time.Millisecond
+	waitShare = 0.2
+	waitLeast = 40 * time.Millisecond
 	// waitRanShare is the same for one that ran already and failed: its caller
 	// cannot be told that it did not.
 	waitRanShare = 1.0
@@ -78,12 +78,16 @@
 	if f.arrivals > 0 && !f.token {
 		return true // No budget to send it again.
 	}
+	return !now.Before(f.patience())
+}
+
+// patience is until when a request is kept that no gate takes.
+func (f *flight) patience() time.Time {
 	share := waitShare
 	if f.runs > 0 {
 		share = waitRanShare
 	}
-	patience := max(time.Duration(share*float64(f.route.Target)), waitLeast)
-	return now.Sub(f.began) > patience
+	return f.began.Add(max(time.Duration(share*float64(f.route.Target)), waitLeast))
 }
 
 // nextRound lets all gates be asked again after a pause.
@@ -93,5 +97,8 @@
 	}
 	f.pause = min(max(roundPause, 2*f.pause), roundMost)
 	f.round = now.Add(f.pause)
+	if last := f.patience(); now.Before(last) && last.Before(f.round) {
+		f.round = last
+	}
 	f.tried = nil
 }
