Twelve nodes watch the configuration, and one wait ends each 600 ms

Most were watches: one ended each 300 ms, and each change woke two dozen. Change: half as many watchers, and half as many ends. Ruled out: fewer calls at a start (lease, record, two reads, directory): each is needed by a node that remembers nothing.

--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -12,14 +12,16 @@
 
 const (
 	// A watch may go deaf without a sign until its wait is over. So those that watch
-	// end their waits in turn, one each watchPerNode, and pass on what they find. A
-	// wait is watchLeast at least, for fleets of a few nodes.
-	watchPerNode = 300 * time.Millisecond
+	// end their waits in turn, one each watchPerNode, and pass on what they find: well
+	// within the two seconds that a configuration has. A wait is watchLeast at least,
+	// for fleets of a few nodes.
+	watchPerNode = 600 * time.Millisecond
 	watchLeast   = 1 * time.Second
 	// watchers is how many nodes of a fleet watch the store. The others hear of a
-	// change from them, so that the store's work does not grow with the fleet. Any
-	// few of them would do; this many outlast a data centre that is cut off.
-	watchers = 24
+	// change from them, so that the store's work does not grow with the fleet: each
+	// change wakes every watch, and calls are paid for. Any few of them would do; this
+	// many outlast a data centre that is cut off while the store turns a third away.
+	watchers = 12
 	// unwatchedRead is how often a node that does not watch reads the key, should
 	// no word ever reach it.
 	unwatchedRead = 30 * time.Second
