Calls of repeated runs are charged to the repeat budget; a young process spends less

Cause: two holes in the fleet's bound on repeats, found by reading. A call that an upstream makes while it repeats a request counts as a repeat at the service it calls, and no node knew of it. A restarted process did not know what it had spent, so that a fleet restarted at once had its slack twice. Change: a commit says whether its run repeats another. A process that has not run for a window has half of its slack.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -16,6 +16,7 @@
 	sink     Sink
 	deadline time.Time
 	cancel   context.CancelFunc // Set while it runs.
+	repeat   bool               // The run repeats another.
 }
 
 // start runs an offer in the background, with the lock held.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -158,7 +158,7 @@
 		g.mu.Unlock()
 		return // A repeated message; the first one stands.
 	}
-	c := &call{offer: o, sink: from, deadline: now.Add(o.Left)}
+	c := &call{offer: o, sink: from, deadline: now.Add(o.Left), repeat: o.Repeat}
 	g.calls[o.Key] = c
 	g.mu.Unlock()
 	g.update(Offered{
@@ -191,6 +191,7 @@
 	if c != nil {
 		c.offer.Content = m.Content
 		c.deadline = now.Add(m.Left)
+		c.repeat = m.Repeat
 	}
 	g.mu.Unlock()
 	if c == nil {
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -6,36 +6,50 @@
 )
 
 const (
-	// budgetShare is the part of the fleet's bound that is spent: calls that a
-	// repeated run makes count as repeats too, and are not seen here.
+	// budgetShare is the part of the fleet's bound that is spent. The rest is for calls
+	// of repeated runs, which are charged but cannot be held back, and for repeats that
+	// reach their upstream in another window than the one they were paid in.
 	budgetShare = 0.65
 	// A node counts in buckets of a second over the operators' window of ten.
 	budgetBucket  = time.Second
 	budgetBuckets = 10
+	// youngShare of its slack is what a process has that has not run for a window: it
+	// may have spent the rest before a restart. A fleet that is restarted at once
+	// keeps the bound.
+	youngShare = 0.5
 )
 
 // Budget bounds how often this node sends a service's requests again. The fleet's
 // bound, over any window, is a ratio of the requests and a slack above it. Each
 // node takes the ratio of its own requests and an equal part of the slack, so the
-// sum keeps the bound whoever can hear whom. A restarted node begins with nothing.
+// sum keeps the bound whoever can hear whom.
 type Budget struct {
 	mu       sync.Mutex
 	ratio    float64
 	slack    float64
-	fleet    int // The largest number of nodes seen; more nodes, smaller parts.
+	fleet    int       // The largest number of nodes seen; more nodes, smaller parts.
+	grown    time.Time // When the process has run for a window.
 	services map[string]*window
 }
 
 // window counts a service's requests and repeats of the last seconds.
 type window struct {
-	requests [budgetBuckets]float64
-	repeats  [budgetBuckets]float64
-	second   int64 // Of the newest bucket.
+	requests counts
+	repeats  counts
 }
 
-// NewBudget returns a budget for the fleet's ratio and slack.
-func NewBudget(ratio, slack float64) *Budget {
-	return &Budget{ratio: ratio * budgetShare, slack: slack * budgetShare, fleet: 1, services: map[string]*window{}}
+// counts is a ring of a bucket for each of the last seconds.
+type counts struct {
+	buckets [budgetBuckets]float64
+	second  int64 // Of the newest bucket.
+}
+
+// NewBudget returns a budget, of a process that begins now, for the fleet's ratio
+// and slack.
+func NewBudget(ratio, slack float64, now time.Time) *Budget {
+	b := &Budget{fleet: 1, grown: now.Add(budgetBuckets * budgetBucket), services: map[string]*window{}}
+	b.SetBounds(ratio, slack)
+	return b
 }
 
 // SetBounds changes the fleet's ratio and slack.
@@ -57,8 +71,14 @@
 func (b *Budget) Earn(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.at(service, now)
-	w.requests[w.second%budgetBuckets]++
+	b.of(service).requests.add(now)
+}
+
+// Charge counts a repeat that is not this node's choice: a call of a repeated run.
+func (b *Budget) Charge(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(service).repeats.add(now)
 }
 
 // Take counts a repeat and reports whether the budget has it, with a part of it in
@@ -66,11 +86,11 @@
 func (b *Budget) Take(service string, now time.Time, reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.at(service, now)
-	if !b.fits(w, reserve) {
+	w := b.of(service)
+	if !b.fits(w, now, reserve) {
 		return false
 	}
-	w.repeats[w.second%budgetBuckets]++
+	w.repeats.add(now)
 	return true
 }
 
@@ -78,37 +98,54 @@
 func (b *Budget) Has(service string, now time.Time, reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.fits(b.at(service, now), reserve)
+	return b.fits(b.of(service), now, reserve)
 }
 
 // fits tells whether one more repeat keeps the bound, with the lock held.
-func (b *Budget) fits(w *window, reserve float64) bool {
-	return sum(w.repeats)+1 <= (1-reserve)*(b.ratio*sum(w.requests)+b.slack/float64(b.fleet))
+func (b *Budget) fits(w *window, now time.Time, reserve float64) bool {
+	slack := b.slack
+	if now.Before(b.grown) {
+		slack = youngShare * b.slack
+	}
+	bound := b.ratio*w.requests.sum(now) + slack/float64(b.fleet)
+	return w.repeats.sum(now)+1 <= (1-reserve)*bound
 }
 
-// at returns a service's window, moved on to now.
-func (b *Budget) at(service string, now time.Time) *window {
+// of returns a service's window, with the lock held.
+func (b *Budget) of(service string) *window {
 	w := b.services[service]
-	second := now.UnixNano() / int64(budgetBucket)
 	if w == nil {
-		w = &window{second: second}
+		w = &window{}
 		b.services[service] = w
 	}
-	for ; w.second < second; w.second++ {
-		if second-w.second > budgetBuckets {
-			w.second = second - budgetBuckets // All buckets in between are emptied below.
-		}
-		next := (w.second + 1) % budgetBuckets
-		w.requests[next] = 0
-		w.repeats[next] = 0
-	}
 	return w
 }
 
-func sum(buckets [budgetBuckets]float64) float64 {
+// add counts one in the bucket of now.
+func (c *counts) add(now time.Time) {
+	c.moveTo(now)
+	c.buckets[c.second%budgetBuckets]++
+}
+
+// sum returns the count of the window that ends now.
+func (c *counts) sum(now time.Time) float64 {
+	c.moveTo(now)
 	total := 0.0
-	for _, n := range buckets {
+	for _, n := range c.buckets {
 		total += n
 	}
 	return total
 }
+
+// moveTo empties the buckets of the seconds that have passed.
+func (c *counts) moveTo(now time.Time) {
+	second := now.UnixNano() / int64(budgetBucket)
+	if second-c.second > budgetBuckets {
+		*c = counts{second: second}
+		return
+	}
+	for c.second < second {
+		c.second++
+		c.buckets[c.second%budgetBuckets] = 0
+	}
+}
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -36,6 +36,7 @@
 	made      int           // Offers made, in all rounds.
 	runs      int           // Commits that may have run.
 	arrivals  int           // Times it reached an upstream, refused ones too.
+	ofRepeat  bool          // It is the call of a run that repeats another.
 	token     bool          // The budget has paid for a repeat that is not sent yet.
 	far       bool          // It was offered to another data centre for waiting too long.
 	round     time.Time     // When a new round of offers may begin.
@@ -152,14 +153,19 @@
 // commit lets a granted offer run, and gives the others up.
 func (f *flight) commit(o *offer, now time.Time) {
 	o.state = running
+	repeat := f.repeats()
 	f.count(o, now)
 	f.withdrawOthers()
 	left := f.deadline.Sub(now)
-	if !o.target.send(&link.Frame{Commit: &link.Commit{Key: o.key, Left: left, Content: f.content}}) {
+	if !o.target.send(&link.Frame{Commit: &link.Commit{Key: o.key, Left: left, Content: f.content, Repeat: repeat}}) {
 		f.end(f.broken(o, now))
 	}
 }
 
+// repeats tells whether a run that begins now repeats another, or belongs to one
+// that does: what it calls in turn counts as repeated.
+func (f *flight) repeats() bool { return f.arrivals > 0 || f.ofRepeat }
+
 // end takes a final answer that came of sending, for run to return.
 func (f *flight) end(r *Response) {
 	if r != nil {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -40,6 +40,7 @@
 	dialect  port.Dialect
 	log      *zap.Logger
 	counters Counters
+	repeated func(deadline time.Time) bool // A call with this deadline is made by a repeated run.
 	table    atomic.Pointer[route.Table]
 	origin   uint64 // Of this process's offers; differs after a restart.
 	number   atomic.Uint64
@@ -48,18 +49,32 @@
 	flights  map[uint64]*flight
 }
 
+// Option changes a forwarder when it is made.
+type Option func(*Forwarder)
+
+// WithRepeatedRuns tells how to find out whether a request with a deadline is a call
+// that the upstream beside this node makes while it repeats a request.
+func WithRepeatedRuns(f func(deadline time.Time) bool) Option {
+	return func(to *Forwarder) { to.repeated = f }
+}
+
 // NewForwarder returns a forwarder without a configuration.
-func NewForwarder(service string, targets *Targets, budget *Budget, dialect port.Dialect, log *zap.Logger, counters Counters) *Forwarder {
-	return &Forwarder{
+func NewForwarder(service string, targets *Targets, budget *Budget, dialect port.Dialect, log *zap.Logger, counters Counters, options ...Option) *Forwarder {
+	f := &Forwarder{
 		service:  service,
 		targets:  targets,
 		budget:   budget,
 		dialect:  dialect,
 		log:      log,
 		counters: counters,
+		repeated: func(time.Time) bool { return false },
 		origin:   rand.Uint64(),
 		flights:  map[uint64]*flight{},
 	}
+	for _, o := range options {
+		o(f)
+	}
+	return f
 }
 
 // SetTable puts a configuration in force.
@@ -76,6 +91,10 @@
 		return refused
 	}
 	f.budget.Earn(fl.service, r.Arrived)
+	if fl.ofRepeat {
+		f.budget.Charge(fl.service, r.Arrived)
+		f.count("call_of_repeat")
+	}
 	response := fl.run(ctx)
 	f.explain(r, fl, response)
 	if response == nil {
@@ -111,6 +130,7 @@
 		content:   &link.Content{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: r.Body},
 		began:     r.Arrived,
 		deadline:  r.Arrived.Add(patience(terms.Patience, matched.Timeout)),
+		ofRepeat:  terms.Patience > 0 && f.repeated(r.Arrived.Add(terms.Patience)),
 		events:    make(chan event, eventsKept),
 	}, nil
 }
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -51,6 +51,7 @@
 	message := f.message(o, c.force, now)
 	if f.route.Retryable && f.made == 0 {
 		message.Content = f.content
+		message.Repeat = f.repeats()
 		o.direct = true
 		f.count(o, now)
 	}
--- a/link/message.go
+++ b/link/message.go
@@ -36,6 +36,7 @@
 	Force         bool          `cbor:"9,keyasint,omitempty"`  // Too few gates are open: on trial, take it though it may run only once.
 	Content       *Content      `cbor:"10,keyasint,omitempty"` // With it, a free slot starts at once.
 	Aim           time.Duration `cbor:"11,keyasint,omitempty"` // Until the answer loses most of its worth; 0 for the deadline.
+	Repeat        bool          `cbor:"12,keyasint,omitempty"` // The run that starts with the offer repeats another.
 }
 
 // Granted says that a slot is held for the offer. The gate waits for the commit,
@@ -88,6 +89,7 @@
 	Key     Key           `cbor:"1,keyasint"`
 	Left    time.Duration `cbor:"2,keyasint"`
 	Content *Content      `cbor:"3,keyasint"`
+	Repeat  bool          `cbor:"4,keyasint,omitempty"` // The run repeats another.
 }
 
 // Withdraw gives an offer up. What runs already is broken off if it is retryable.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -64,10 +65,12 @@
 		self:     link.Member{Name: s.Node(), Address: s.Advertised(), DataCentre: s.DataCentre(), Service: s.Service()},
 		process:  rand.Uint64(),
 		targets:  ingress.NewTargets(s.DataCentre(), s.FloorShare()),
-		budget:   ingress.NewBudget(s.Retries()),
 	}
+	ratio, slack := s.Retries()
+	n.budget = ingress.NewBudget(ratio, slack, time.Now())
 	n.settings.Store(s)
-	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, n.budget, p.Dialect, log, metrics)
+	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, n.budget, p.Dialect, log, metrics,
+		ingress.WithRepeatedRuns(func(deadline time.Time) bool { return n.gate.RunsRepeat(deadline) }))
 	n.server = ingress.NewServer(n.forwarder.Serve, n.limits)
 	n.directory = newDirectory(n)
 	n.config = newConfiguration(n)
