On trial, each good answer lets one try more run at a time

Cause: an upstream that had come back was tried one request after the other, three times, while requests were refused for want of slots. Upstreams fail in spells of some nine seconds in every thirty, so a second of delay is three hundredths of the fleet. Change: after each good answer in a row one more try may run beside the others, within the slots. A bad one takes that back. What ends a trial is unchanged.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -126,7 +126,7 @@
 	if reason != link.ReasonTrial {
 		return 0
 	}
-	return a.nextTrial(at, len(a.entries) > len(a.queue))
+	return a.nextTrial(at, len(a.entries)-len(a.queue) >= a.tries())
 }
 
 // objection returns why an offer is not taken at all, whatever is free.
@@ -156,7 +156,7 @@
 	case e.Force:
 		return busy < a.forced(a.slots)
 	default:
-		return busy == 0 && !e.At.Before(a.trialFrom)
+		return busy < min(a.tries(), a.slots) && !e.At.Before(a.trialFrom)
 	}
 }
 
--- a/gate/health.go
+++ b/gate/health.go
@@ -138,6 +138,11 @@
 // an upstream that fails nearly all of its work is no capacity.
 func (h *health) forced(slots int) int { return int(float64(slots) * (1 - h.badRatio)) }
 
+// tries is how many attempts may run at a time on trial: one, and one more for each
+// good answer in a row. An upstream that has come back is soon whole again, and one
+// that fails on is never given more than one.
+func (h *health) tries() int { return 1 + h.goods }
+
 // nextTrial is how long it is until an upstream on trial may be tried again.
 func (h *health) nextTrial(at time.Time, busy bool) time.Duration {
 	wait := h.trialFrom.Sub(at)
