0.85 of the ratio of repeats is spent

Change: 0.85 of the ratio, 0.65 of the slack as before (a restarted process has half of that, as it does not know what it has spent).

--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -6,10 +6,12 @@
 )
 
 const (
-	// budgetShare is the part of the fleet's bound that is spent. The rest is for calls
-	// of repeated runs, which are charged but cannot be held back, and for repeats that
-	// reach their upstream in another window than the one they were paid in.
-	budgetShare = 0.65
+	// ratioShare of the bound's ratio is spent, and slackShare of its slack. The rest
+	// is for calls of repeated runs, which are charged but cannot be held back, for
+	// repeats that reach their upstream in another window than the one they were paid
+	// in, and for what a restarted process does not know to have spent.
+	ratioShare = 0.85
+	slackShare = 0.65
 	// A node counts in buckets of a second over the operators' window of ten.
 	budgetBucket  = time.Second
 	budgetBuckets = 10
@@ -56,8 +58,8 @@
 func (b *Budget) SetBounds(ratio, slack float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio = ratio * budgetShare
-	b.slack = slack * budgetShare
+	b.ratio = ratio * ratioShare
+	b.slack = slack * slackShare
 }
 
 // Fleet tells how many nodes are known now.
--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -91,7 +91,7 @@
 
 // TestBudgetKeepsAReserve lets hedges take only a part.
 func TestBudgetKeepsAReserve(t *testing.T) {
-	b := NewBudget(0, 10/budgetShare, time.Time{})
+	b := NewBudget(0, 10/slackShare, time.Time{})
 	now := time.Unix(1000, 0)
 	hedges := 0
 	for b.Take("a", now, 0.5) {
@@ -105,7 +105,7 @@
 
 // TestChargedCallsLeaveLess counts the calls of repeated runs, which nobody chooses.
 func TestChargedCallsLeaveLess(t *testing.T) {
-	b := NewBudget(0, 10/budgetShare, time.Time{})
+	b := NewBudget(0, 10/slackShare, time.Time{})
 	now := time.Unix(1000, 0)
 	for range 9 {
 		b.Charge("a", now)
