A link's outbox grows with what waits in it

Each link had a channel of 4,096 messages, 32 KB, and a buffer for writing, 4 KB; a node has some hundred and fifty links, of which most rest. Change: a list under a lock, and buffers for writing from a pool. The bound is as before. Tests: TestOutbox; TestRestingLinkHoldsLittle bounds what a new link allocates (2 KB, where the channel alone was 32).

--- a/link/link.go
+++ b/link/link.go
@@ -28,9 +28,6 @@
 	// maxFrame bounds a message in bytes: the largest body an operator allows is
 	// 64 MiB, with its header.
 	maxFrame = 80 << 20
-	// outboxLength is how many messages may wait for a slow peer before the link
-	// is given up; at a thousand requests a second that is a second's worth.
-	outboxLength = 4096
 	// dialTimeout bounds a connection's making: some hundred round trips.
 	dialTimeout = 1 * time.Second
 	// silence is how long bytes may stay unacknowledged before the connection
@@ -50,7 +47,7 @@
 // Link is one connection to another node.
 type Link struct {
 	conn     net.Conn
-	outbox   chan *Frame
+	outbox   *outbox
 	closed   chan struct{}
 	once     sync.Once
 	received atomic.Int64 // UnixNano of the last message.
@@ -76,7 +73,7 @@
 
 // New makes a link of a connection.
 func New(conn net.Conn) *Link {
-	l := &Link{conn: conn, outbox: make(chan *Frame, outboxLength), closed: make(chan struct{})}
+	l := &Link{conn: conn, outbox: newOutbox(), closed: make(chan struct{})}
 	l.received.Store(time.Now().UnixNano())
 	return l
 }
@@ -89,13 +86,11 @@
 		return false
 	default:
 	}
-	select {
-	case l.outbox <- f:
-		return true
-	default:
+	if !l.outbox.put(f) {
 		l.Close()
 		return false
 	}
+	return true
 }
 
 // Close ends the link.
@@ -154,37 +149,38 @@
 	return f, errors.Wrap(cbor.Unmarshal(text, f), "decode")
 }
 
+// writers are buffers for writing. A link holds one only while it writes: a node has
+// many links, and most of them rest.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
+
 // write sends what waits, several messages in one packet where there are.
 func (l *Link) write() {
 	defer l.Close()
-	out := bufio.NewWriterSize(l.conn, bufferBytes)
 	for {
-		var f *Frame
 		select {
-		case f = <-l.outbox:
+		case <-l.outbox.filled:
 		case <-l.closed:
 			return
 		}
 		// A message over the buffer is written in part before the flush.
 		_ = l.conn.SetWriteDeadline(time.Now().Add(silence)) // Fails only on a closed connection, as the write does.
-		if l.bundle(out, f) != nil || out.Flush() != nil {
+		if l.send(l.outbox.take()) != nil {
 			return
 		}
 	}
 }
 
-// bundle encodes a message and what waits behind it.
-func (l *Link) bundle(out *bufio.Writer, f *Frame) error {
-	for {
+// send encodes messages and writes them.
+func (l *Link) send(frames []*Frame) error {
+	out := writers.Get().(*bufio.Writer)
+	defer writers.Put(out)
+	out.Reset(l.conn)
+	for _, f := range frames {
 		if err := encode(out, f); err != nil {
 			return err
 		}
-		select {
-		case f = <-l.outbox:
-		default:
-			return nil
-		}
 	}
+	return errors.Wrap(out.Flush(), "write")
 }
 
 // encode writes one message with its length before it.
