--- a/cmd/eiderfold/mesh.go
+++ b/cmd/eiderfold/mesh.go
@@ -42,6 +42,7 @@
 }
 
 func runMesh(c *cobra.Command, path string, s *settings.Mesh, reloads <-chan os.Signal) error {
+	tuneCollector()
 	metrics := mesh.NewMetrics()
 	log, flush, err := meshLogger(s.LogLevel(), metrics)
 	if err != nil {
