What an attempt at an earlier incarnation brings says nothing of the present one

The new incarnation was put among the past ones, its reports counted for nothing, and the gate stayed closed until the process ended. A process that is paused over the change has both in its sockets when it wakes. Change: a running attempt knows its incarnation; outcomes and hanging attempts of an earlier one free their slot and teach nothing. Test: late-outcome.yaml fails without the change (closed after the confirmation).

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -25,10 +25,11 @@
 // entry is an offer that the gate has in hand.
 type entry struct {
 	Offered
-	phase   phase
-	until   time.Time // When a grant lapses, or the wait in the queue ends.
-	started time.Time
-	hung    bool // Counted as hanging already.
+	phase    phase
+	until    time.Time // When a grant lapses, or the wait in the queue ends.
+	started  time.Time
+	upstream string // The incarnation that runs it.
+	hung     bool   // Counted as hanging already.
 }
 
 // Admission decides what the upstream is given. It is not safe for concurrent use.
@@ -174,6 +175,7 @@
 func (a *Admission) start(at time.Time, e *entry) []Command {
 	e.phase = running
 	e.started = at
+	e.upstream = a.upstream
 	return []Command{Start{Key: e.Key}}
 }
 
@@ -203,13 +205,17 @@
 	return nil
 }
 
-// ended frees the slot and learns from the outcome.
+// ended frees the slot and learns from the outcome, unless it is that of an earlier
+// incarnation: its word, even that another one holds the address, is old.
 func (a *Admission) ended(m Ended) []Command {
 	e := a.entries[m.Key]
 	if e == nil {
 		return nil
 	}
 	a.drop(e)
+	if e.upstream != a.upstream {
+		return nil
+	}
 	if m.Outcome == Replaced {
 		a.retire()
 		return nil
@@ -230,7 +236,7 @@
 		case e.phase == queued && at.After(e.until):
 			a.drop(e)
 			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonBusy, After: a.wait(len(a.queue))})
-		case e.phase == running && !e.hung && at.Sub(e.started) > a.hangs():
+		case e.phase == running && !e.hung && e.upstream == a.upstream && at.Sub(e.started) > a.hangs():
 			e.hung = true
 			a.bad(at, suspicionHang)
 		}
