Test beds give each listener of a node a port of its own

The soak and the mesh tests chose ports by listening and closing, one after the other, and the kernel may give a port out again at once. Change: all ports are held while they are chosen, in the soak until the first start.

--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -38,14 +38,12 @@
 func (s *soak) newNode(ctx context.Context, i int) (*node, error) {
 	name := fmt.Sprintf("n%d", i)
 	n := &node{name: name, ip: fmt.Sprintf("127.0.%d.%d", 1+s.options.Seed%200, 10+i), program: s.options.Program, dir: s.options.Dir}
-	var links, reports, callers, ready string
-	for _, to := range []*string{&links, &reports, &callers, &ready} {
-		address, err := freeAddress(n.ip)
-		if err != nil {
-			return nil, err
-		}
-		*to = address
+	free, release, err := freeAddresses(n.ip, 4)
+	if err != nil {
+		return nil, err
 	}
+	defer release()
+	links, reports, callers, ready := free[0], free[1], free[2], free[3]
 	advertised, err := s.cutter.Open(standin.Link{Name: name, Network: "tcp", Listen: n.ip + ":0", Target: links})
 	if err != nil {
 		return nil, errors.Wrap(err, "cutter")
@@ -60,6 +58,7 @@
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, name)
 	}
+	release()
 	if err := n.start(); err != nil {
 		return nil, err
 	}
@@ -67,13 +66,26 @@
 	return n, nil
 }
 
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return "", errors.Wrap(err, "address")
+// freeAddresses returns addresses on which nobody listens. They are held until they
+// are released: a port that was given back may be given out again at once.
+func freeAddresses(ip string, count int) (addresses []string, release func(), err error) {
+	var held []net.Listener
+	release = func() {
+		for _, l := range held {
+			_ = l.Close() // It has served its purpose.
+		}
+		held = nil
+	}
+	for range count {
+		l, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			release()
+			return nil, nil, errors.Wrap(err, "address")
+		}
+		held = append(held, l)
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer l.Close() //nolint:errcheck // It has served its purpose.
-	return l.Addr().String(), nil
+	return addresses, release, nil
 }
 
 func (n *node) start() error {
--- a/mesh/bed_test.go
+++ b/mesh/bed_test.go
@@ -55,6 +55,13 @@
 	return s.Directory.Get(ctx, key)
 }
 
+func (s *nodeStore) Peek(ctx context.Context, key string) (port.Entry, uint64, error) {
+	if err := s.check(); err != nil {
+		return port.Entry{}, 0, err
+	}
+	return s.Directory.Peek(ctx, key)
+}
+
 func (s *nodeStore) Range(ctx context.Context, prefix string) ([]port.Entry, error) {
 	if err := s.check(); err != nil {
 		return nil, err
@@ -192,12 +199,17 @@
 	return fmt.Sprintf("127.64.%d.%d", n/200, 1+n%200)
 }
 
-func freeAddress(t *testing.T, host string) string {
+// freeAddresses returns different addresses on which nobody listens: all are held
+// while they are chosen, since a port that is given back may be given out at once.
+func freeAddresses(t *testing.T, host string) (callers, links, reports, ready string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", host+":0")
-	require.NoError(t, err)
-	defer l.Close() //nolint:errcheck // It has served its purpose.
-	return l.Addr().String()
+	for _, to := range []*string{&callers, &links, &reports, &ready} {
+		l, err := net.Listen("tcp4", host+":0")
+		require.NoError(t, err)
+		defer l.Close() //nolint:errcheck // It has served its purpose.
+		*to = l.Addr().String()
+	}
+	return callers, links, reports, ready
 }
 
 // add starts a node with an upstream that has reported itself.
@@ -207,7 +219,7 @@
 	u.healthy.Store(true)
 	u.Server = httptest.NewServer(u)
 	b.t.Cleanup(u.Close)
-	host := nextHost()
+	callers, links, reports, ready := freeAddresses(b.t, nextHost())
 	yaml := fmt.Sprintf(`
 node: %s
 data_centre: here
@@ -215,7 +227,7 @@
 listen: {callers: %q, links: %q, reports: %q, ready: %q}
 store: "127.0.0.1:1"
 stop: {grace: 2s}
-`, name, u.Listener.Addr(), service, freeAddress(b.t, host), freeAddress(b.t, host), freeAddress(b.t, host), freeAddress(b.t, host))
+`, name, u.Listener.Addr(), service, callers, links, reports, ready)
 	n := &testNode{bed: b, upstream: u, yaml: yaml, store: &nodeStore{Directory: b.store}}
 	b.nodes = append(b.nodes, n)
 	b.t.Cleanup(func() { n.stopNode() })
