Fewer calls to the store: longer pauses, newcomers meet first, old readings

Cause: calls were the largest price of the grown sites. Change: pauses double, up to 1.2 and 1.4 s (a lapsed record is back within two seconds); a node that starts reads the directory and reaches most others, or waits a second, before it takes its place among those that watch; who only looks back reads the key as it was some seconds ago, for a tenth of the price. What a node has at its start, and whether its upstream leaves, is read as it is. Ruled out: taking the directory from a peer in place of the store: when a whole fleet starts, which is most starts, no peer has it.

--- a/bench/standin/metadata_test.go
+++ b/bench/standin/metadata_test.go
@@ -37,6 +37,11 @@
 		require.NoError(t, s.Put(ctx, fmt.Sprintf("a/%d", i), []byte{byte(i)}, l))
 	}
 	require.NoError(t, s.Put(ctx, "b", []byte("kept"), 0))
+	e, _, err := s.Get(ctx, "b")
+	require.NoError(t, err)
+	p, _, err := s.Peek(ctx, "b")
+	require.NoError(t, err)
+	assert.Equal(t, e, p)
 	entries, err := s.Range(ctx, "a/")
 	require.NoError(t, err)
 	require.Len(t, entries, 8, "over several pages")
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,9 +25,10 @@
 	// readEvery is how often the directory is read again, for nodes that neither
 	// side could reach when they started.
 	readEvery = 60 * time.Second
-	// storeRetry is the pause after a failed call; a lapsed record must be back
-	// within two seconds of the store's return.
-	storeRetry = 700 * time.Millisecond
+	// storeRetry is the pause after a failed call, doubled up to storeRetryMost; a
+	// lapsed record must be back within two seconds of the store's return.
+	storeRetry     = 700 * time.Millisecond
+	storeRetryMost = 1400 * time.Millisecond
 )
 
 // directory keeps this node's record in the store and reads the others'.
@@ -36,6 +37,8 @@
 	lease   port.Lease
 	renewAt time.Time // Zero to look after the record at once.
 	readAt  time.Time
+	retry   backoff
+	wasRead atomic.Bool   // It has been read since the start.
 	reached bool          // The last call to the store succeeded.
 	regain  chan struct{} // The store answers again, as another part has seen.
 	mu      sync.Mutex
@@ -43,7 +46,7 @@
 }
 
 func newDirectory(n *Node) *directory {
-	return &directory{node: n, left: map[string]bool{}, reached: true, regain: make(chan struct{}, 1)}
+	return &directory{node: n, left: map[string]bool{}, retry: backoff{least: storeRetry, most: storeRetryMost}, reached: true, regain: make(chan struct{}, 1)}
 }
 
 // run registers this node and keeps it registered until ctx ends.
@@ -78,8 +81,9 @@
 	d.note(ctx, err)
 	if err != nil {
 		d.readAt = time.Time{}
-		return jitter(storeRetry)
+		return d.retry.next()
 	}
+	d.retry.reset()
 	return max(time.Until(earlier(d.renewAt, d.readAt)), time.Millisecond)
 }
 
@@ -90,11 +94,6 @@
 	return b
 }
 
-// jitter spreads nodes that started together: between 0.8 and 1.2 of d.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration((0.8 + 0.4*rand.Float64()) * float64(d))
-}
-
 // keep renews the lease, or registers anew if there is none any more.
 func (d *directory) keep(ctx context.Context, now time.Time) error {
 	if d.lease != 0 && now.Before(d.renewAt) {
@@ -147,6 +146,7 @@
 		}
 		d.node.links.learn(m)
 	}
+	d.wasRead.Store(true)
 	return nil
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -200,6 +200,29 @@
 	require.Eventually(t, func() bool { return b.allHave(6) }, patient, 5*time.Millisecond)
 }
 
+// TestLooksBackAtLowPrice reads the key as it is where a node has no configuration
+// or watches, and as it was lately where its peers tell it of changes.
+func TestLooksBackAtLowPrice(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	for i := range 2 {
+		b.add(fmt.Sprintf("n%d", i), "births")
+	}
+	b.meet()
+	require.Eventually(t, func() bool { return b.allHave(3) }, patient, 5*time.Millisecond)
+	require.Zero(t, b.store.Peeks(), "everybody watches or has no configuration")
+	for _, n := range b.nodes {
+		n.config.mu.Lock()
+		n.config.watchers = 1
+		n.config.mu.Unlock()
+		before := b.store.Peeks()
+		_, _, err := n.config.read(t.Context())
+		require.NoError(t, err)
+		peeked := b.store.Peeks() > before
+		assert.NotEqual(t, n.links.among(1), peeked, n.self.Name)
+	}
+}
+
 // allHave tells whether a version is in force on every node.
 func (b *bed) allHave(version uint64) bool {
 	for _, n := range b.nodes {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -53,6 +53,7 @@
 	links     *links
 	config    *configuration
 	directory *directory
+	settled   time.Time // When it takes its place among the others at the latest.
 	stopping  atomic.Bool
 }
 
@@ -124,6 +125,7 @@
 	n.log.Info("start", zap.String("node", n.self.Name), zap.String("service", n.self.Service), zap.Uint64("process", n.process))
 	running, cancel := context.WithCancel(context.Background()) // Until the stop has ended, past ctx.
 	defer cancel()
+	n.settled = time.Now().Add(meetTime)
 	var background sync.WaitGroup
 	for _, f := range []func(context.Context){n.gate.Run, n.config.run, n.directory.run, n.links.run, n.summarize} {
 		background.Go(func() { f(running) })
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -28,20 +28,24 @@
 	// watchCheck is the pace at which a node that does not watch looks whether it
 	// has to begin.
 	watchCheck = 250 * time.Millisecond
-	// watchRetry is the pause after a failed read or watch.
-	watchRetry = 300 * time.Millisecond
+	// watchRetry is the pause after a failed read or watch, doubled up to
+	// watchRetryMost: a call that the store turns away is paid for like any other, and
+	// peers tell of changes meanwhile.
+	watchRetry     = 300 * time.Millisecond
+	watchRetryMost = 1200 * time.Millisecond
 )
 
 // run follows the operator's key until ctx ends.
 func (c *configuration) run(ctx context.Context) {
 	lost := false
+	pause := backoff{least: watchRetry, most: watchRetryMost}
 	for ctx.Err() == nil {
-		err := c.follow(ctx, lost)
+		err := c.follow(ctx, lost, &pause)
 		if lost = err != nil; lost && ctx.Err() == nil {
 			c.node.log.Info("configuration not followed", zap.Error(err))
 			select {
 			case <-ctx.Done():
-			case <-time.After(jitter(watchRetry)):
+			case <-time.After(pause.next()):
 			}
 		}
 	}
@@ -49,18 +53,20 @@
 
 // follow reads the key and watches it until something fails. Lost history is no
 // failure: the key is read again.
-func (c *configuration) follow(ctx context.Context, lost bool) error {
+func (c *configuration) follow(ctx context.Context, lost bool, pause *backoff) error {
 	store := c.node.platform.Store
-	entry, revision, err := store.Get(ctx, c.node.platform.ConfigurationKey)
+	entry, revision, err := c.read(ctx)
 	if err != nil && !errors.Is(err, port.ErrMissing) {
 		return err
 	}
+	pause.reset()
 	if lost {
 		c.node.directory.check()
 	}
 	if err == nil {
 		c.take(entry.Value, "store")
 	}
+	c.node.meet(ctx)
 	for {
 		if !c.node.links.among(c.watchers) {
 			return c.rest(ctx)
@@ -82,6 +88,16 @@
 	}
 }
 
+// read reads the key. A node that has a configuration and hears of others from its
+// peers only looks whether it has missed one long ago: an old reading will do.
+func (c *configuration) read(ctx context.Context) (port.Entry, uint64, error) {
+	store, key := c.node.platform.Store, c.node.platform.ConfigurationKey
+	if version, _ := c.current(); version > 0 && !c.node.links.among(c.watchers) {
+		return store.Peek(ctx, key)
+	}
+	return store.Get(ctx, key)
+}
+
 // rest waits, without a call to the store, until it is time to read the key again
 // or the node has become one of those that watch.
 func (c *configuration) rest(ctx context.Context) error {
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -23,6 +23,9 @@
 type Directory interface {
 	// Get reads a key and the store's revision. It returns ErrMissing.
 	Get(ctx context.Context, key string) (Entry, uint64, error)
+	// Peek reads a key as it was some seconds ago at the most, for a tenth of the
+	// price. It returns ErrMissing.
+	Peek(ctx context.Context, key string) (Entry, uint64, error)
 	// Range reads everything below a prefix.
 	Range(ctx context.Context, prefix string) ([]Entry, error)
 	// Watch waits for what was written below prefix after a revision. It returns
