A watch looks once where its node stands

Cause: each watch walked the known nodes twice and locked the links three times (among, place, fleet), so its parts could disagree; meeting others and their order stood in one file. Result: the same choices; one walk and one lock a watch.

--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -56,7 +56,7 @@
 			}
 			// Learning one by one keeps some that a later one would have displaced.
 			assert.LessOrEqual(t, len(n.links.peers), min(size, 8*(nearLinks+farLinks)), "size %d", size)
-			assert.Equal(t, size+1, n.links.fleet())
+			assert.Equal(t, size+1, n.links.standing().fleet)
 		}
 		if size <= 2*nearLinks {
 			assert.Len(t, dialed, size)
--- a/mesh/order.go
+++ b/mesh/order.go
@@ -1,60 +1,23 @@
 package mesh
 
-import (
-	"context"
-	"time"
+import "github.com/cespare/xxhash/v2"
 
-	"github.com/cespare/xxhash/v2"
-)
-
-const (
-	// meetTime is how long a node that starts waits to meet the others before it
-	// takes a place among them: a node that knows nobody watches the store, and when
-	// a fleet starts at once, all would. Links are up within a tenth of it.
-	meetTime = 1 * time.Second
-	// meetPoll is the pace at which it looks.
-	meetPoll = 50 * time.Millisecond
-)
-
-// meet waits until the node has read the directory and reaches most of those that
-// it dials, or has run for meetTime.
-func (n *Node) meet(ctx context.Context) {
-	for time.Now().Before(n.settled) && ctx.Err() == nil {
-		if _, isolated := n.links.order(); n.directory.wasRead.Load() && !isolated {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(meetPoll):
-		}
-	}
+// standing is where this node stands among those that it knows.
+type standing struct {
+	fleet    int  // How many nodes are known, this one among them.
+	before   int  // How many of them, not found unreachable, come before this one.
+	isolated bool // Fewer than half of those that it dials are reached.
 }
 
-// fleet returns how many nodes are known, this one among them.
-func (l *links) fleet() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.known) + 1
-}
-
-// among tells whether this node is one of the first n, in an order that all nodes
-// agree on, of those that are known and not found unreachable. A node that reaches
-// fewer than half of those that it dials is cut off, and counts on nobody.
-func (l *links) among(n int) bool {
-	before, isolated := l.order()
-	return before < n || isolated
-}
+// among tells whether the node is one of the first n. One that is isolated counts on
+// nobody, and takes a place whoever comes before it.
+func (s standing) among(n int) bool { return s.before < n || s.isolated }
 
-// place is how many come before this node in that order.
-func (l *links) place() int {
-	before, _ := l.order()
-	return before
-}
-
-// order returns how many come before this node, and whether it is cut off.
-func (l *links) order() (before int, isolated bool) {
+// standing returns this node's place in an order that all nodes agree on.
+func (l *links) standing() standing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s := standing{fleet: len(l.known) + 1}
 	reached := 0
 	own := rank(l.node.self.Name)
 	for address, m := range l.known {
@@ -64,11 +27,15 @@
 			reached++
 		}
 		if (up || p == nil) && rank(m.Name) < own {
-			before++
+			s.before++
 		}
 	}
-	return before, 2*reached < len(l.peers)
+	s.isolated = 2*reached < len(l.peers)
+	return s
 }
 
+// among tells whether this node is one of the first n now.
+func (l *links) among(n int) bool { return l.standing().among(n) }
+
 // rank orders nodes by chance, but everywhere alike.
 func rank(name string) uint64 { return xxhash.Sum64String(name) }
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -68,10 +68,11 @@
 	}
 	c.node.meet(ctx)
 	for {
-		if !c.node.links.among(c.watchers) {
+		s := c.node.links.standing()
+		if !s.among(c.watchers) {
 			return c.rest(ctx)
 		}
-		wait := watchWait(time.Now(), c.node.links.place(), min(c.node.links.fleet(), c.watchers))
+		wait := watchWait(time.Now(), s.before, min(s.fleet, c.watchers))
 		entries, at, err := store.Watch(ctx, c.node.platform.ConfigurationKey, revision, wait)
 		if errors.Is(err, port.ErrCompacted) {
 			return nil
