The gate's file is split by job, and refusals are built once

Cause: gate.go wired the gate, took offers and carried out commands in 337 lines; a trial's refusal and the count of used slots stood twice each; the mesh ignored the status it was announced, as a newer one may be in force. Change: offer.go takes an ingress's messages, execute.go carries out commands; Admission.refuse and busy; WithAnnounce's function has no parameter. Result: three files of one job each; messages and log lines as before.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -7,11 +7,9 @@
 	"eiderfold/link"
 )
 
-const (
-	// grantTime is how long a granted slot waits for its commit: far over a round
-	// trip, and short against the work it keeps out.
-	grantTime = 400 * time.Millisecond
-)
+// grantTime is how long a granted slot waits for its commit: far over a round trip,
+// and short against the work it keeps out.
+const grantTime = 400 * time.Millisecond
 
 // phase is how far an offer has come.
 type phase uint8
@@ -100,7 +98,7 @@
 // its answer come too late to be worth much.
 func (a *Admission) offered(m Offered) []Command {
 	if reason := a.objection(m); reason != link.ReasonNone {
-		return []Command{Refuse{Key: m.Key, Reason: reason, After: a.after(m.At, reason)}}
+		return a.refuse(m, reason)
 	}
 	e := &entry{Offered: m}
 	if len(a.queue) == 0 && a.free(e) {
@@ -108,7 +106,7 @@
 		return a.admit(m.At, e)
 	}
 	if a.Mode() == link.ModeTrial {
-		return []Command{Refuse{Key: m.Key, Reason: link.ReasonTrial, After: a.after(m.At, link.ReasonTrial)}}
+		return a.refuse(m, link.ReasonTrial)
 	}
 	i, _ := slices.BinarySearchFunc(a.queue, e, order)
 	wait := a.wait(i)
@@ -122,12 +120,17 @@
 	return []Command{Queue{Key: m.Key}}
 }
 
+// refuse refuses an offer for a reason other than its wait in the queue.
+func (a *Admission) refuse(m Offered, reason link.Reason) []Command {
+	return []Command{Refuse{Key: m.Key, Reason: reason, After: a.after(m.At, reason)}}
+}
+
 // after is when an offer that was refused for a reason may be made again.
 func (a *Admission) after(at time.Time, reason link.Reason) time.Duration {
 	if reason != link.ReasonTrial {
 		return 0
 	}
-	return a.nextTrial(at, len(a.entries)-len(a.queue) >= a.tries())
+	return a.nextTrial(at, a.busy() >= a.tries())
 }
 
 // objection returns why an offer is not taken at all, whatever is free.
@@ -148,9 +151,12 @@
 	}
 }
 
+// busy returns how many slots are granted or in use.
+func (a *Admission) busy() int { return len(a.entries) - len(a.queue) }
+
 // free tells whether a slot is there for the entry.
 func (a *Admission) free(e *entry) bool {
-	busy := len(a.entries) - len(a.queue)
+	busy := a.busy()
 	switch {
 	case a.Mode() != link.ModeTrial:
 		return busy < a.slots
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -57,7 +57,7 @@
 	log       *zap.Logger
 	records   Records
 	counters  Counters
-	announce  func(link.Status)
+	announce  func()
 	path      func() string // The upstream's health path, "" if unknown.
 	mu        sync.Mutex
 	admission *Admission
@@ -75,8 +75,9 @@
 // WithCounters tells the gate who counts.
 func WithCounters(c Counters) Option { return func(g *Gate) { g.counters = c } }
 
-// WithAnnounce is called with every new status, outside of any lock.
-func WithAnnounce(f func(link.Status)) Option { return func(g *Gate) { g.announce = f } }
+// WithAnnounce names what is called after every change of mode, outside of any lock.
+// It is given no status: a newer one may be in force by then, which Status returns.
+func WithAnnounce(f func()) Option { return func(g *Gate) { g.announce = f } }
 
 // WithHealthPath tells where the upstream answers health checks.
 func WithHealthPath(f func() string) Option { return func(g *Gate) { g.path = f } }
@@ -85,7 +86,7 @@
 func New(u Upstream, dialect port.Dialect, log *zap.Logger, options ...Option) *Gate {
 	g := &Gate{
 		log:       log,
-		announce:  func(link.Status) {},
+		announce:  func() {},
 		path:      func() string { return "" },
 		admission: NewAdmission(u.Service),
 		calls:     map[link.Key]*call{},
@@ -136,182 +137,6 @@
 // Stop closes the gate for new work; what runs goes on.
 func (g *Gate) Stop() { g.update(Stopping{At: time.Now()}) }
 
-// Handle takes a message of an ingress.
-func (g *Gate) Handle(from Sink, f *link.Frame) {
-	now := time.Now()
-	switch {
-	case f.Offer != nil:
-		g.offer(now, from, f.Offer)
-	case f.Commit != nil:
-		g.commit(now, from, f.Commit)
-	case f.Withdraw != nil:
-		g.withdraw(now, f.Withdraw.Key)
-	case f.Ask != nil:
-		g.ask(from, f.Ask.Key)
-	}
-}
-
-// offer takes an offer in hand and lets the admission decide.
-func (g *Gate) offer(now time.Time, from Sink, o *link.Offer) {
-	g.mu.Lock()
-	if g.calls[o.Key] != nil {
-		g.mu.Unlock()
-		return // A repeated message; the first one stands.
-	}
-	c := &call{offer: o, sink: from, deadline: now.Add(o.Left), repeat: o.Repeat}
-	g.calls[o.Key] = c
-	g.mu.Unlock()
-	g.update(Offered{
-		At:        now,
-		Key:       o.Key,
-		Service:   o.Service,
-		Upstream:  o.Upstream,
-		Deadline:  c.deadline,
-		Aim:       aim(now, c.deadline, o.Aim),
-		Priority:  o.Priority,
-		Retryable: o.Retryable,
-		Force:     o.Force,
-		Ready:     o.Content != nil,
-	})
-}
-
-// aim returns when an answer loses most of its worth; without a word about it, at
-// the deadline.
-func aim(now, deadline time.Time, left time.Duration) time.Time {
-	if left == 0 || now.Add(left).After(deadline) {
-		return deadline
-	}
-	return now.Add(left)
-}
-
-// commit gives a granted offer its content and its go-ahead.
-func (g *Gate) commit(now time.Time, from Sink, m *link.Commit) {
-	g.mu.Lock()
-	c := g.calls[m.Key]
-	if c != nil {
-		c.offer.Content = m.Content
-		c.deadline = now.Add(m.Left)
-		c.repeat = m.Repeat
-	}
-	g.mu.Unlock()
-	if c == nil {
-		from.Send(&link.Frame{Refused: &link.Refused{Key: m.Key, Reason: link.ReasonNeverSeen}})
-		return
-	}
-	g.update(Committed{At: now, Key: m.Key})
-}
-
-// withdraw forgets an offer that does not run; what runs is kept until it ends.
-func (g *Gate) withdraw(now time.Time, k link.Key) {
-	g.update(Withdrawn{At: now, Key: k})
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if c := g.calls[k]; c != nil && c.cancel == nil {
-		delete(g.calls, k)
-	}
-}
-
-// ask tells what became of a committed offer whose link broke.
-func (g *Gate) ask(from Sink, k link.Key) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if c := g.calls[k]; c != nil && c.cancel != nil {
-		c.sink = from
-		from.Send(&link.Frame{Granted: &link.Granted{Key: k, Started: true}})
-		return
-	}
-	if e, ok := g.ended[k]; ok {
-		from.Send(e.frame)
-		return
-	}
-	delete(g.calls, k) // Should it be granted still, its commit will find nothing.
-	from.Send(&link.Frame{Refused: &link.Refused{Key: k, Reason: link.ReasonNeverSeen}})
-}
-
-// Lost withdraws what came over a link that broke. Work that may run only once
-// goes on and can be asked for.
-func (g *Gate) Lost(from Sink) {
-	g.mu.Lock()
-	var keys []link.Key
-	for k, c := range g.calls {
-		if c.sink == from {
-			keys = append(keys, k)
-		}
-	}
-	g.mu.Unlock()
-	for _, k := range keys {
-		g.withdraw(time.Now(), k)
-	}
-}
-
-// update moves the admission on and carries its commands out.
-func (g *Gate) update(m Message) {
-	g.mu.Lock()
-	var announced *link.Status
-	for _, c := range g.admission.Update(m) {
-		if _, ok := c.(Announce); ok {
-			s := g.admission.Status()
-			announced = &s
-			continue
-		}
-		g.execute(c)
-	}
-	g.mu.Unlock()
-	if announced != nil {
-		g.log.Info("gate mode", zap.Stringer("mode", announced.Mode), zap.String("upstream", announced.Upstream),
-			zap.Float64("suspicion", announced.Suspect), zap.Duration("usual", announced.Usual), zap.String("cause", cause(m)))
-		g.announce(*announced)
-	}
-}
-
-// cause names the message that changed the mode, for the log.
-func cause(m Message) string {
-	switch m := m.(type) {
-	case Ended:
-		return "attempt " + m.Outcome.String()
-	case Reported:
-		if m.Report.Leaving {
-			return "upstream leaves"
-		}
-		return "upstream reported"
-	case Confirmed:
-		return "confirmed"
-	case Stopping:
-		return "node stops"
-	default:
-		return "time passed"
-	}
-}
-
-// execute carries out one command with the lock held.
-func (g *Gate) execute(c Command) {
-	switch c := c.(type) {
-	case Grant:
-		g.answer(c.Key, &link.Frame{Granted: &link.Granted{Key: c.Key}})
-	case Queue:
-		g.answer(c.Key, &link.Frame{Queued: &link.Queued{Key: c.Key}})
-	case Refuse:
-		g.count("gate_refused_" + c.Reason.String())
-		g.answer(c.Key, &link.Frame{Refused: &link.Refused{Key: c.Key, Reason: c.Reason, After: c.After}})
-		delete(g.calls, c.Key)
-	case Start:
-		g.start(c.Key)
-	case Abort:
-		if call := g.calls[c.Key]; call != nil && call.cancel != nil {
-			call.cancel()
-		}
-	case Confirm:
-		go g.confirm(c.Upstream)
-	}
-}
-
-// answer sends a message about an offer, with the lock held.
-func (g *Gate) answer(k link.Key, f *link.Frame) {
-	if c := g.calls[k]; c != nil {
-		c.sink.Send(f)
-	}
-}
-
 // expire forgets ended answers and idle connections past their time.
 func (g *Gate) expire(now time.Time) {
 	g.mu.Lock()
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -42,7 +42,7 @@
 
 // announce tells everybody of the own gate's status: at once where it closes or
 // opens, or the node is near, and else when its turn has come.
-func (l *links) announce(link.Status) {
+func (l *links) announce() {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
