One constructor wires the platform for the program and the tests

Cause: the list of the platform's functions stood in cmd/eiderfold and in the mesh's test bed, and had to change in both. Change: platform.New returns it for a store; the type has moved from mesh to port, beside the interfaces it is made of, so that platform need not know mesh. Result: one list, kept where the platform's names are known.

--- a/cmd/eiderfold/mesh.go
+++ b/cmd/eiderfold/mesh.go
@@ -49,18 +49,9 @@
 		return err
 	}
 	defer flush()
-	p := mesh.Platform{
-		Store:               platform.NewStore(s.Store(), func(call string) { metrics.Count("store_calls_" + call) }),
-		Dialect:             platform.Headers{},
-		ConfigurationKey:    platform.ConfigurationKey,
-		ReadinessPath:       platform.ReadinessPath,
-		DecodeConfiguration: platform.DecodeConfiguration,
-		IsReport:            platform.IsReport,
-		DecodeReport:        platform.DecodeReport,
-		AcknowledgeReport:   platform.AcknowledgeReport,
-	}
+	store := platform.NewStore(s.Store(), func(call string) { metrics.Count("store_calls_" + call) })
 	log = log.With(zap.String("process_name", s.Node()))
-	n := mesh.New(s, p, metrics, log)
+	n := mesh.New(s, platform.New(store), metrics, log)
 	go followSettings(c.Context(), path, reloads, n, log)
 	return n.Run(c.Context())
 }
--- a/mesh/bed_test.go
+++ b/mesh/bed_test.go
@@ -241,18 +241,8 @@
 	n.bed.t.Helper()
 	s, err := settings.ParseMesh("test", []byte(n.yaml))
 	require.NoError(n.bed.t, err)
-	p := Platform{
-		Store:               n.store,
-		Dialect:             platform.Headers{},
-		ConfigurationKey:    platform.ConfigurationKey,
-		ReadinessPath:       platform.ReadinessPath,
-		DecodeConfiguration: platform.DecodeConfiguration,
-		IsReport:            platform.IsReport,
-		DecodeReport:        platform.DecodeReport,
-		AcknowledgeReport:   platform.AcknowledgeReport,
-	}
 	log := zaptest.NewLogger(n.bed.t, zaptest.Level(zap.DebugLevel)).Named(s.Node())
-	n.Node = New(s, p, NewMetrics(), log)
+	n.Node = New(s, platform.New(n.store), NewMetrics(), log)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	done := make(chan struct{})
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -21,26 +21,10 @@
 	"eiderfold/settings"
 )
 
-// Platform is what a node needs of the platform it runs on.
-type Platform struct {
-	Store            port.Directory
-	Dialect          port.Dialect
-	ConfigurationKey string
-	ReadinessPath    string
-	// DecodeConfiguration reads the operator's configuration.
-	DecodeConfiguration func(text []byte) (route.Document, error)
-	// IsReport tells whether a request is an upstream's report of itself.
-	IsReport func(r *http.Request) bool
-	// DecodeReport reads such a report; its errors are the sender's.
-	DecodeReport func(r *http.Request) (port.Report, error)
-	// AcknowledgeReport answers a report that was taken.
-	AcknowledgeReport func(w http.ResponseWriter)
-}
-
 // Node is one process of the fleet.
 type Node struct {
 	settings  atomic.Pointer[settings.Mesh]
-	platform  Platform
+	platform  port.Platform
 	log       *zap.Logger
 	metrics   *Metrics
 	self      link.Member
@@ -58,7 +42,7 @@
 }
 
 // New wires a node. Nothing is started.
-func New(s *settings.Mesh, p Platform, metrics *Metrics, log *zap.Logger) *Node {
+func New(s *settings.Mesh, p port.Platform, metrics *Metrics, log *zap.Logger) *Node {
 	n := &Node{
 		platform: p,
 		log:      log,
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"eiderfold/route"
 )
 
 // Errors of a Directory, beside those of a Store.
@@ -16,6 +18,22 @@
 	ErrConflict = errors.New("condition does not hold")
 )
 
+// Platform is what a node of `eiderfold mesh` needs of the platform it runs on.
+type Platform struct {
+	Store            Directory
+	Dialect          Dialect
+	ConfigurationKey string
+	ReadinessPath    string
+	// DecodeConfiguration reads the operator's configuration.
+	DecodeConfiguration func(text []byte) (route.Document, error)
+	// IsReport tells whether a request is an upstream's report of itself.
+	IsReport func(r *http.Request) bool
+	// DecodeReport reads such a report; its errors are the sender's.
+	DecodeReport func(r *http.Request) (Report, error)
+	// AcknowledgeReport answers a report that was taken.
+	AcknowledgeReport func(w http.ResponseWriter)
+}
+
 // Lease names a lease of the store; 0 is none.
 type Lease uint64
 
