--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -9,12 +9,10 @@
 	// ratioShare of the bound's ratio is spent, and slackShare of its slack. The rest
 	// is for calls of repeated runs, which are charged but cannot be held back, for
 	// repeats that reach their upstream in another window than the one they were paid
-	// in, and for what a restarted process does not know to have spent.
+	// in, and for what a restarted process does not know to have spent. By
+	// TestBudgetHoldsOverAnyWindow the bound holds so; at a ratioShare of 1 it did not.
 	ratioShare = 0.85
 	slackShare = 0.65
-	// A node counts in buckets of a second over the operators' window of ten.
-	budgetBucket  = time.Second
-	budgetBuckets = 10
 	// youngShare of its slack is what a process has that has not run for a window: it
 	// may have spent the rest before a restart. A fleet that is restarted at once
 	// keeps the bound.
@@ -27,10 +25,10 @@
 // sum keeps the bound whoever can hear whom.
 type Budget struct {
 	mu       sync.Mutex
-	ratio    float64
-	slack    float64
+	ratio    float64   // What is spent of the fleet's.
+	slack    float64   // What is spent of the fleet's, by all nodes together.
 	fleet    int       // The largest number of nodes seen; more nodes, smaller parts.
-	grown    time.Time // When the process has run for a window.
+	grown    time.Time // When the process will have run for a window.
 	services map[string]*window
 }
 
@@ -40,16 +38,10 @@
 	repeats  counts
 }
 
-// counts is a ring of a bucket for each of the last seconds.
-type counts struct {
-	buckets [budgetBuckets]float64
-	second  int64 // Of the newest bucket.
-}
-
 // NewBudget returns a budget, of a process that begins now, for the fleet's ratio
 // and slack.
 func NewBudget(ratio, slack float64, now time.Time) *Budget {
-	b := &Budget{fleet: 1, grown: now.Add(budgetBuckets * budgetBucket), services: map[string]*window{}}
+	b := &Budget{fleet: 1, grown: now.Add(budgetWindow), services: map[string]*window{}}
 	b.SetBounds(ratio, slack)
 	return b
 }
@@ -62,8 +54,8 @@
 	b.slack = slack * slackShare
 }
 
-// Fleet tells how many nodes are known now.
-func (b *Budget) Fleet(nodes int) {
+// NoteFleet takes note of how many nodes are known now.
+func (b *Budget) NoteFleet(nodes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fleet = max(b.fleet, nodes)
@@ -122,32 +114,3 @@
 	}
 	return w
 }
-
-// add counts one in the bucket of now.
-func (c *counts) add(now time.Time) {
-	c.moveTo(now)
-	c.buckets[c.second%budgetBuckets]++
-}
-
-// sum returns the count of the window that ends now.
-func (c *counts) sum(now time.Time) float64 {
-	c.moveTo(now)
-	total := 0.0
-	for _, n := range c.buckets {
-		total += n
-	}
-	return total
-}
-
-// moveTo empties the buckets of the seconds that have passed.
-func (c *counts) moveTo(now time.Time) {
-	second := now.UnixNano() / int64(budgetBucket)
-	if second-c.second > budgetBuckets {
-		*c = counts{second: second}
-		return
-	}
-	for c.second < second {
-		c.second++
-		c.buckets[c.second%budgetBuckets] = 0
-	}
-}
--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -23,14 +23,13 @@
 	budgetSlack  = 20
 	budgetStep   = 100 * time.Millisecond
 	budgetLength = 80 * time.Second
-	budgetWindow = budgetBuckets * budgetBucket
 )
 
 func (f *fleetOfBudgets) start(now time.Time) {
 	f.budgets = nil
 	for range budgetNodes {
 		b := NewBudget(budgetRatio, budgetSlack, now)
-		b.Fleet(budgetNodes)
+		b.NoteFleet(budgetNodes)
 		f.budgets = append(f.budgets, b)
 	}
 }
@@ -100,7 +99,7 @@
 	assert.Equal(t, 5, hedges)
 	assert.True(t, b.Take("a", now, 0), "a failure may still be repeated")
 	assert.True(t, b.Take("b", now, 0.5), "another service has its own")
-	assert.True(t, b.Take("a", now.Add(budgetBuckets*budgetBucket), 0.5), "a window later it is whole again")
+	assert.True(t, b.Take("a", now.Add(budgetWindow), 0.5), "a window later it is whole again")
 }
 
 // TestChargedCallsLeaveLess counts the calls of repeated runs, which nobody chooses.
@@ -124,7 +123,7 @@
 	for _, started := range []time.Time{begin, now} {
 		for range budgetNodes {
 			b := NewBudget(0, slack, started)
-			b.Fleet(budgetNodes)
+			b.NoteFleet(budgetNodes)
 			for b.Take("a", now, 0) {
 				spent++
 			}
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -226,10 +226,7 @@
 	f.doubt = detail
 	f.cause = causeFailure
 	if !f.mayRepeat(now) {
-		if f.busy() {
-			return nil
-		}
-		return f.final(now)
+		return f.onlyIfAlone(f.final(now))
 	}
 	return f.again(now)
 }
--- a/ingress/repeat.go
+++ b/ingress/repeat.go
@@ -78,11 +78,11 @@
 	if f.arrivals > 0 && !f.token {
 		return true // No budget to send it again.
 	}
-	return !now.Before(f.patience())
+	return !now.Before(f.keptUntil())
 }
 
-// patience is until when a request is kept that no gate takes.
-func (f *flight) patience() time.Time {
+// keptUntil is until when a request is kept that no gate takes.
+func (f *flight) keptUntil() time.Time {
 	share := waitShare
 	if f.runs > 0 {
 		share = waitRanShare
@@ -97,7 +97,7 @@
 	}
 	f.pause = min(max(roundPause, 2*f.pause), roundMost)
 	f.round = now.Add(f.pause)
-	if last := f.patience(); now.Before(last) && last.Before(f.round) {
+	if last := f.keptUntil(); now.Before(last) && last.Before(f.round) {
 		f.round = last
 	}
 	f.tried = nil
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -26,7 +26,7 @@
 		return
 	}
 	l.known[m.Address] = m
-	l.node.budget.Fleet(len(l.known) + 1)
+	l.node.budget.NoteFleet(len(l.known) + 1)
 	if l.ctx == nil {
 		l.pending = append(l.pending, m)
 		return
