The soak's nodes, the ledger and some comments read plainly

Cause: newNode did five things and freed its addresses twice; ledger.end and ends did not say what they count; comments of new constants named no source. Result: no change of behaviour.

--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -60,11 +60,11 @@
 	life := n.lives.Load()
 	answer, err := client.Do(r)
 	if err != nil {
-		s.ledger.end(n.name + " without an answer")
+		s.ledger.noteEnd(n.name + " without an answer")
 		s.unanswered(ctx, n, attempt, life, err)
 		return
 	}
-	s.ledger.end(fmt.Sprint(n.name, " ", answer.StatusCode, " ", answer.Header.Get(result.Header)))
+	s.ledger.noteEnd(fmt.Sprint(n.name, " ", answer.StatusCode, " ", answer.Header.Get(result.Header)))
 	defer answer.Body.Close() //nolint:errcheck // Nothing is written to it.
 	text, err := io.ReadAll(answer.Body)
 	s.check(n, attempt, answer.StatusCode, string(text), err)
--- a/bench/soak/ledger.go
+++ b/bench/soak/ledger.go
@@ -22,19 +22,19 @@
 	mu      sync.Mutex
 	entries map[string]*entry
 	found   []string       // Violations.
-	ends    map[string]int // How often a node's requests ended so, since the last reset.
+	ends    map[string]int // Requests by their node and their end, since the last reset.
 }
 
 func newLedger() *ledger { return &ledger{entries: map[string]*entry{}, ends: map[string]int{}} }
 
-// end counts how a request ended, by the node that was asked.
-func (l *ledger) end(how string) {
+// noteEnd counts a request by the node that was asked and by how it ended.
+func (l *ledger) noteEnd(end string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ends[how]++
+	l.ends[end]++
 }
 
-// resetEnds begins a new count of how requests end, and returns the old one.
+// resetEnds returns the count of ends and begins a new one.
 func (l *ledger) resetEnds() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -22,6 +22,10 @@
 	stopGrace = 4 * time.Second
 	// superviseEvery is how soon a process that ended by itself is started again.
 	superviseEvery = 100 * time.Millisecond
+	// dataCentres is over how many of them the nodes are spread, in turn.
+	dataCentres = 2
+	// listeners is how many addresses a node listens on: callers, links, reports, ready.
+	listeners = 4
 )
 
 // node is one process, started again whenever it ends.
@@ -38,32 +42,37 @@
 func (s *soak) newNode(ctx context.Context, i int) (*node, error) {
 	name := fmt.Sprintf("n%d", i)
 	n := &node{name: name, ip: fmt.Sprintf("127.0.%d.%d", 1+s.options.Seed%200, 10+i), program: s.options.Program, dir: s.options.Dir}
-	free, release, err := freeAddresses(n.ip, 4)
-	if err != nil {
+	if err := s.prepare(ctx, n, i%dataCentres); err != nil {
 		return nil, err
 	}
+	if err := n.start(); err != nil {
+		return nil, err
+	}
+	go n.supervise(ctx)
+	return n, nil
+}
+
+// prepare starts a node's upstream and writes its settings. The node's addresses are
+// free when it returns, and were held until everything else had its own.
+func (s *soak) prepare(ctx context.Context, n *node, dataCentre int) error {
+	free, release, err := freeAddresses(n.ip, listeners)
+	if err != nil {
+		return err
+	}
 	defer release()
 	links, reports, callers, ready := free[0], free[1], free[2], free[3]
-	advertised, err := s.cutter.Open(standin.Link{Name: name, Network: "tcp", Listen: n.ip + ":0", Target: links})
+	advertised, err := s.cutter.Open(standin.Link{Name: n.name, Network: "tcp", Listen: n.ip + ":0", Target: links})
 	if err != nil {
-		return nil, errors.Wrap(err, "cutter")
+		return errors.Wrap(err, "cutter")
 	}
 	if n.upstream, err = startUpstream(ctx, n.ip, reports, s.ledger); err != nil {
-		return nil, err
+		return err
 	}
 	n.callers = callers
-	n.settings = filepath.Join(s.options.Dir, name+".yaml")
+	n.settings = filepath.Join(s.options.Dir, n.name+".yaml")
 	text := fmt.Sprintf("node: %s\ndata_centre: d%d\nupstream: {address: %q, service: a}\nlisten: {callers: %q, links: %q, advertise: %q, reports: %q, ready: %q}\nstore: %q\nstop: {grace: %v}\n",
-		name, i%2, n.upstream.address, callers, links, advertised, reports, ready, s.address, stopGrace)
-	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
-		return nil, errors.Wrap(err, name)
-	}
-	release()
-	if err := n.start(); err != nil {
-		return nil, err
-	}
-	go n.supervise(ctx)
-	return n, nil
+		n.name, dataCentre, n.upstream.address, callers, links, advertised, reports, ready, s.address, stopGrace)
+	return errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), n.name)
 }
 
 // freeAddresses returns addresses on which nobody listens. They are held until they
@@ -74,7 +83,6 @@
 		for _, l := range held {
 			_ = l.Close() // It has served its purpose.
 		}
-		held = nil
 	}
 	for range count {
 		l, err := net.Listen("tcp4", ip+":0")
--- a/gate/parent.go
+++ b/gate/parent.go
@@ -8,8 +8,8 @@
 const parentTolerance = 10 * time.Millisecond
 
 // RunsRepeat tells whether a call whose caller's patience ends at deadline is made
-// for a request that the upstream runs as a repeat: an upstream's call has the
-// deadline of its request.
+// for a request that the upstream runs as a repeat. An upstream gives its calls the
+// deadline of its request, and nothing else ties the two together.
 func (g *Gate) RunsRepeat(deadline time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/mesh/backoff.go
+++ b/mesh/backoff.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// backoff gives pauses that double from least to most.
+// backoff gives pauses that double from least to most, until a reset.
 type backoff struct {
 	least, most time.Duration
-	last        time.Duration
+	last        time.Duration // The latest pause, without its jitter; 0 after a reset.
 }
 
 // next returns how long to wait before the next try.
--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -15,11 +15,11 @@
 	node     *Node
 	mu       sync.Mutex
 	version  uint64
-	packed   []byte // Its text, as peers are sent it.
-	rejected uint64 // The newest version that was refused.
-	asked    uint64 // The newest version that a peer was asked for,
-	askAgain time.Time
-	watchers int // How many nodes of the fleet watch.
+	packed   []byte    // Its text, as peers are sent it.
+	rejected uint64    // The newest version that was refused.
+	asked    uint64    // The newest version that a peer was asked for.
+	askAgain time.Time // When another peer may be asked for it.
+	watchers int       // How many nodes of the fleet watch; tests set fewer.
 }
 
 func newConfiguration(n *Node) *configuration { return &configuration{node: n, watchers: watchers} }
@@ -30,7 +30,7 @@
 	c.accept(text, nil, source)
 }
 
-// takePacked does the same with what a peer has sent.
+// takePacked is take for what a peer has sent.
 func (c *configuration) takePacked(packed []byte) {
 	text, err := unpack(packed)
 	if err != nil {
@@ -40,7 +40,7 @@
 	c.accept(text, packed, "peer")
 }
 
-// accept is take for a text that may have come packed.
+// accept is take for a text and, where it came so, its packed form.
 func (c *configuration) accept(text, packed []byte, source string) {
 	c.mu.Lock()
 	table, err := c.check(text)
--- a/mesh/pack.go
+++ b/mesh/pack.go
@@ -8,15 +8,15 @@
 	"github.com/pkg/errors"
 )
 
-// maxConfiguration bounds a configuration in bytes when it is unpacked; the store's
-// values are at most a megabyte.
+// maxConfiguration bounds an unpacked configuration in bytes, far above what the store
+// holds (a megabyte at most): a broken peer must not fill the memory.
 const maxConfiguration = 8 << 20
 
 // pack compresses a configuration's text. One with thousands of routes is hundreds of
 // kilobytes that repeat themselves, and every node gets it from another.
 func pack(text []byte) []byte {
 	var out bytes.Buffer
-	w, _ := gzip.NewWriterLevel(&out, gzip.BestSpeed) // Its error is of an unknown level.
+	w, _ := gzip.NewWriterLevel(&out, gzip.BestSpeed) // Fails only on an unknown level.
 	_, _ = w.Write(text)                              // A buffer takes everything.
 	_ = w.Close()                                     // As the write.
 	return out.Bytes()
