Old readings are counted by the tests, and a request's outcomes have a file

Change: the test bed's store counts them, for each node, before it may turn the call away; outcome.go holds refused, answered, failed and final. Result: the same checks, each now on its own node.

--- /dev/null
+++ b/ingress/outcome.go
@@ -0,0 +1,74 @@
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"eiderfold/link"
+	"eiderfold/result"
+)
+
+// refused takes an offer out that has not run.
+func (f *flight) refused(o *offer, reason link.Reason, now time.Time) *Response {
+	if o.state == running || o.direct || o.state == doubtful {
+		f.uncount(o, reason == link.ReasonShed || reason == link.ReasonMisdirected)
+	}
+	f.forget(o)
+	if len(f.offers) > 0 {
+		return nil
+	}
+	return f.again(now)
+}
+
+// answered returns the answer, unless it is an error that a repeat may better.
+func (f *flight) answered(o *offer, a *link.Answer, now time.Time) *Response {
+	f.forget(o)
+	r := &Response{Status: a.Status, Header: a.Header, Body: a.Body}
+	if a.Status < http.StatusInternalServerError {
+		f.usual.Add(now.Sub(o.started))
+		return r
+	}
+	f.fallback = r
+	f.cause = causeError
+	if !f.mayRepeat(now) {
+		return f.onlyIfAlone(r)
+	}
+	return f.again(now)
+}
+
+// onlyIfAlone returns an answer unless another attempt may bring a better one.
+func (f *flight) onlyIfAlone(r *Response) *Response {
+	if f.busy() {
+		return nil
+	}
+	return r
+}
+
+// failed repeats what may have run, if it may run again.
+func (f *flight) failed(o *offer, detail string, now time.Time) *Response {
+	f.forget(o)
+	f.doubt = detail
+	f.cause = causeFailure
+	if !f.mayRepeat(now) {
+		return f.onlyIfAlone(f.final(now))
+	}
+	return f.again(now)
+}
+
+// final is the answer when no further attempt is made.
+func (f *flight) final(now time.Time) *Response {
+	switch {
+	case f.fallback != nil:
+		return f.fallback
+	case f.runs > 0 && !now.Before(f.deadline):
+		return refusal(result.New(result.AnswerLate, f.doubt))
+	case f.runs > 0:
+		return refusal(result.New(result.OutcomeUnknown, f.doubt))
+	case len(f.forwarder.targets.Of(f.service)) == 0:
+		return refusal(result.New(result.NoUpstream, f.service).WithRetryAfter(backLater))
+	case f.last == link.ReasonShed:
+		return refusal(result.New(result.UpstreamShed, f.service).WithRetryAfter(backLater))
+	default:
+		return refusal(result.New(result.Overloaded, f.last.String()).WithRetryAfter(backLater))
+	}
+}
--- a/memory/directory.go
+++ b/memory/directory.go
@@ -40,7 +40,6 @@
 	oldest   uint64 // Changes up to this revision are forgotten.
 	revision uint64
 	last     port.Lease
-	peeks    int
 	changed  chan struct{} // Closed, and replaced, with every change.
 }
 
@@ -97,21 +96,11 @@
 	return e.Entry, d.revision, nil
 }
 
-// Peek implements port.Directory.
+// Peek implements port.Directory; here nothing is old.
 func (d *Directory) Peek(ctx context.Context, key string) (port.Entry, uint64, error) {
-	d.mu.Lock()
-	d.peeks++
-	d.mu.Unlock()
 	return d.Get(ctx, key)
 }
 
-// Peeks returns how often Peek was called.
-func (d *Directory) Peeks() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.peeks
-}
-
 // Range implements port.Directory.
 func (d *Directory) Range(_ context.Context, prefix string) ([]port.Entry, error) {
 	d.mu.Lock()
--- a/mesh/configuration_test.go
+++ b/mesh/configuration_test.go
@@ -115,15 +115,17 @@
 	}
 	b.meet()
 	b.awaitVersion(3)
-	require.Zero(t, b.store.Peeks(), "everybody watches or has no configuration")
+	for _, n := range b.nodes {
+		require.Zero(t, n.store.peeks.Load(), "everybody watches or has no configuration")
+	}
 	for _, n := range b.nodes {
 		n.config.mu.Lock()
 		n.config.watchers = 1
 		n.config.mu.Unlock()
-		before := b.store.Peeks()
+		before := n.store.peeks.Load()
 		_, _, err := n.config.read(t.Context())
 		require.NoError(t, err)
-		peeked := b.store.Peeks() > before
+		peeked := n.store.peeks.Load() > before
 		assert.NotEqual(t, n.links.among(1), peeked, n.self.Name)
 	}
 }
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -12,7 +12,8 @@
 // nodeStore is the store as one node sees it.
 type nodeStore struct {
 	*memory.Directory
-	denied atomic.Bool
+	denied atomic.Bool  // It is turned away.
+	peeks  atomic.Int64 // How often it has called Peek.
 }
 
 func (s *nodeStore) check() error {
@@ -30,6 +31,7 @@
 }
 
 func (s *nodeStore) Peek(ctx context.Context, key string) (port.Entry, uint64, error) {
+	s.peeks.Add(1)
 	if err := s.check(); err != nil {
 		return port.Entry{}, 0, err
 	}
