Comments say what a trial takes today, and where a platform comes from

Cause: a gate on trial takes one request more for each good answer since; two comments still spoke of one at a time. Three tests started their fleet with the same loop. Change: the comments; usage of platform.New in the headers; bed.addBirths. Result: no change of behaviour.

--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -104,8 +104,8 @@
 func oneOf(list []*Target) *Target { return list[rand.IntN(len(list))] }
 
 // leastOpen is how many of a service's live gates must be open before suspicion
-// counts for nothing. A gate on trial still takes one retryable request at a
-// time, so half the floor is what may stand between it and ordinary work.
+// counts for nothing. A gate on trial still takes a few retryable requests,
+// so half the floor is what may stand between it and ordinary work.
 func (t *Targets) leastOpen(live int) float64 { return *t.floorShare.Load() * float64(live) / 2 }
 
 func leastSuspect(list []*Target) *Target {
--- a/link/message.go
+++ b/link/message.go
@@ -122,7 +122,7 @@
 // Modes of a gate.
 const (
 	ModeClosed Mode = iota // Nothing.
-	ModeTrial              // One retryable request at a time.
+	ModeTrial              // Few retryable requests, more with each good answer.
 	ModeOpen               // As much as there are slots.
 )
 
--- a/mesh/bed_test.go
+++ b/mesh/bed_test.go
@@ -121,6 +121,14 @@
 	return n
 }
 
+// addBirths starts so many nodes beside the same service.
+func (b *bed) addBirths(count int) {
+	b.t.Helper()
+	for i := range count {
+		b.add(fmt.Sprintf("n%d", i), "births")
+	}
+}
+
 // start runs the node as a new process would.
 func (n *testNode) start() {
 	n.bed.t.Helper()
--- a/mesh/configuration_test.go
+++ b/mesh/configuration_test.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -39,9 +38,7 @@
 func TestConfigurationPassesBetweenNodes(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
-	for i := range 4 {
-		b.add(fmt.Sprintf("n%d", i), "births")
-	}
+	b.addBirths(4)
 	b.meet()
 	for _, n := range b.nodes[1:] {
 		n.store.denied.Store(true)
@@ -83,9 +80,7 @@
 func TestFewNodesWatch(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
-	for i := range 4 {
-		b.add(fmt.Sprintf("n%d", i), "births")
-	}
+	b.addBirths(4)
 	for _, n := range b.nodes {
 		n.config.mu.Lock()
 		n.config.watchers = 1
@@ -110,9 +105,7 @@
 func TestLooksBackAtLowPrice(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
-	for i := range 2 {
-		b.add(fmt.Sprintf("n%d", i), "births")
-	}
+	b.addBirths(2)
 	b.meet()
 	b.awaitVersion(3)
 	for _, n := range b.nodes {
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -5,6 +5,6 @@
 //
 // # Usage
 //
-//	n := mesh.New(settings, platform, metrics, log)
+//	n := mesh.New(settings, platform.New(store), metrics, log)
 //	err := n.Run(ctx) // Returns after ctx ends and everything in hand is answered.
 package mesh
