Dialing uses the backoff, and the admission's settling has a file

Cause: peer.run doubled its pause in its own way, as backoff does for the store; admission.go held what messages bring and what time and mode bring. Change: peer.run uses backoff with the same bounds; settle.go holds ticked, settle and clear. Result: the same pauses and commands.

--- /dev/null
+++ b/gate/settle.go
@@ -0,0 +1,70 @@
+package gate
+
+import (
+	"time"
+
+	"eiderfold/link"
+)
+
+// ticked ends what has waited for too long, and counts attempts that hang.
+func (a *Admission) ticked(at time.Time) []Command {
+	a.tick(at)
+	var out []Command
+	for _, e := range a.entries {
+		switch {
+		case e.phase == granted && at.After(e.until):
+			a.drop(e)
+			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonExpired})
+		case e.phase == queued && at.After(e.until):
+			a.drop(e)
+			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonBusy, After: a.wait(len(a.queue))})
+		case e.phase == running && !e.hung && e.upstream == a.upstream && at.Sub(e.started) > a.hangs():
+			e.hung = true
+			a.bad(at, suspicionHang)
+		}
+	}
+	return out
+}
+
+// settle refuses what the mode no longer takes, starts what has a slot, and
+// announces a new mode.
+func (a *Admission) settle(at time.Time) []Command {
+	var out []Command
+	mode := a.Mode()
+	if mode != link.ModeOpen {
+		out = a.clear(mode)
+	}
+	for len(a.queue) > 0 {
+		e := a.queue[0]
+		if !a.free(e) {
+			break
+		}
+		a.queue = a.queue[1:]
+		out = append(out, a.admit(at, e)...)
+	}
+	if mode != a.mode {
+		a.mode = mode
+		out = append(out, Announce{Why: mode.String()})
+	}
+	return out
+}
+
+// clear refuses what waits when the gate is closed or goes on trial. Offers that
+// hold a slot keep it on trial, as they may be committed already.
+func (a *Admission) clear(mode link.Mode) []Command {
+	var out []Command
+	for _, e := range a.entries {
+		closed := mode == link.ModeClosed && e.phase != running
+		tried := mode == link.ModeTrial && e.phase == queued && !e.Force
+		if !closed && !tried {
+			continue
+		}
+		a.drop(e)
+		reason := link.ReasonClosed
+		if tried {
+			reason = link.ReasonTrial
+		}
+		out = append(out, Refuse{Key: e.Key, Reason: reason})
+	}
+	return out
+}
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -41,11 +41,11 @@
 
 // run dials the node until it has been away for long.
 func (p *peer) run(ctx context.Context) {
-	pause := dialLeast
+	pause := backoff{least: dialLeast, most: dialMost}
 	for ctx.Err() == nil {
 		l, err := link.Dial(ctx, p.links.from, p.address)
 		if err == nil {
-			pause = dialLeast
+			pause.reset()
 			p.serve(l)
 		}
 		if time.Since(p.lastSeen()) > forgetAfter {
@@ -54,9 +54,8 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(jitter(pause)):
+		case <-time.After(pause.next()):
 		}
-		pause = min(2*pause, dialMost)
 	}
 }
 
