--- a/gate/admission.go
+++ b/gate/admission.go
@@ -7,11 +7,9 @@
 	"eiderfold/link"
 )
 
-const (
-	// grantTime is how long a granted slot waits for its commit: far over a round
-	// trip, and short against the work it keeps out.
-	grantTime = 400 * time.Millisecond
-)
+// grantTime is how long a granted slot waits for its commit: far over a round trip,
+// and short against the work it keeps out.
+const grantTime = 400 * time.Millisecond
 
 // phase is how far an offer has come.
 type phase uint8
@@ -100,7 +98,7 @@
 // its answer come too late to be worth much.
 func (a *Admission) offered(m Offered) []Command {
 	if reason := a.objection(m); reason != link.ReasonNone {
-		return []Command{Refuse{Key: m.Key, Reason: reason, After: a.after(m.At, reason)}}
+		return a.refuse(m, reason)
 	}
 	e := &entry{Offered: m}
 	if len(a.queue) == 0 && a.free(e) {
@@ -108,7 +106,7 @@
 		return a.admit(m.At, e)
 	}
 	if a.Mode() == link.ModeTrial {
-		return []Command{Refuse{Key: m.Key, Reason: link.ReasonTrial, After: a.after(m.At, link.ReasonTrial)}}
+		return a.refuse(m, link.ReasonTrial)
 	}
 	i, _ := slices.BinarySearchFunc(a.queue, e, order)
 	wait := a.wait(i)
@@ -122,12 +120,17 @@
 	return []Command{Queue{Key: m.Key}}
 }
 
+// refuse refuses an offer for a reason other than its wait in the queue.
+func (a *Admission) refuse(m Offered, reason link.Reason) []Command {
+	return []Command{Refuse{Key: m.Key, Reason: reason, After: a.after(m.At, reason)}}
+}
+
 // after is when an offer that was refused for a reason may be made again.
 func (a *Admission) after(at time.Time, reason link.Reason) time.Duration {
 	if reason != link.ReasonTrial {
 		return 0
 	}
-	return a.nextTrial(at, len(a.entries)-len(a.queue) >= a.tries())
+	return a.nextTrial(at, a.busy() >= a.tries())
 }
 
 // objection returns why an offer is not taken at all, whatever is free.
@@ -148,9 +151,12 @@
 	}
 }
 
+// busy returns how many slots are granted or in use.
+func (a *Admission) busy() int { return len(a.entries) - len(a.queue) }
+
 // free tells whether a slot is there for the entry.
 func (a *Admission) free(e *entry) bool {
-	busy := len(a.entries) - len(a.queue)
+	busy := a.busy()
 	switch {
 	case a.Mode() != link.ModeTrial:
 		return busy < a.slots
@@ -223,66 +229,3 @@
 	a.observe(m.At, m.Outcome, m.Took)
 	return nil
 }
-
-// ticked ends what has waited for too long, and counts attempts that hang.
-func (a *Admission) ticked(at time.Time) []Command {
-	a.tick(at)
-	var out []Command
-	for _, e := range a.entries {
-		switch {
-		case e.phase == granted && at.After(e.until):
-			a.drop(e)
-			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonExpired})
-		case e.phase == queued && at.After(e.until):
-			a.drop(e)
-			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonBusy, After: a.wait(len(a.queue))})
-		case e.phase == running && !e.hung && e.upstream == a.upstream && at.Sub(e.started) > a.hangs():
-			e.hung = true
-			a.bad(at, suspicionHang)
-		}
-	}
-	return out
-}
-
-// settle refuses what the mode no longer takes, starts what has a slot, and
-// announces a new mode.
-func (a *Admission) settle(at time.Time) []Command {
-	var out []Command
-	mode := a.Mode()
-	if mode != link.ModeOpen {
-		out = a.clear(mode)
-	}
-	for len(a.queue) > 0 {
-		e := a.queue[0]
-		if !a.free(e) {
-			break
-		}
-		a.queue = a.queue[1:]
-		out = append(out, a.admit(at, e)...)
-	}
-	if mode != a.mode {
-		a.mode = mode
-		out = append(out, Announce{Why: mode.String()})
-	}
-	return out
-}
-
-// clear refuses what waits when the gate is closed or goes on trial. Offers that
-// hold a slot keep it on trial, as they may be committed already.
-func (a *Admission) clear(mode link.Mode) []Command {
-	var out []Command
-	for _, e := range a.entries {
-		closed := mode == link.ModeClosed && e.phase != running
-		tried := mode == link.ModeTrial && e.phase == queued && !e.Force
-		if !closed && !tried {
-			continue
-		}
-		a.drop(e)
-		reason := link.ReasonClosed
-		if tried {
-			reason = link.ReasonTrial
-		}
-		out = append(out, Refuse{Key: e.Key, Reason: reason})
-	}
-	return out
-}
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -28,7 +28,7 @@
 store: "127.0.0.1:6"
 `, name, dataCentre))
 	require.NoError(t, err)
-	n := New(s, Platform{Store: memory.NewDirectory(time.Now)}, NewMetrics(), zap.NewNop())
+	n := New(s, port.Platform{Store: memory.NewDirectory(time.Now)}, NewMetrics(), zap.NewNop())
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	n.links.ctx = ended
@@ -56,7 +56,7 @@
 			}
 			// Learning one by one keeps some that a later one would have displaced.
 			assert.LessOrEqual(t, len(n.links.peers), min(size, 8*(nearLinks+farLinks)), "size %d", size)
-			assert.Equal(t, size+1, n.links.fleet())
+			assert.Equal(t, size+1, n.links.standing().fleet)
 		}
 		if size <= 2*nearLinks {
 			assert.Len(t, dialed, size)
