Before an upstream's first answer, an attempt hangs when it is past its aim

A restarted gate knows no mean answer time, so that every attempt of more than 500 ms counted as hanging; there the mean is 550 ms, and cold upstreams take twice as long. Two such attempts are a false alarm. Change: while there is no mean, an attempt must be past its route's aim as well. Ruled out: a longer least time for all: detection of hanging upstreams is what it is for.

--- a/gate/health.go
+++ b/gate/health.go
@@ -161,5 +161,12 @@
 	h.suspicion = trialAt - suspicionShed
 }
 
-// hangs returns the age at which a running attempt counts as hanging.
-func (h *health) hangs() time.Duration { return max(hangFactor*h.usual, hangLeast) }
+// hangs tells whether a running attempt is far later than the upstream's answers are.
+// Before the first answer nobody knows how long its work takes, and a cold upstream is
+// slow: an attempt hangs then when it is past its aim as well.
+func (a *Admission) hangs(at time.Time, e *entry) bool {
+	if a.usual == 0 && !at.After(e.Aim) {
+		return false
+	}
+	return at.Sub(e.started) > max(hangFactor*a.usual, hangLeast)
+}
