Gates test their running attempts together for silence, by kind of request

Cause: on the new customer's instances upstreams fall silent in spells. A gate counted an attempt as hanging at five times the mean of all answers, alone, over two seconds where aims are 0.8 to 1.5 s; trivial answers of 1 ms pull that mean down. Hypothesis: all running attempts together, each against the distribution of its own kind of request, say so sooner and with fewer false alarms. An answer given because time is up is no evidence.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -26,8 +26,9 @@
 	phase    phase
 	until    time.Time // When a grant lapses, or the wait in the queue ends.
 	started  time.Time
-	upstream string // The incarnation that runs it.
-	hung     bool   // Counted as hanging already.
+	upstream string  // The incarnation that runs it.
+	sample   *sample // What it says of the upstream, once it runs.
+	hung     bool    // Counted as a failed try already.
 }
 
 // Admission decides what the upstream is given. It is not safe for concurrent use.
@@ -182,6 +183,7 @@
 	e.phase = running
 	e.started = at
 	e.upstream = a.upstream
+	e.sample = a.begin(at, e.Kind, e.Aim)
 	return []Command{Start{Key: e.Key}}
 }
 
@@ -226,6 +228,7 @@
 		a.retire()
 		return nil
 	}
+	a.conclude(m, e)
 	a.observe(m.At, m.Outcome, m.Took)
 	return nil
 }
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -10,6 +10,10 @@
 	"eiderfold/port"
 )
 
+// deadlineMargin is how long before a deadline an upstream may answer that it has
+// passed: both are told in whole milliseconds, and timers are not exact.
+const deadlineMargin = 20 * time.Millisecond
+
 // call is an offer in hand, with what is needed to run and answer it.
 type call struct {
 	offer    *link.Offer
@@ -73,8 +77,8 @@
 	outcome := Good
 	if a.status >= 500 {
 		outcome = Erred
-		if !time.Now().Before(c.deadline) {
-			outcome = NoEvidence // The deadline was short; that says nothing of the upstream.
+		if c.deadline.Sub(time.Now()) < deadlineMargin {
+			outcome = NoEvidence // It answers because time is up.
 		}
 	}
 	return &link.Frame{Answer: &link.Answer{Key: k, Status: a.status, Header: a.header, Body: a.body}}, outcome
--- a/gate/health.go
+++ b/gate/health.go
@@ -41,10 +41,6 @@
 	ratioGain = 0.2
 	// usualGain is the weight of one answer in the mean answer time.
 	usualGain = 0.1
-	// An attempt counts as hanging when it takes hangFactor times the mean and at
-	// least hangLeast: one in a thousand ordinary answers is that late.
-	hangFactor = 5
-	hangLeast  = 500 * time.Millisecond
 )
 
 // health follows from the outcomes whether the upstream does real work.
@@ -57,7 +53,9 @@
 	reopened   time.Time // When the last trial ended well.
 	trialHeard time.Time // When the trial began or last saw an outcome.
 	usual      time.Duration
+	trialBegan time.Time
 	badRatio   float64 // Share of bad outcomes, recent ones first.
+	silence
 }
 
 // observe takes an outcome. Those it does not list say nothing of the upstream.
@@ -99,6 +97,7 @@
 		return
 	}
 	h.trial = false
+	h.forget(true)
 	h.suspicion = 0
 	h.reopened = at
 }
@@ -128,6 +127,8 @@
 		return
 	}
 	h.trial = true
+	h.trialBegan = at
+	h.forget(false)
 	h.bads = h.relapse(at)
 	h.trialHeard = at
 	h.trialFrom = at
@@ -158,15 +159,37 @@
 		return
 	}
 	h.trial = false
+	h.forget(false)
 	h.suspicion = trialAt - suspicionShed
 }
 
-// hangs tells whether a running attempt is far later than the upstream's answers are.
-// Before the first answer nobody knows how long its work takes, and a cold upstream is
-// slow: an attempt hangs then when it is past its aim as well.
-func (a *Admission) hangs(at time.Time, e *entry) bool {
-	if a.usual == 0 && !at.After(e.Aim) {
+// conclude takes what an attempt that has ended says of whether the upstream answers.
+func (a *Admission) conclude(m Ended, e *entry) {
+	if e.sample == nil {
+		return
+	}
+	if m.Outcome == Good || m.Outcome == Erred {
+		a.answered(e.sample, m.Took)
+		return
+	}
+	a.unanswered(m.At, e.sample)
+}
+
+// failsTry tells whether a running attempt is a try on trial that has been silent for
+// too long. What started before the trial has been counted when it began.
+func (a *Admission) failsTry(at time.Time, e *entry) bool {
+	if !a.trial || e.hung || e.upstream != a.upstream || e.started.Before(a.trialBegan) {
 		return false
 	}
-	return at.Sub(e.started) > max(hangFactor*a.usual, hangLeast)
+	return a.weigh(at, e.sample) >= silenceOfTry
+}
+
+// fallSilent begins a trial because attempts are not answered.
+func (h *health) fallSilent(at time.Time) {
+	for _, b := range h.samples {
+		if h.weigh(at, b) > 0 {
+			h.badRatio += ratioGain * (1 - h.badRatio)
+		}
+	}
+	h.bad(at, trialAt)
 }
--- a/gate/message.go
+++ b/gate/message.go
@@ -21,7 +21,8 @@
 	Priority  int
 	Retryable bool
 	Force     bool
-	Ready     bool // It came with its content and may start at once.
+	Ready     bool   // It came with its content and may start at once.
+	Kind      uint32 // Requests of one kind take about the same time.
 }
 
 // Committed is the go-ahead for a granted offer.
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -42,6 +42,7 @@
 		Retryable: o.Retryable,
 		Force:     o.Force,
 		Ready:     o.Content != nil,
+		Kind:      o.Kind,
 	})
 }
 
--- a/gate/settle.go
+++ b/gate/settle.go
@@ -18,11 +18,14 @@
 		case e.phase == queued && at.After(e.until):
 			a.drop(e)
 			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonBusy, After: a.wait(len(a.queue))})
-		case e.phase == running && !e.hung && e.upstream == a.upstream && a.hangs(at, e):
+		case e.phase == running && a.failsTry(at, e):
 			e.hung = true
 			a.bad(at, suspicionHang)
 		}
 	}
+	if !a.trial && a.evidence(at) >= silenceAtTrial {
+		a.fallSilent(at)
+	}
 	return out
 }
 
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -77,6 +77,7 @@
 		Retryable:     f.route.Retryable,
 		Force:         force,
 		Aim:           max(f.began.Add(f.route.Target).Sub(now), 0),
+		Kind:          f.route.Kind(),
 	}
 }
 
--- a/link/message.go
+++ b/link/message.go
@@ -37,6 +37,7 @@
 	Content       *Content      `cbor:"10,keyasint,omitempty"` // With it, a free slot starts at once.
 	Aim           time.Duration `cbor:"11,keyasint,omitempty"` // Until the answer loses most of its worth; 0 for the deadline.
 	Repeat        bool          `cbor:"12,keyasint,omitempty"` // The run that starts with the offer repeats another.
+	Kind          uint32        `cbor:"13,keyasint,omitempty"` // Requests of one kind take about the same time.
 }
 
 // Granted says that a slot is held for the offer. The gate waits for the commit,
--- a/route/route.go
+++ b/route/route.go
@@ -10,6 +10,7 @@
 package route
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -38,8 +39,13 @@
 	Attempts  int           // At how many upstreams one request may run.
 	Shares    []Share
 	turn      *atomic.Uint64 // How often a service was picked.
+	kind      uint32
 }
 
+// Kind is the route's name as a number: its requests take about the same time, which
+// gates learn by it. Should two routes share a number, their times are mixed.
+func (r *Route) Kind() uint32 { return r.kind }
+
 // Service is what the configuration says of a service.
 type Service struct {
 	Name        string
@@ -86,6 +92,7 @@
 			faults = append(faults, "route "+r.Name+": "+fault)
 			continue
 		}
+		r.kind = kindOf(r.Name)
 		r.turn = &atomic.Uint64{}
 		r.turn.Store(rand.Uint64N(mostFirstTurn))
 		r.Attempts = max(r.Attempts, 1)
@@ -101,6 +108,12 @@
 	return t, nil
 }
 
+func kindOf(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // A hash takes everything.
+	return h.Sum32()
+}
+
 // fault returns what is wrong with a route, "" if nothing is.
 func (t *Table) fault(r Route) string {
 	switch {
