The repeat budget is kept by the gates, where attempts arrive

Hypothesis: kept by the few gates of a service, where first attempts earn it, it is where repeats are sent, and the sum still keeps the bound whoever can hear whom. Change: package budget; an offer says by what right it repeats (budget.Claim), a gate without budget refuses it, three such refusals end a repeat and pause a hedge. TestStopAnswersWhatWasRead failed beside load, also six runs of ten on an idle machine's second try: the idle connection was not accepted yet when the test closed idle ones. It waits for it now (300 runs beside load: none fails).

--- a/bench/cmd/detect/main.go
+++ b/bench/cmd/detect/main.go
@@ -20,6 +20,7 @@
 
 	"github.com/spf13/cobra"
 
+	"eiderfold/budget"
 	"eiderfold/gate"
 	"eiderfold/link"
 	"eiderfold/port"
@@ -60,7 +61,7 @@
 type ours struct{ a *gate.Admission }
 
 func newOurs(now time.Time) policy {
-	a := gate.NewAdmission(service)
+	a := gate.NewAdmission(service, budget.New(0, 0, now))
 	a.Update(gate.Reported{At: now, Report: port.Report{Upstream: "i-1", Service: service, Slots: slots, Sequence: 1}})
 	a.Update(gate.Confirmed{At: now, Upstream: "i-1"})
 	return ours{a}
--- a/gate/admission.go
+++ b/gate/admission.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"eiderfold/budget"
 	"eiderfold/link"
 )
 
@@ -26,14 +27,16 @@
 	phase    phase
 	until    time.Time // When a grant lapses, or the wait in the queue ends.
 	started  time.Time
-	upstream string  // The incarnation that runs it.
-	sample   *sample // What it says of the upstream, once it runs.
-	hung     bool    // Counted as a failed try already.
+	upstream string    // The incarnation that runs it.
+	sample   *sample   // What it says of the upstream, once it runs.
+	taken    time.Time // When the budget counted it as a repeat.
+	hung     bool      // Counted as a failed try already.
 }
 
 // Admission decides what the upstream is given. It is not safe for concurrent use.
 type Admission struct {
 	health
+	budget   *budget.Budget
 	service  string
 	upstream string // The incarnation that is believed to be there; "" for none.
 	slots    int
@@ -50,8 +53,8 @@
 }
 
 // NewAdmission returns the admission to an upstream of which nothing is known.
-func NewAdmission(service string) *Admission {
-	return &Admission{service: service, entries: map[link.Key]*entry{}}
+func NewAdmission(service string, b *budget.Budget) *Admission {
+	return &Admission{service: service, budget: b, entries: map[link.Key]*entry{}}
 }
 
 // Update takes a message and returns what is to be done.
@@ -147,6 +150,8 @@
 		return link.ReasonTrial
 	case !m.Deadline.After(m.At):
 		return link.ReasonExpired
+	case m.Claim.Repeats() && !a.budget.Has(m.At, m.Claim):
+		return link.ReasonBudget
 	default:
 		return link.ReasonNone
 	}
@@ -170,6 +175,10 @@
 
 // admit gives the entry a slot, to start at once or to wait for its commit.
 func (a *Admission) admit(at time.Time, e *entry) []Command {
+	if !a.pay(at, e) {
+		delete(a.entries, e.Key)
+		return []Command{Refuse{Key: e.Key, Reason: link.ReasonBudget}}
+	}
 	if e.Ready {
 		return a.start(at, e)
 	}
@@ -178,15 +187,39 @@
 	return []Command{Grant{Key: e.Key}}
 }
 
+// pay takes a repeat from the budget, which may not have it.
+func (a *Admission) pay(at time.Time, e *entry) bool {
+	if !e.Claim.Repeats() {
+		return true
+	}
+	if !a.budget.Take(at, e.Claim) {
+		return false
+	}
+	e.taken = at
+	return true
+}
+
 // start marks the entry as running, from when on it may have run.
 func (a *Admission) start(at time.Time, e *entry) []Command {
 	e.phase = running
 	e.started = at
 	e.upstream = a.upstream
 	e.sample = a.begin(at, e.Kind, e.Aim)
+	a.earn(at, e.Claim)
 	return []Command{Start{Key: e.Key}}
 }
 
+// earn tells the budget of an attempt that starts and was not taken from it.
+func (a *Admission) earn(at time.Time, c budget.Claim) {
+	if c.Repeats() {
+		return
+	}
+	a.budget.Earn(at)
+	if c == budget.Charged {
+		a.budget.Charge(at)
+	}
+}
+
 // committed starts a granted offer. Without its grant, which may have lapsed, it
 // has not run, and the ingress is told so.
 func (a *Admission) committed(m Committed) []Command {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"eiderfold/budget"
 	"eiderfold/link"
 	"eiderfold/port"
 )
@@ -60,6 +61,7 @@
 	announce  func()
 	path      func() string // The upstream's health path, "" if unknown.
 	mu        sync.Mutex
+	budget    *budget.Budget
 	admission *Admission
 	calls     map[link.Key]*call
 	ended     map[link.Key]ended
@@ -72,6 +74,10 @@
 // WithRecords tells the gate where earlier processes recorded what leaves.
 func WithRecords(r Records) Option { return func(g *Gate) { g.records = r } }
 
+// WithBudget names the part of the fleet's repeats that the gate may start; without
+// it, it starts none.
+func WithBudget(b *budget.Budget) Option { return func(g *Gate) { g.budget = b } }
+
 // WithCounters tells the gate who counts.
 func WithCounters(c Counters) Option { return func(g *Gate) { g.counters = c } }
 
@@ -85,17 +91,20 @@
 // New returns a gate that is closed until its upstream reports.
 func New(u Upstream, dialect port.Dialect, log *zap.Logger, options ...Option) *Gate {
 	g := &Gate{
-		log:       log,
-		announce:  func() {},
-		path:      func() string { return "" },
-		admission: NewAdmission(u.Service),
-		calls:     map[link.Key]*call{},
-		ended:     map[link.Key]ended{},
-		done:      make(chan struct{}),
+		log:      log,
+		announce: func() {},
+		path:     func() string { return "" },
+		calls:    map[link.Key]*call{},
+		ended:    map[link.Key]ended{},
+		done:     make(chan struct{}),
 	}
 	for _, o := range options {
 		o(g)
 	}
+	if g.budget == nil {
+		g.budget = budget.New(0, 0, time.Now())
+	}
+	g.admission = NewAdmission(u.Service, g.budget)
 	g.client = &client{address: u.Address, dialect: dialect, dialed: func() { g.count("upstream_connections") }}
 	return g
 }
--- a/gate/message.go
+++ b/gate/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"eiderfold/budget"
 	"eiderfold/link"
 	"eiderfold/port"
 )
@@ -23,6 +24,7 @@
 	Force     bool
 	Ready     bool   // It came with its content and may start at once.
 	Kind      uint32 // Requests of one kind take about the same time.
+	Claim     budget.Claim
 }
 
 // Committed is the go-ahead for a granted offer.
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"eiderfold/budget"
 	"eiderfold/link"
 )
 
@@ -28,7 +29,7 @@
 		g.mu.Unlock()
 		return // A repeated message; the first one stands.
 	}
-	c := &call{offer: o, sink: from, deadline: now.Add(o.Left), repeat: o.Repeat}
+	c := &call{offer: o, sink: from, deadline: now.Add(o.Left), repeat: o.Claim != budget.First}
 	g.calls[o.Key] = c
 	g.mu.Unlock()
 	g.update(Offered{
@@ -43,6 +44,7 @@
 		Force:     o.Force,
 		Ready:     o.Content != nil,
 		Kind:      o.Kind,
+		Claim:     o.Claim,
 	})
 }
 
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -47,9 +47,12 @@
 // likely is the time that most answers take.
 func (a *Admission) likely() time.Duration { return time.Duration(likelyFactor * float64(a.usual)) }
 
-// drop takes an offer out that has its end.
+// drop takes an offer out that has its end. A repeat that never started costs nothing.
 func (a *Admission) drop(e *entry) {
 	delete(a.entries, e.Key)
+	if !e.taken.IsZero() && e.phase != running {
+		a.budget.Return(e.taken)
+	}
 	if e.phase == queued {
 		a.queue = slices.DeleteFunc(a.queue, func(o *entry) bool { return o == e })
 	}
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -13,9 +13,9 @@
 	// trialShare is how likely a retryable request goes to a gate on trial that
 	// would take it. The gates themselves keep the pace of tries.
 	trialShare = 0.5
-	// trialReserve is the part of the repeat budget that tries leave alone: most of
-	// them fail, and are sent again.
-	trialReserve = 0.3
+	// spentTime is how long after a gate had no budget for a repeat no further tries
+	// are sent to gates on trial: most of them fail, and want a repeat.
+	spentTime = 500 * time.Millisecond
 	// exploreShare of the choices look at one gate at random, so that what is
 	// believed of a gate that got no work does not grow old.
 	exploreShare = 0.03
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -35,7 +35,7 @@
 	runs      int           // Commits that may have run.
 	arrivals  int           // Times it reached an upstream, refused ones too.
 	ofRepeat  bool          // It is the call of a run that repeats another.
-	token     bool          // The budget has paid for a repeat that is not sent yet.
+	denied    int           // Gates that had no budget for the repeat that is wanted now.
 	far       bool          // It was offered to another data centre for waiting too long.
 	round     time.Time     // When a new round of offers may begin.
 	pause     time.Duration // Before the latest round.
@@ -74,13 +74,8 @@
 
 // next offers the request to another gate.
 func (f *flight) next(now time.Time) {
-	if f.arrivals > 0 && !f.token {
-		if !f.forwarder.budget.Take(f.service, now, f.reserve()) {
-			f.forwarder.count("no_budget_" + f.cause)
-			return
-		}
-		f.token = true
-		f.forwarder.count("repeat_" + f.cause)
+	if f.denied >= mostDenied {
+		return
 	}
 	c := f.forwarder.targets.choose(f.want(now), now)
 	if c.target == nil {
@@ -95,7 +90,7 @@
 	return want{
 		service:   f.service,
 		retryable: f.route.Retryable,
-		trials:    f.runs+1 < f.route.Attempts && f.forwarder.budget.Has(f.service, now, trialReserve),
+		trials:    f.runs+1 < f.route.Attempts && !f.forwarder.targets.spent(f.service, now),
 		priority:  f.route.Priority,
 		nearOnly:  len(f.offers) > 0 && !f.busy() && now.Before(f.began.Add(f.farAfter())),
 		tried:     f.tried,
@@ -122,6 +117,7 @@
 		f.queued(o, now)
 	case e.frame.Refused != nil:
 		f.last = e.frame.Refused.Reason
+		f.noteBudget(now)
 		o.target.refuse(e.frame.Refused, f.route.Priority, now)
 		return f.refused(o, e.frame.Refused.Reason, now)
 	case e.frame.Answer != nil:
@@ -152,6 +148,9 @@
 func (f *flight) commit(o *offer, now time.Time) {
 	o.state = running
 	repeat := f.repeats()
+	if f.arrivals > 0 {
+		f.forwarder.count("repeat_" + f.cause)
+	}
 	f.count(o, now)
 	f.withdrawOthers()
 	left := f.deadline.Sub(now)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -36,7 +36,6 @@
 type Forwarder struct {
 	service  string // Beside which this node stands.
 	targets  *Targets
-	budget   *Budget
 	dialect  port.Dialect
 	log      *zap.Logger
 	counters Counters
@@ -59,11 +58,10 @@
 }
 
 // NewForwarder returns a forwarder without a configuration.
-func NewForwarder(service string, targets *Targets, budget *Budget, dialect port.Dialect, log *zap.Logger, counters Counters, options ...Option) *Forwarder {
+func NewForwarder(service string, targets *Targets, dialect port.Dialect, log *zap.Logger, counters Counters, options ...Option) *Forwarder {
 	f := &Forwarder{
 		service:  service,
 		targets:  targets,
-		budget:   budget,
 		dialect:  dialect,
 		log:      log,
 		counters: counters,
@@ -90,9 +88,7 @@
 		f.explain(r, nil, refused)
 		return refused
 	}
-	f.budget.Earn(fl.service, r.Arrived)
 	if fl.ofRepeat {
-		f.budget.Charge(fl.service, r.Arrived)
 		f.count("call_of_repeat")
 	}
 	response := fl.run(ctx)
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -51,7 +51,6 @@
 	message := f.message(o, c.force, now)
 	if f.route.Retryable && f.made == 0 {
 		message.Content = f.content
-		message.Repeat = f.repeats()
 		o.direct = true
 		f.count(o, now)
 	}
@@ -78,6 +77,7 @@
 		Force:         force,
 		Aim:           max(f.began.Add(f.route.Target).Sub(now), 0),
 		Kind:          f.route.Kind(),
+		Claim:         f.claim(),
 	}
 }
 
@@ -90,7 +90,7 @@
 		f.committed = now
 	}
 	o.started = now
-	f.token = false
+	f.denied = 0
 	o.hedge = now.Add(time.Duration(hedgeFactor * float64(f.usual.Cut())))
 }
 
--- a/ingress/outcome.go
+++ b/ingress/outcome.go
@@ -15,6 +15,7 @@
 	}
 	f.forget(o)
 	if len(f.offers) > 0 {
+		f.hedgeOn(now)
 		return nil
 	}
 	return f.again(now)
--- a/ingress/repeat.go
+++ b/ingress/repeat.go
@@ -1,11 +1,21 @@
 package ingress
 
-import "time"
+import (
+	"time"
+
+	"eiderfold/budget"
+	"eiderfold/link"
+)
 
 const (
+	// mostDenied is how many gates are asked for a repeat that have no budget for it:
+	// if three of them have none, the service has little.
+	mostDenied = 3
 	// A retryable request is sent a second time after hedgeFactor times what all
 	// but a twentieth of the route's answers take: one in fifty by chance.
 	hedgeFactor = 1.4
+	// hedgePause is the pause after no gate took a hedge: about one answer's time.
+	hedgePause = 200 * time.Millisecond
 	// roundPause is the pause after all gates refused, doubled up to roundMost.
 	roundPause = 20 * time.Millisecond
 	roundMost  = 160 * time.Millisecond
@@ -16,8 +26,6 @@
 	// waitRanShare is the same for one that ran already and failed: its caller
 	// cannot be told that it did not.
 	waitRanShare = 1.0
-	// hedgeReserve is the part of the repeat budget that hedges leave alone.
-	hedgeReserve = 0.5
 )
 
 // Causes of a repeat, as counted.
@@ -27,13 +35,28 @@
 	causeFailure = "after_failure"
 )
 
-// reserve is the part of the budget that is kept for others: a hedge is a guess,
-// and a failure is not.
-func (f *flight) reserve() float64 {
-	if f.cause == causeHedge {
-		return hedgeReserve
+// claim says by what right the next attempt starts.
+func (f *flight) claim() budget.Claim {
+	switch {
+	case f.arrivals > 0 && f.cause == causeHedge:
+		return budget.Hedge
+	case f.arrivals > 0:
+		return budget.Failure
+	case f.ofRepeat:
+		return budget.Charged
+	default:
+		return budget.First
+	}
+}
+
+// noteBudget takes note of a gate that has no budget for a repeat.
+func (f *flight) noteBudget(now time.Time) {
+	if f.last != link.ReasonBudget {
+		return
 	}
-	return 0
+	f.denied++
+	f.forwarder.targets.noteSpent(f.service, now)
+	f.forwarder.count("no_budget_" + f.cause)
 }
 
 // mayHedge tells whether a granted slot may be used beside an attempt that runs.
@@ -57,6 +80,35 @@
 	}
 }
 
+// hedgeOn goes on with a hedge that a gate has refused: at another gate, or after a
+// pause when none is left.
+func (f *flight) hedgeOn(now time.Time) {
+	if f.cause != causeHedge || f.arrivals == 0 || f.waits() || !f.mayRepeat(now) {
+		return
+	}
+	before := len(f.offers)
+	f.next(now)
+	if len(f.offers) > before {
+		return
+	}
+	f.denied = 0
+	f.tried = nil
+	for _, o := range f.offers {
+		o.hedge = now.Add(hedgePause)
+		f.tried = append(f.tried, o.target)
+	}
+}
+
+// waits tells whether an offer is neither running nor answered.
+func (f *flight) waits() bool {
+	for _, o := range f.offers {
+		if o.state != running && o.state != doubtful && !o.direct {
+			return true
+		}
+	}
+	return false
+}
+
 // mayRepeat tells whether the request may run once more, budget aside.
 func (f *flight) mayRepeat(now time.Time) bool {
 	return f.route.Retryable && f.runs < f.route.Attempts && now.Before(f.deadline)
@@ -75,7 +127,7 @@
 
 // hopeless tells whether waiting for another round has gone on for long enough.
 func (f *flight) hopeless(now time.Time) bool {
-	if f.arrivals > 0 && !f.token {
+	if f.denied >= mostDenied {
 		return true // No budget to send it again.
 	}
 	return !now.Before(f.keptUntil())
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -144,6 +144,12 @@
 	}
 }
 
+func tracked(s *Server) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // TestStopAnswersWhatWasRead stops the server under a running request: it is
 // answered, and the answer says that the connection ends.
 func TestStopAnswersWhatWasRead(t *testing.T) {
@@ -158,6 +164,8 @@
 	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	require.NoError(t, err)
 	<-started
+	// Until it is accepted, the idle connection is none that CloseIdle could close.
+	require.Eventually(t, func() bool { return tracked(s) == 2 }, 5*time.Second, time.Millisecond)
 	s.Stop()
 	require.Eventually(t, func() bool { return s.CloseIdle() == 1 }, 5*time.Second, time.Millisecond, "the idle connection closes")
 	_, err = idleIn.ReadByte()
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -89,6 +89,18 @@
 	floorShare atomic.Pointer[float64]
 	mu         sync.Mutex // Held by writers of services.
 	services   atomic.Pointer[map[string][]*Target]
+	spentUntil sync.Map // UnixNano by service, until which its budget counts as spent.
+}
+
+// noteSpent takes note that a gate of a service had no budget for a repeat.
+func (t *Targets) noteSpent(service string, now time.Time) {
+	t.spentUntil.Store(service, now.Add(spentTime).UnixNano())
+}
+
+// spent tells whether a gate of a service had no budget lately.
+func (t *Targets) spent(service string, now time.Time) bool {
+	until, ok := t.spentUntil.Load(service)
+	return ok && now.UnixNano() < until.(int64)
 }
 
 // NewTargets returns no targets, for a node in a data centre. The floor share is
--- a/link/message.go
+++ b/link/message.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"eiderfold/budget"
 )
 
 // Key names one offer of one request: the process that made it and its number.
@@ -36,7 +38,7 @@
 	Force         bool          `cbor:"9,keyasint,omitempty"`  // Too few gates are open: on trial, take it though it may run only once.
 	Content       *Content      `cbor:"10,keyasint,omitempty"` // With it, a free slot starts at once.
 	Aim           time.Duration `cbor:"11,keyasint,omitempty"` // Until the answer loses most of its worth; 0 for the deadline.
-	Repeat        bool          `cbor:"12,keyasint,omitempty"` // The run that starts with the offer repeats another.
+	Claim         budget.Claim  `cbor:"12,keyasint,omitempty"` // By what right it starts, if it repeats another.
 	Kind          uint32        `cbor:"13,keyasint,omitempty"` // Requests of one kind take about the same time.
 }
 
@@ -66,9 +68,10 @@
 	ReasonShed                // The upstream said that it did not run it.
 	ReasonNeverSeen           // Asked for, and not known: it did not start and never will.
 	ReasonExpired             // The deadline passed before it started.
+	ReasonBudget              // It repeats another, and the fleet has no repeats left here.
 )
 
-var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired"}
+var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -26,7 +26,7 @@
 		return
 	}
 	l.known[m.Address] = m
-	l.node.budget.NoteFleet(len(l.known) + 1)
+	l.node.budget.NoteGates(l.gates())
 	if l.ctx == nil {
 		l.pending = append(l.pending, m)
 		return
@@ -34,6 +34,18 @@
 	l.consider(m)
 }
 
+// gates counts the known gates of this node's service, its own among them, with the
+// lock held.
+func (l *links) gates() int {
+	n := 1
+	for _, m := range l.known {
+		if m.Service == l.node.self.Service {
+			n++
+		}
+	}
+	return n
+}
+
 // consider dials a node if it belongs to those that this one keeps links to. In a
 // large fleet these are some of each service's, in an order of this node's own, so
 // that every gate is dialed by about as many nodes as any other.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"eiderfold/budget"
 	"eiderfold/gate"
 	"eiderfold/ingress"
 	"eiderfold/link"
@@ -31,7 +32,7 @@
 	process   uint64 // Differs after a restart.
 	targets   *ingress.Targets
 	forwarder *ingress.Forwarder
-	budget    *ingress.Budget
+	budget    *budget.Budget
 	gate      *gate.Gate
 	server    *ingress.Server
 	links     *links
@@ -52,16 +53,16 @@
 		targets:  ingress.NewTargets(s.DataCentre(), s.FloorShare()),
 	}
 	ratio, slack := s.Retries()
-	n.budget = ingress.NewBudget(ratio, slack, time.Now())
+	n.budget = budget.New(ratio, slack, time.Now())
 	n.settings.Store(s)
-	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, n.budget, p.Dialect, log, metrics,
+	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, p.Dialect, log, metrics,
 		ingress.WithRepeatedRuns(func(deadline time.Time) bool { return n.gate.RunsRepeat(deadline) }))
 	n.server = ingress.NewServer(n.forwarder.Serve, n.limits)
 	n.directory = newDirectory(n)
 	n.config = newConfiguration(n)
 	n.links = newLinks(n)
 	n.gate = gate.New(gate.Upstream{Address: s.Upstream(), Service: s.Service()}, p.Dialect, log,
-		gate.WithRecords(n.directory), gate.WithCounters(metrics), gate.WithAnnounce(n.links.announce), gate.WithHealthPath(n.healthPath))
+		gate.WithBudget(n.budget), gate.WithRecords(n.directory), gate.WithCounters(metrics), gate.WithAnnounce(n.links.announce), gate.WithHealthPath(n.healthPath))
 	n.links.addLocal()
 	return n
 }
