Attempts that hang keep no try out

Change: only attempts admitted since the trial began that have not hung are tries in hand; the slots still bound everything. hung-before-trial.yaml fails on the code before.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -26,6 +26,7 @@
 	Offered
 	phase    phase
 	until    time.Time // When a grant lapses, or the wait in the queue ends.
+	admitted time.Time // When it was given its slot.
 	started  time.Time
 	upstream string    // The incarnation that runs it.
 	sample   *sample   // What it says of the upstream, once it runs.
@@ -134,7 +135,7 @@
 	if reason != link.ReasonTrial {
 		return 0
 	}
-	return a.nextTrial(at, a.busy() >= a.tries())
+	return a.nextTrial(at, a.trying() >= a.tries())
 }
 
 // objection returns why an offer is not taken at all, whatever is free.
@@ -169,16 +170,29 @@
 	case e.Force:
 		return busy < a.forced(a.slots)
 	default:
-		return busy < min(a.tries(), a.slots) && !e.At.Before(a.trialFrom)
+		return busy < a.slots && a.trying() < a.tries() && !e.At.Before(a.trialFrom)
 	}
 }
 
+// trying returns how many tries are in hand: attempts of this trial that may still
+// succeed. What hung before it began holds a slot, and keeps no try out.
+func (a *Admission) trying() int {
+	n := 0
+	for _, e := range a.entries {
+		if e.phase != queued && !e.hung && !e.admitted.Before(a.trialBegan) {
+			n++
+		}
+	}
+	return n
+}
+
 // admit gives the entry a slot, to start at once or to wait for its commit.
 func (a *Admission) admit(at time.Time, e *entry) []Command {
 	if !a.pay(at, e) {
 		delete(a.entries, e.Key)
 		return []Command{Refuse{Key: e.Key, Reason: link.ReasonBudget}}
 	}
+	e.admitted = at
 	if e.Ready {
 		return a.start(at, e)
 	}
