A gate tells of retryable attempts that are silent, and they are repeated at once

Cause: an ingress hedges by its own few answer times, mostly after 700 ms; the gate knows sooner that an attempt is not answered. Change: on trial the gate sends Silent for each such attempt, once; the ingress repeats it with the budget of a failure. Ruled out: breaking the attempt off at the gate: without budget for a repeat its answer, one in four, would be lost.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -32,6 +32,7 @@
 	sample   *sample   // What it says of the upstream, once it runs.
 	taken    time.Time // When the budget counted it as a repeat.
 	hung     bool      // Counted as a failed try already.
+	warned   bool      // Told to be silent already.
 }
 
 // Admission decides what the upstream is given. It is not safe for concurrent use.
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -58,6 +58,9 @@
 		delete(g.calls, c.Key)
 	case Start:
 		g.start(c.Key)
+	case Warn:
+		g.count("gate_silent")
+		g.answer(c.Key, &link.Frame{Silent: &link.Silent{Key: c.Key}})
 	case Abort:
 		if call := g.calls[c.Key]; call != nil && call.cancel != nil {
 			call.cancel()
--- a/gate/message.go
+++ b/gate/message.go
@@ -118,6 +118,9 @@
 	After  time.Duration
 }
 
+// Warn tells that a running attempt that may be repeated is not answered.
+type Warn struct{ Key link.Key }
+
 // Abort breaks a running attempt off.
 type Abort struct{ Key link.Key }
 
@@ -132,6 +135,7 @@
 func (Start) command()    {}
 func (Queue) command()    {}
 func (Refuse) command()   {}
+func (Warn) command()     {}
 func (Abort) command()    {}
 func (Announce) command() {}
 func (Confirm) command()  {}
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -156,6 +156,8 @@
 		return fmt.Sprintf("queue %d", c.Key.Number)
 	case Refuse:
 		return fmt.Sprintf("refuse %d %s", c.Key.Number, c.Reason)
+	case Warn:
+		return fmt.Sprintf("warn %d", c.Key.Number)
 	case Abort:
 		return fmt.Sprintf("abort %d", c.Key.Number)
 	case Announce:
--- a/gate/settle.go
+++ b/gate/settle.go
@@ -26,6 +26,22 @@
 	if !a.trial && a.evidence(at) >= silenceAtTrial {
 		a.fallSilent(at)
 	}
+	if a.trial {
+		out = append(out, a.warn(at)...)
+	}
+	return out
+}
+
+// warn tells of attempts on trial that are not answered, each once.
+func (a *Admission) warn(at time.Time) []Command {
+	var out []Command
+	for _, e := range a.entries {
+		if e.phase != running || !e.Retryable || e.warned || a.weigh(at, e.sample) < silenceOfTry {
+			continue
+		}
+		e.warned = true
+		out = append(out, Warn{Key: e.Key})
+	}
 	return out
 }
 
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -122,6 +122,8 @@
 		return f.refused(o, e.frame.Refused.Reason, now)
 	case e.frame.Answer != nil:
 		return f.answered(o, e.frame.Answer, now)
+	case e.frame.Silent != nil:
+		f.silent(o, now)
 	case e.frame.Failed != nil:
 		return f.failed(o, e.frame.Failed.Detail, now)
 	}
--- a/ingress/repeat.go
+++ b/ingress/repeat.go
@@ -31,6 +31,7 @@
 // Causes of a repeat, as counted.
 const (
 	causeHedge   = "hedge"
+	causeSilent  = "silent"
 	causeError   = "after_error"
 	causeFailure = "after_failure"
 )
@@ -80,10 +81,21 @@
 	}
 }
 
+// silent repeats a request whose gate says that its upstream does not answer. That
+// is better evidence than a late answer, and has the budget of a failure.
+func (f *flight) silent(o *offer, now time.Time) {
+	o.hedge = time.Time{}
+	if f.mayRepeat(now) && len(f.offers) == 1 {
+		f.cause = causeSilent
+		f.next(now)
+	}
+}
+
 // hedgeOn goes on with a hedge that a gate has refused: at another gate, or after a
 // pause when none is left.
 func (f *flight) hedgeOn(now time.Time) {
-	if f.cause != causeHedge || f.arrivals == 0 || f.waits() || !f.mayRepeat(now) {
+	beside := f.cause == causeHedge || f.cause == causeSilent
+	if !beside || f.arrivals == 0 || f.waits() || !f.mayRepeat(now) {
 		return
 	}
 	before := len(f.offers)
--- a/link/message.go
+++ b/link/message.go
@@ -115,6 +115,12 @@
 	Detail string `cbor:"2,keyasint"`
 }
 
+// Silent says that a started attempt is far later than answers of its kind are: a
+// repeat elsewhere is worth more than its wait.
+type Silent struct {
+	Key Key `cbor:"1,keyasint"`
+}
+
 // Ask wants to know what became of a committed offer after a link broke.
 type Ask struct {
 	Key Key `cbor:"1,keyasint"`
@@ -193,4 +199,5 @@
 	Configuration *Configuration `cbor:"12,keyasint,omitempty"`
 	Ping          *Ping          `cbor:"13,keyasint,omitempty"`
 	Members       []Member       `cbor:"14,keyasint,omitempty"`
+	Silent        *Silent        `cbor:"15,keyasint,omitempty"`
 }
