Orders wait while it is doubtful whether an upstream answers

Cause: orders that an upstream takes into its silence are lost; lookups are not. Hypothesis: two stages. At evidence 2 of 7 a gate queues orders, which go to another gate meanwhile, and goes on taking lookups, which prove or clear it.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -107,7 +107,7 @@
 		return a.refuse(m, reason)
 	}
 	e := &entry{Offered: m}
-	if len(a.queue) == 0 && a.free(e) {
+	if len(a.queue) == 0 && a.free(m.At, e) {
 		a.entries[m.Key] = e
 		return a.admit(m.At, e)
 	}
@@ -162,12 +162,13 @@
 // busy returns how many slots are granted or in use.
 func (a *Admission) busy() int { return len(a.entries) - len(a.queue) }
 
-// free tells whether a slot is there for the entry.
-func (a *Admission) free(e *entry) bool {
+// free tells whether a slot is there for the entry. While it is doubtful whether the
+// upstream answers, orders wait for an answer to somebody else, or go elsewhere.
+func (a *Admission) free(at time.Time, e *entry) bool {
 	busy := a.busy()
 	switch {
 	case a.Mode() != link.ModeTrial:
-		return busy < a.slots
+		return busy < a.slots && (e.Retryable || e.Force || a.evidence(at) < silenceAtHold)
 	case e.Force:
 		return busy < a.forced(a.slots)
 	default:
--- a/gate/settle.go
+++ b/gate/settle.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"eiderfold/link"
@@ -53,12 +54,11 @@
 	if mode != link.ModeOpen {
 		out = a.clear(mode)
 	}
-	for len(a.queue) > 0 {
-		e := a.queue[0]
-		if !a.free(e) {
-			break
+	for _, e := range slices.Clone(a.queue) {
+		if !a.free(at, e) {
+			continue // One that is less in doubt may follow.
 		}
-		a.queue = a.queue[1:]
+		a.queue = slices.DeleteFunc(a.queue, func(o *entry) bool { return o == e })
 		out = append(out, a.admit(at, e)...)
 	}
 	if mode != a.mode {
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -21,6 +21,9 @@
 	silenceAtTrial = 7.0
 	// silenceOfTry is the evidence at which a single try on trial counts as failed.
 	silenceOfTry = 2.0
+	// silenceAtHold is the evidence at which orders wait: what was offered them may
+	// be lost, and another gate may have answered a moment ago.
+	silenceAtHold = 2.0
 	// silenceUnproven is added while nothing was answered since the upstream came, or
 	// since a trial ended for want of work: nobody knows that it ever answered.
 	silenceUnproven = 3.0
