Orders wait by evidence alone, not for want of proof

Cause: the bonus for a gate that has answered nothing yet made its first order hold up all others (the state before). Change: the bonus counts for a trial, not for holding orders.

--- a/gate/settle.go
+++ b/gate/settle.go
@@ -24,7 +24,7 @@
 			a.bad(at, suspicionHang)
 		}
 	}
-	if !a.trial && a.evidence(at) >= silenceAtTrial {
+	if !a.trial && a.silent(at) {
 		a.fallSilent(at)
 	}
 	if a.trial {
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -24,7 +24,7 @@
 	// silenceAtHold is the evidence at which orders wait: what was offered them may
 	// be lost, and another gate may have answered a moment ago.
 	silenceAtHold = 2.0
-	// silenceUnproven is added while nothing was answered since the upstream came, or
+	// silenceUnproven less is enough while nothing was answered since the upstream came, or
 	// since a trial ended for want of work: nobody knows that it ever answered.
 	silenceUnproven = 3.0
 	// samplesKept is how many attempts are looked at together: several times the
@@ -90,18 +90,24 @@
 
 // evidence returns what speaks for silence now, at least 0.
 func (s *silence) evidence(at time.Time) float64 {
-	if len(s.samples) == 0 {
-		return 0
-	}
 	most, sum := 0.0, 0.0
 	for i := len(s.samples) - 1; i >= 0; i-- {
 		sum += s.weigh(at, s.samples[i])
 		most = max(most, sum)
 	}
+	return most
+}
+
+// silent tells whether the evidence is enough for a trial.
+func (s *silence) silent(at time.Time) bool {
+	if len(s.samples) == 0 {
+		return false
+	}
+	enough := silenceAtTrial
 	if !s.proven {
-		most += silenceUnproven
+		enough -= silenceUnproven
 	}
-	return most
+	return s.evidence(at) >= enough
 }
 
 // weigh returns the evidence of one attempt: the logarithm of how much likelier its
