Bytes between nodes are counted by kind of message and by data centre

Cause: bytes between data centres are the greatest price, and nothing said which they are. Change: counters link_bytes_near_KIND and link_bytes_far_KIND.

--- a/link/link.go
+++ b/link/link.go
@@ -51,6 +51,7 @@
 	closed   chan struct{}
 	once     sync.Once
 	received atomic.Int64 // UnixNano of the last message.
+	meter    atomic.Pointer[Meter]
 }
 
 // Dial connects to a node, from an IP address of this one.
@@ -176,24 +177,26 @@
 	defer writers.Put(out)
 	out.Reset(l.conn)
 	for _, f := range frames {
-		if err := encode(out, f); err != nil {
+		n, err := encode(out, f)
+		if err != nil {
 			return err
 		}
+		l.measured(f, n)
 	}
 	return errors.Wrap(out.Flush(), "write")
 }
 
-// encode writes one message with its length before it.
-func encode(out *bufio.Writer, f *Frame) error {
+// encode writes one message with its length before it, and returns its size in bytes.
+func encode(out *bufio.Writer, f *Frame) (int, error) {
 	text, err := cbor.Marshal(f)
 	if err != nil {
-		return errors.Wrap(err, "encode")
+		return 0, errors.Wrap(err, "encode")
 	}
 	var prefix [prefixLength]byte
 	binary.BigEndian.PutUint32(prefix[:], uint32(len(text)))
 	if _, err := out.Write(prefix[:]); err != nil {
-		return errors.Wrap(err, "write")
+		return 0, errors.Wrap(err, "write")
 	}
 	_, err = out.Write(text)
-	return errors.Wrap(err, "write")
+	return prefixLength + len(text), errors.Wrap(err, "write")
 }
--- /dev/null
+++ b/link/meter.go
@@ -0,0 +1,38 @@
+package link
+
+// Meter is told of every message that a link has written, with its size in bytes.
+type Meter func(kind string, bytes int)
+
+// Measure has a link's messages counted from now on.
+func (l *Link) Measure(m Meter) { l.meter.Store(&m) }
+
+// measured tells the meter, if there is one.
+func (l *Link) measured(f *Frame, bytes int) {
+	if m := l.meter.Load(); m != nil {
+		(*m)(f.kind(), bytes)
+	}
+}
+
+// kind names what a message carries, for counters.
+func (f *Frame) kind() string {
+	switch {
+	case f.Hello != nil:
+		return "hello"
+	case f.Status != nil:
+		return "status"
+	case f.Offer != nil && f.Offer.Content != nil:
+		return "offer_with_content"
+	case f.Offer != nil:
+		return "offer"
+	case f.Granted != nil, f.Queued != nil, f.Refused != nil, f.Silent != nil:
+		return "reply"
+	case f.Commit != nil:
+		return "commit"
+	case f.Answer != nil, f.Failed != nil:
+		return "answer"
+	case f.Configuration != nil:
+		return "configuration"
+	default:
+		return "other"
+	}
+}
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -75,9 +75,20 @@
 	defer l.mu.Unlock()
 	if from := l.inbound[in]; from != nil {
 		from.near = dataCentre == l.node.self.DataCentre
+		l.measure(in, from.near)
 	}
 }
 
+// measure counts a link's bytes by kind of message and by where it leads: between data
+// centres they are dear.
+func (l *links) measure(to *link.Link, near bool) {
+	prefix := "link_bytes_far_"
+	if near {
+		prefix = "link_bytes_near_"
+	}
+	to.Measure(func(kind string, bytes int) { l.node.metrics.Add(prefix+kind, bytes) })
+}
+
 // serve answers one dialed link until it ends.
 func (l *links) serve(in *link.Link) {
 	l.mu.Lock()
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -35,6 +35,9 @@
 // Count adds one to a counter.
 func (m *Metrics) Count(name string) { m.counts.Add(name, 1) }
 
+// Add adds a number to a counter.
+func (m *Metrics) Add(name string, n int) { m.counts.Add(name, int64(n)) }
+
 // Counts returns all counters as one line of JSON.
 func (m *Metrics) Counts() string { return m.counts.String() }
 
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -116,6 +116,7 @@
 		n.targets.Add(target)
 	}
 	target.SetStatus(h.Status)
+	p.links.measure(l, h.Member.DataCentre == n.self.DataCentre)
 	n.forwarder.Connected(target, l, h.Process)
 	p.know(h.Version)
 	n.config.handle(&link.Configuration{Version: h.Version}, l)
