The queue looks at how long this kind of request takes

Cause: a gate refused what would miss its aim by the mean of all kinds of request: a call of 110 ms beside charges of 300 ms found a queue of two, and slots stood idle a quarter of the time while calls were refused. Change: the median of its own kind. The mean stays the estimate of the queue's pace.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -116,7 +116,7 @@
 	}
 	i, _ := slices.BinarySearchFunc(a.queue, e, order)
 	wait := a.wait(i)
-	if len(a.queue) >= queuePerSlot*a.slots || m.At.Add(wait+a.likely()).After(m.Aim) {
+	if len(a.queue) >= queuePerSlot*a.slots || m.At.Add(wait+a.likely(m.Kind)).After(m.Aim) {
 		return []Command{Refuse{Key: m.Key, Reason: link.ReasonBusy, After: wait}}
 	}
 	e.Ready = false // Another gate may be given it meanwhile; a commit decides.
--- a/gate/answertimes.go
+++ b/gate/answertimes.go
@@ -34,6 +34,11 @@
 	t.variance = (1 - gain) * (t.variance + gain*off*off)
 }
 
+// median returns the time that half of the answers take.
+func (t *answerTimes) median() time.Duration {
+	return time.Duration(math.Exp(t.mean) * float64(time.Second))
+}
+
 // beyond returns the chance that an answer takes longer than this.
 func (t *answerTimes) beyond(took time.Duration) float64 {
 	if took <= leastTime {
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -9,9 +9,6 @@
 	// queuePerSlot bounds the queue; what is behind it would wait many times the
 	// usual answer time.
 	queuePerSlot = 16
-	// likelyFactor times the mean is what four answers in five take, with the spread
-	// that is usual for short requests.
-	likelyFactor = 1.0
 	// priorityStep is how much later an offer could have come that goes first for
 	// being one step more urgent: about one answer's time.
 	priorityStep = 200 * time.Millisecond
@@ -44,8 +41,14 @@
 	return usual * time.Duration(before+1) / time.Duration(max(a.slots, 1))
 }
 
-// likely is the time that most answers take.
-func (a *Admission) likely() time.Duration { return time.Duration(likelyFactor * float64(a.usual)) }
+// likely is the time that most answers of a kind of request take; the mean of all
+// kinds until this one has been answered.
+func (a *Admission) likely(kind uint32) time.Duration {
+	if t := a.kinds[kind]; t != nil && t.count > 0 {
+		return t.median()
+	}
+	return a.usual
+}
 
 // drop takes an offer out that has its end. A repeat that never started costs nothing.
 func (a *Admission) drop(e *entry) {
