Errors that follow from a failed call of the upstream's own are no evidence

Change: the gate is told of requests from its instance that failed. An error during which one arrived, and right after it failed, counts as an answer and not against the upstream. Ruled out: telling calls from callers' requests: nothing on the wire does.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -42,6 +42,9 @@
 	a, f := g.client.do(ctx, c.offer.Content, terms, !c.offer.Retryable)
 	took := time.Since(began)
 	frame, outcome := g.result(c, a, f)
+	if outcome == Erred && g.excused(began, time.Now()) {
+		outcome = CallFailed
+	}
 	g.log.Debug("attempt ended", zap.String("attempt", c.offer.Attempt), zap.String("upstream", upstream),
 		zap.String("outcome", outcome.String()), zap.Duration("took", took))
 	if outcome != Good {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -65,6 +65,7 @@
 	admission *Admission
 	calls     map[link.Key]*call
 	ended     map[link.Key]ended
+	failures  []callFailure
 	done      chan struct{}
 }
 
--- a/gate/health.go
+++ b/gate/health.go
@@ -168,11 +168,14 @@
 	if e.sample == nil {
 		return
 	}
-	if m.Outcome == Good || m.Outcome == Erred {
+	switch m.Outcome {
+	case Good, Erred:
 		a.answered(e.sample, m.Took)
-		return
+	case CallFailed:
+		a.alive(e.sample) // How long it took says nothing of its kind.
+	default:
+		a.unanswered(m.At, e.sample)
 	}
-	a.unanswered(m.At, e.sample)
 }
 
 // failsTry tells whether a running attempt is a try on trial that has been silent for
--- a/gate/message.go
+++ b/gate/message.go
@@ -51,9 +51,10 @@
 	Shed                      // Refused without running.
 	Replaced                  // Another incarnation holds the address.
 	NoEvidence                // Broken off from our side.
+	CallFailed                // An error that follows from a failed call of the upstream's own.
 )
 
-var outcomeNames = [...]string{"good", "erred", "broken", "unreached", "shed", "replaced", "no-evidence"}
+var outcomeNames = [...]string{"good", "erred", "broken", "unreached", "shed", "replaced", "no-evidence", "call-failed"}
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -67,11 +67,16 @@
 	return b
 }
 
-// answered closes an attempt with its answer, and learns how long it took.
-func (s *silence) answered(b *sample, took time.Duration) {
+// alive closes an attempt with an answer.
+func (s *silence) alive(b *sample) {
 	b.closed = true
 	b.weight = math.Log(1 - hangShare)
 	s.proven = true
+}
+
+// answered closes an attempt with its answer, and learns how long it took.
+func (s *silence) answered(b *sample, took time.Duration) {
+	s.alive(b)
 	s.timesOf(b.kind).add(took)
 }
 
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -40,6 +40,7 @@
 	log      *zap.Logger
 	counters Counters
 	repeated func(deadline time.Time) bool // A call with this deadline is made by a repeated run.
+	failed   func(arrived time.Time)       // Is told of requests that failed.
 	table    atomic.Pointer[route.Table]
 	origin   uint64 // Of this process's offers; differs after a restart.
 	number   atomic.Uint64
@@ -57,6 +58,11 @@
 	return func(to *Forwarder) { to.repeated = f }
 }
 
+// WithFailures tells who wants to know of requests that failed, by when they arrived.
+func WithFailures(f func(arrived time.Time)) Option {
+	return func(to *Forwarder) { to.failed = f }
+}
+
 // NewForwarder returns a forwarder without a configuration.
 func NewForwarder(service string, targets *Targets, dialect port.Dialect, log *zap.Logger, counters Counters, options ...Option) *Forwarder {
 	f := &Forwarder{
@@ -66,6 +72,7 @@
 		log:      log,
 		counters: counters,
 		repeated: func(time.Time) bool { return false },
+		failed:   func(time.Time) {},
 		origin:   rand.Uint64(),
 		flights:  map[uint64]*flight{},
 	}
@@ -96,6 +103,9 @@
 	if response == nil {
 		return nil
 	}
+	if response.Status >= http.StatusInternalServerError {
+		f.failed(r.Arrived)
+	}
 	return f.outgoing(response)
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -56,7 +56,8 @@
 	n.budget = budget.New(ratio, slack, time.Now())
 	n.settings.Store(s)
 	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, p.Dialect, log, metrics,
-		ingress.WithRepeatedRuns(func(deadline time.Time) bool { return n.gate.RunsRepeat(deadline) }))
+		ingress.WithRepeatedRuns(func(deadline time.Time) bool { return n.gate.RunsRepeat(deadline) }),
+		ingress.WithFailures(func(arrived time.Time) { n.gate.NoteFailure(arrived) }))
 	n.server = ingress.NewServer(n.forwarder.Serve, n.limits)
 	n.directory = newDirectory(n)
 	n.config = newConfiguration(n)
