--- a/gate/health.go
+++ b/gate/health.go
@@ -71,10 +71,20 @@
 	case Unreached:
 		h.bad(at, suspicionUnreached)
 	case Shed:
-		h.bad(at, suspicionShed)
+		h.shed(at)
 	}
 }
 
+// shed takes a refusal of the upstream. On trial it says neither that the upstream
+// does its work nor that it does not: one that sheds half of it would never get out.
+func (h *health) shed(at time.Time) {
+	if h.trial {
+		h.trialHeard = at
+		return
+	}
+	h.bad(at, suspicionShed)
+}
+
 // learn moves the mean answer time, of good answers alone: errors are often quick.
 func (h *health) learn(took time.Duration) {
 	if h.usual == 0 {
@@ -171,7 +181,7 @@
 	switch m.Outcome {
 	case Good, Erred:
 		a.answered(e.sample, m.Took)
-	case CallFailed:
+	case CallFailed, Shed:
 		a.alive(e.sample) // How long it took says nothing of its kind.
 	default:
 		a.unanswered(m.At, e.sample)
