The soak says what became of a request on its way, where no log does

Change: a violation carries the connection, whether it was used before, and when the request was written and the first byte came. No check is changed. Conclusion: not a mend. The next violation can be traced.

--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -52,6 +53,8 @@
 		s.ledger.violate("harness: %v", err)
 		return
 	}
+	way := &connectionStory{begun: time.Now()}
+	r = r.WithContext(httptrace.WithClientTrace(ctx, way.trace()))
 	r.Host = "soak.example"
 	r.Header.Set("Attempt-Id", attempt)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(callDeadline.Milliseconds(), 10))
@@ -61,7 +64,7 @@
 	answer, err := client.Do(r)
 	if err != nil {
 		s.ledger.noteEnd(n.name + " without an answer")
-		s.unanswered(ctx, n, attempt, life, err)
+		s.unanswered(ctx, n, attempt, life, errors.Wrap(err, way.String()))
 		return
 	}
 	s.ledger.noteEnd(fmt.Sprint(n.name, " ", answer.StatusCode, " ", answer.Header.Get(result.Header)))
@@ -93,7 +96,7 @@
 	harmed := time.Since(time.Unix(0, n.harmed.Load())) < harmTime
 	var late net.Error
 	if errors.As(err, &late) && late.Timeout() && !harmed {
-		s.ledger.violate("LOST: %s by %s, life %d: no answer in %v", attempt, n.name, life, callTimeout)
+		s.ledger.violate("LOST: %s by %s, life %d: no answer in %v: %v", attempt, n.name, life, callTimeout, err)
 		return
 	}
 	if !harmed && s.ledger.runs(attempt) > 0 {
