Each mechanism that decides can be switched off in the settings

Cause: the operators ask for an ablation, on any deployment; until now it took edits of code. Change: 'off' in a node's settings names mechanisms (package switches); unknown names fail the start with all other faults. Nothing is off by default; the start's log line says what is.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -6,6 +6,7 @@
 
 	"eiderfold/budget"
 	"eiderfold/link"
+	"eiderfold/switches"
 )
 
 // grantTime is how long a granted slot waits for its commit: far over a round trip,
@@ -168,7 +169,7 @@
 	busy := a.busy()
 	switch {
 	case a.Mode() != link.ModeTrial:
-		return busy < a.slots && (e.Retryable || e.Force || a.evidence(at) < silenceAtHold)
+		return busy < a.slots && !a.holds(at, e)
 	case e.Force:
 		return busy < a.forced(a.slots)
 	default:
@@ -176,6 +177,14 @@
 	}
 }
 
+// holds tells whether an order has to wait because the upstream may not answer it.
+func (a *Admission) holds(at time.Time, e *entry) bool {
+	if e.Retryable || e.Force || !a.switches.On(switches.Hold) {
+		return false
+	}
+	return a.evidence(at) >= silenceAtHold
+}
+
 // trying returns how many tries are in hand: attempts of this trial that may still
 // succeed. What hung before it began holds a slot, and keeps no try out.
 func (a *Admission) trying() int {
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -8,6 +8,7 @@
 
 	"eiderfold/link"
 	"eiderfold/port"
+	"eiderfold/switches"
 )
 
 // deadlineMargin is how long before a deadline an upstream may answer that it has
@@ -42,7 +43,7 @@
 	a, f := g.client.do(ctx, c.offer.Content, terms, !c.offer.Retryable)
 	took := time.Since(began)
 	frame, outcome := g.result(c, a, f)
-	if outcome == Erred && g.excused(began, time.Now()) {
+	if outcome == Erred && g.switches.On(switches.OwnCalls) && g.excused(began, time.Now()) {
 		outcome = CallFailed
 	}
 	g.log.Debug("attempt ended", zap.String("attempt", c.offer.Attempt), zap.String("upstream", upstream),
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -10,6 +10,7 @@
 	"eiderfold/budget"
 	"eiderfold/link"
 	"eiderfold/port"
+	"eiderfold/switches"
 )
 
 const (
@@ -66,6 +67,7 @@
 	calls     map[link.Key]*call
 	ended     map[link.Key]ended
 	failures  []callFailure
+	switches  switches.Set
 	done      chan struct{}
 }
 
@@ -79,6 +81,9 @@
 // it, it starts none.
 func WithBudget(b *budget.Budget) Option { return func(g *Gate) { g.budget = b } }
 
+// WithSwitches says which mechanisms are on; without it, all are.
+func WithSwitches(s switches.Set) Option { return func(g *Gate) { g.switches = s } }
+
 // WithCounters tells the gate who counts.
 func WithCounters(c Counters) Option { return func(g *Gate) { g.counters = c } }
 
@@ -106,6 +111,7 @@
 		g.budget = budget.New(0, 0, time.Now())
 	}
 	g.admission = NewAdmission(u.Service, g.budget)
+	g.admission.switches = g.switches
 	g.client = &client{address: u.Address, dialect: dialect, dialed: func() { g.count("upstream_connections") }}
 	return g
 }
--- a/gate/health.go
+++ b/gate/health.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"eiderfold/switches"
+)
 
 const (
 	// trialAt is the suspicion at which the gate goes on trial. One reset or
@@ -45,6 +49,7 @@
 
 // health follows from the outcomes whether the upstream does real work.
 type health struct {
+	switches   switches.Set
 	suspicion  float64
 	trial      bool
 	goods      int
@@ -133,7 +138,7 @@
 		h.bads++
 		return
 	}
-	if h.suspicion < trialAt {
+	if h.suspicion < trialAt || !h.switches.On(switches.Trials) {
 		return
 	}
 	h.trial = true
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -13,7 +13,7 @@
 	}
 	a.past = remember(a.past, a.upstream)
 	a.upstream = ""
-	a.health = health{usual: a.usual, silence: silence{kinds: a.kinds}}
+	a.health = health{switches: a.switches, usual: a.usual, silence: silence{kinds: a.kinds}}
 }
 
 // remember adds a name, in place of the oldest one if there are too many.
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -5,6 +5,7 @@
 
 	"eiderfold/budget"
 	"eiderfold/link"
+	"eiderfold/switches"
 )
 
 // Handle takes a message of an ingress.
@@ -39,7 +40,7 @@
 		Upstream:  o.Upstream,
 		Deadline:  c.deadline,
 		Aim:       aim(now, c.deadline, o.Aim),
-		Priority:  o.Priority,
+		Priority:  g.priority(o.Priority),
 		Retryable: o.Retryable,
 		Force:     o.Force,
 		Ready:     o.Content != nil,
@@ -57,6 +58,14 @@
 	return now.Add(left)
 }
 
+// priority is that of an offer, or the same for all where priorities are off.
+func (g *Gate) priority(p int) int {
+	if g.switches.On(switches.Priority) {
+		return p
+	}
+	return 0
+}
+
 // commit gives a granted offer its content and its go-ahead.
 func (g *Gate) commit(now time.Time, from Sink, m *link.Commit) {
 	g.mu.Lock()
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"eiderfold/switches"
 )
 
 const (
@@ -44,7 +46,7 @@
 // likely is the time that most answers of a kind of request take; the mean of all
 // kinds until this one has been answered.
 func (a *Admission) likely(kind uint32) time.Duration {
-	if t := a.kinds[kind]; t != nil && t.count > 0 {
+	if t := a.kinds[kind]; t != nil && t.count > 0 && a.switches.On(switches.KindTimes) {
 		return t.median()
 	}
 	return a.usual
--- a/gate/settle.go
+++ b/gate/settle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"eiderfold/link"
+	"eiderfold/switches"
 )
 
 // ticked ends what has waited for too long, and counts attempts that hang.
@@ -24,10 +25,10 @@
 			a.bad(at, suspicionHang)
 		}
 	}
-	if !a.trial && a.silent(at) {
+	if !a.trial && a.switches.On(switches.Silence) && a.silent(at) {
 		a.fallSilent(at)
 	}
-	if a.trial {
+	if a.trial && a.switches.On(switches.Warnings) {
 		out = append(out, a.warn(at)...)
 	}
 	return out
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"eiderfold/link"
+	"eiderfold/switches"
 )
 
 const (
@@ -74,7 +75,7 @@
 			c.trial = append(c.trial, n)
 		}
 	}
-	c.below = float64(open) < t.leastOpen(live)
+	c.below = t.switches.On(switches.Forced) && float64(open) < t.leastOpen(live)
 	return c
 }
 
@@ -115,10 +116,10 @@
 // best takes the better of two open gates, in the own data centre first.
 func (t *Targets) best(open []*Target) *Target {
 	pool := withoutSlow(open)
-	if rand.Float64() < exploreShare {
+	if rand.Float64() < exploreShare || !t.switches.On(switches.SlowLast) {
 		pool = open
 	}
-	if rand.Float64() > farShare {
+	if rand.Float64() > farShare && t.switches.On(switches.Near) {
 		pool = t.nearFirst(pool)
 	}
 	a, b := oneOf(pool), oneOf(pool)
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -7,6 +7,7 @@
 	"eiderfold/core"
 	"eiderfold/link"
 	"eiderfold/route"
+	"eiderfold/switches"
 )
 
 // event is a gate's message about an offer, or a change of the way to it.
@@ -92,7 +93,7 @@
 		retryable: f.route.Retryable,
 		trials:    f.runs+1 < f.route.Attempts && !f.forwarder.targets.spent(f.service, now),
 		priority:  f.route.Priority,
-		nearOnly:  len(f.offers) > 0 && !f.busy() && now.Before(f.began.Add(f.farAfter())),
+		nearOnly:  len(f.offers) > 0 && !f.busy() && now.Before(f.began.Add(f.farAfter())) && f.forwarder.targets.switches.On(switches.Near),
 		tried:     f.tried,
 	}
 }
--- a/ingress/repeat.go
+++ b/ingress/repeat.go
@@ -5,6 +5,7 @@
 
 	"eiderfold/budget"
 	"eiderfold/link"
+	"eiderfold/switches"
 )
 
 const (
@@ -75,7 +76,7 @@
 
 // hedge offers a slow retryable request to a second gate.
 func (f *flight) hedge(now time.Time) {
-	if f.mayRepeat(now) && len(f.offers) < mostOffers {
+	if f.mayRepeat(now) && len(f.offers) < mostOffers && f.forwarder.targets.switches.On(switches.Hedges) {
 		f.cause = causeHedge
 		f.next(now)
 	}
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"eiderfold/link"
+	"eiderfold/switches"
 )
 
 const (
@@ -88,6 +89,7 @@
 	dataCentre string
 	floorShare atomic.Pointer[float64]
 	mu         sync.Mutex // Held by writers of services.
+	switches   switches.Set
 	services   atomic.Pointer[map[string][]*Target]
 	spentUntil sync.Map // UnixNano by service, until which its budget counts as spent.
 }
@@ -112,6 +114,9 @@
 	return t
 }
 
+// SetSwitches says which mechanisms are on, before the first choice.
+func (t *Targets) SetSwitches(s switches.Set) { t.switches = s }
+
 // SetFloorShare changes the part that must not be set aside.
 func (t *Targets) SetFloorShare(share float64) { t.floorShare.Store(&share) }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -55,6 +55,7 @@
 	ratio, slack := s.Retries()
 	n.budget = budget.New(ratio, slack, time.Now())
 	n.settings.Store(s)
+	n.targets.SetSwitches(s.Switches())
 	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, p.Dialect, log, metrics,
 		ingress.WithRepeatedRuns(func(deadline time.Time) bool { return n.gate.RunsRepeat(deadline) }),
 		ingress.WithFailures(func(arrived time.Time) { n.gate.NoteFailure(arrived) }))
@@ -63,7 +64,7 @@
 	n.config = newConfiguration(n)
 	n.links = newLinks(n)
 	n.gate = gate.New(gate.Upstream{Address: s.Upstream(), Service: s.Service()}, p.Dialect, log,
-		gate.WithBudget(n.budget), gate.WithRecords(n.directory), gate.WithCounters(metrics), gate.WithAnnounce(n.links.announce), gate.WithHealthPath(n.healthPath))
+		gate.WithBudget(n.budget), gate.WithSwitches(s.Switches()), gate.WithRecords(n.directory), gate.WithCounters(metrics), gate.WithAnnounce(n.links.announce), gate.WithHealthPath(n.healthPath))
 	n.links.addLocal()
 	return n
 }
@@ -108,7 +109,8 @@
 	if err != nil {
 		return err
 	}
-	n.log.Info("start", zap.String("node", n.self.Name), zap.String("service", n.self.Service), zap.Uint64("process", n.process))
+	n.log.Info("start", zap.String("node", n.self.Name), zap.String("service", n.self.Service), zap.Uint64("process", n.process),
+		zap.Stringer("off", n.settings.Load().Switches()))
 	running, cancel := context.WithCancel(context.Background()) // Until the stop has ended, past ctx.
 	defer cancel()
 	n.settled = time.Now().Add(meetTime)
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -7,6 +7,8 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
+
+	"eiderfold/switches"
 )
 
 // Standard values of fields of a mesh node that may be left out.
@@ -33,6 +35,8 @@
 	Retries    retries    `yaml:"retries"`
 	Stop       meshStop   `yaml:"stop"`
 	Log        logFields  `yaml:"log"`
+	// Off names mechanisms to switch off, for measurements.
+	Off []string `yaml:"off"`
 }
 
 type upstream struct {
@@ -140,6 +144,12 @@
 // Grace returns how long after SIGTERM the process is killed.
 func (m *Mesh) Grace() time.Duration { return m.file.Stop.Grace }
 
+// Switches returns which mechanisms are on.
+func (m *Mesh) Switches() switches.Set {
+	s, _ := switches.Off(m.file.Off...) // Checked with the file.
+	return s
+}
+
 // LogLevel returns the least level that is logged.
 func (m *Mesh) LogLevel() string { return m.file.Log.Level }
 
--- a/settings/meshcheck.go
+++ b/settings/meshcheck.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"slices"
+
+	"eiderfold/switches"
 )
 
 // faultFunc takes note of what is wrong with a field.
@@ -65,6 +67,9 @@
 	if f.Retries.Ratio < 0 || f.Retries.Slack < 0 {
 		fault("retries", "ratio %v and slack %v must not be under 0", f.Retries.Ratio, f.Retries.Slack)
 	}
+	if _, err := switches.Off(f.Off...); err != nil {
+		fault("off", "%v", err)
+	}
 	if f.Stop.Grace < leastMeshGrace {
 		fault("stop.grace", "%v is under %v", f.Stop.Grace, leastMeshGrace)
 	}
--- a/settings/meshcheck_test.go
+++ b/settings/meshcheck_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"eiderfold/switches"
 )
 
 const goodMesh = `node: n1
@@ -35,6 +37,7 @@
 retries: {ratio: -1}
 stop: {grace: 500ms}
 log: {level: loud, format: console}
+off: [hedges, luck]
 `))
 	assert.EqualError(t, err, `node.yaml: fleet.acknowledge: -1s is under 0
 node.yaml: fleet.floor_share: 1.5 is not between 0 and 1
@@ -42,7 +45,16 @@
 node.yaml: log.format: "console": a mesh node logs json
 node.yaml: log.level: "loud" is none of debug, info, warn, error
 node.yaml: node: is missing
+node.yaml: off: unknown mechanism luck; known are silence, hold, warnings, own-calls, kind-times, trials, forced, hedges, near, slow-last, priority
 node.yaml: retries: ratio -1 and slack 20 must not be under 0
 node.yaml: stop.grace: 500ms is under 1s
 node.yaml: upstream.address: "10.0.0.1" is no IP:port`)
 }
+
+// TestMeshSwitches switches mechanisms off by name; all others stay on.
+func TestMeshSwitches(t *testing.T) {
+	m, err := ParseMesh("node.yaml", []byte(goodMesh+"off: [hedges]\n"))
+	require.NoError(t, err)
+	assert.False(t, m.Switches().On(switches.Hedges))
+	assert.True(t, m.Switches().On(switches.Silence))
+}
