eiderctl losses: why requests were not served in time, from the logs of all nodes

Change: 'eiderctl losses' attributes every request that failed, was late or was abandoned to a cause, by route as a table and by second as a plot. Lines that are no log lines are counted, stories that miss the gate's line are told as incomplete.

--- /dev/null
+++ b/cmd/eiderctl/losses.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+// cause says why a request was not served in time.
+type cause string
+
+// Causes, as far as the logs tell. What an upstream did stands in its gate's line, so
+// the logs of all nodes are needed.
+const (
+	upstreamSilent  cause = "upstream silent"
+	upstreamErred   cause = "upstream erred"
+	upstreamBroke   cause = "upstream reset or cut"
+	upstreamShed    cause = "upstream shed"
+	callFailed      cause = "own call failed"
+	noSlot          cause = "no slot"
+	allOnTrial      cause = "gates on trial"
+	budgetSpent     cause = "repeat budget spent"
+	gateClosed      cause = "gates closed"
+	notReached      cause = "node or link lost"
+	noConfiguration cause = "no configuration"
+	lateByQueue     cause = "late by queue"
+	lateByWork      cause = "late by work"
+	callerLeft      cause = "caller left"
+	incomplete      cause = "story incomplete"
+)
+
+// requestPrefix begins the message of a request's last line, attemptMessage is that
+// of a gate about an attempt.
+const (
+	requestPrefix  = "request "
+	attemptMessage = "attempt without a good answer"
+)
+
+// loss is a request that was not served in time.
+type loss struct {
+	line  logLine
+	cause cause
+}
+
+// losses collects what logs say of requests that were not served in time.
+type losses struct {
+	requests []logLine
+	outcomes map[string]string // Of an attempt's latest run, by the request's id.
+	skipped  int               // Lines that are no log lines.
+}
+
+func lossesCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "losses [FILE...]",
+		Short: "Say why requests were not served in time, by route and second, from the logs of all nodes",
+		Long: "Reads structured logs of nodes from files, or from standard input, and attributes every\n" +
+			"request that failed, was late or was abandoned to its cause. Lines that are no log lines\n" +
+			"are skipped and counted; a request whose gate's line is missing is told as incomplete.",
+		Example: "  eiderctl losses node-*.log",
+		RunE: func(c *cobra.Command, args []string) error {
+			l := &losses{outcomes: map[string]string{}}
+			if err := l.collect(args, c.InOrStdin()); err != nil {
+				return err
+			}
+			return l.print(c.OutOrStdout())
+		},
+	}
+}
+
+// collect reads files, or in where there are none.
+func (l *losses) collect(files []string, in io.Reader) error {
+	if len(files) == 0 {
+		return l.read(in)
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		err = l.read(f)
+		_ = f.Close() // It was only read.
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+	}
+	return nil
+}
+
+func (l *losses) read(in io.Reader) error {
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		line, ok := parseLine(s.Text())
+		if !ok {
+			l.skipped++
+			continue
+		}
+		l.take(line)
+	}
+	return errors.Wrap(s.Err(), "read")
+}
+
+// take keeps a line about a request that was not served in time, or about an attempt.
+func (l *losses) take(line logLine) {
+	switch {
+	case line.message == attemptMessage:
+		l.outcomes[line.text("attempt")] = line.text("outcome")
+	case line.message == "request failed", line.message == "request late", line.message == "request abandoned":
+		l.requests = append(l.requests, line)
+	}
+}
+
+// attribute returns the losses in the order of time.
+func (l *losses) attribute() []loss {
+	slices.SortStableFunc(l.requests, func(a, b logLine) int { return strings.Compare(a.time, b.time) })
+	var out []loss
+	for _, r := range l.requests {
+		if status, _ := r.rest["status"].(float64); status == 404 {
+			continue // No route: nothing was lost.
+		}
+		out = append(out, loss{line: r, cause: l.causeOf(r)})
+	}
+	return out
+}
+
+// causeOf reads a request's last line, and its gate's where that decides.
+func (l *losses) causeOf(r logLine) cause {
+	own, _ := r.rest["own"].(bool)
+	runs, _ := r.rest["runs"].(float64)
+	switch {
+	case r.message == requestPrefix+"late":
+		return lateness(r)
+	case r.message == requestPrefix+"abandoned" && runs == 0:
+		return callerLeft
+	case own && runs == 0:
+		return refusal(r)
+	default:
+		return l.outcome(r)
+	}
+}
+
+// lateness tells whether a late request waited for most of its time or ran for it.
+func lateness(r logLine) cause {
+	waited, _ := r.rest["waited"].(float64)
+	took, _ := r.rest["took"].(float64)
+	if waited > took/2 {
+		return lateByQueue
+	}
+	return lateByWork
+}
+
+// refusal reads why a request that never ran was refused.
+func refusal(r logLine) cause {
+	if r.text("result") == "no-configuration" {
+		return noConfiguration
+	}
+	switch r.text("refused") {
+	case "trial":
+		return allOnTrial
+	case "busy", "expired":
+		return noSlot
+	case "budget":
+		return budgetSpent
+	case "closed", "misdirected":
+		return gateClosed
+	case "shed":
+		return upstreamShed
+	case "not-connected", "never-seen":
+		return notReached
+	default:
+		return noSlot // No gate was asked: all were known to be full.
+	}
+}
+
+// outcome reads what became of a request that ran.
+func (l *losses) outcome(r logLine) cause {
+	if r.text("refused") == "budget" {
+		return budgetSpent
+	}
+	doubt := r.text("doubt")
+	if strings.Contains(doubt, "the link to") || strings.Contains(doubt, "has been restarted") {
+		return notReached
+	}
+	switch l.outcomes[r.text("attempt")] {
+	case "no-evidence":
+		return upstreamSilent
+	case "erred":
+		return upstreamErred
+	case "call-failed":
+		return callFailed
+	case "broken", "unreached", "replaced":
+		return upstreamBroke
+	case "shed":
+		return upstreamShed
+	default:
+		return incomplete
+	}
+}
+
+// text returns a field of a line, "" where it is none of text.
+func (l logLine) text(field string) string {
+	value, _ := l.rest[field].(string)
+	return value
+}
--- a/cmd/eiderctl/main.go
+++ b/cmd/eiderctl/main.go
@@ -104,7 +104,7 @@
 	flags.StringVar(&o.authority, "authority", os.Getenv("EIDERCTL_AUTHORITY"), "PEM file of the authority that signed the nodes' keys")
 	flags.StringVarP(&o.output, "output", "o", "table", "table, json or yaml")
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &exitError{err, exitUsage} })
-	c.AddCommand(explainCommand(), templateCommand(o), accountCommand(o), validateCommand(), statusCommand(o), dumpCommand(o))
+	c.AddCommand(explainCommand(), lossesCommand(), templateCommand(o), accountCommand(o), validateCommand(), statusCommand(o), dumpCommand(o))
 	return c
 }
 
