A gate's answer times come with its answers, and old ones are forgotten

The gates were open: a gate told its mean answer time only when its mode changed. One that came off a trial with 1.3 s was shunned for 11 s, as nothing newer was ever learned of it, and those that had never been on trial counted as answering in a millisecond. The share of random looks did not help: the better of two was taken among them as well. TestOldPaceIsForgotten and TestUnknownPaceIsNoAdvantage fail on the code before.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -96,5 +96,8 @@
 	if !c.offer.Retryable {
 		g.ended[c.offer.Key] = ended{frame: frame, expires: time.Now().Add(keptAnswers)}
 	}
+	if frame.Answer != nil {
+		frame.Answer.Usual = g.admission.usual
+	}
 	c.sink.Send(frame)
 }
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -210,7 +210,7 @@
 func (g *modelGate) connect() {
 	l := &modelLink{gate: g, to: make(chan *link.Frame, 256), back: make(chan *link.Frame, 256), closed: make(chan struct{})}
 	g.link = l
-	g.target.SetStatus(g.gate.Status())
+	g.target.SetStatus(g.gate.Status(), time.Now())
 	gate := g.gate
 	go l.carry(l.to, func(f *link.Frame) { g.toGate(gate, l, f) }, func() { gate.Lost(returning{l}) })
 	go l.carry(l.back, g.toIngress, func() {})
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -91,7 +91,7 @@
 	}
 	switch {
 	case len(c.open) > 0:
-		return choice{target: t.best(c.open)}
+		return choice{target: t.best(c.open, now)}
 	case len(c.trial) > 0 && (c.below || mayTry):
 		return choice{target: leastSuspect(c.trial), force: c.below}
 	case len(c.doubtful) > 0:
@@ -114,16 +114,20 @@
 }
 
 // best takes the better of two open gates, in the own data centre first.
-func (t *Targets) best(open []*Target) *Target {
-	pool := withoutSlow(open)
-	if rand.Float64() < exploreShare || !t.switches.On(switches.SlowLast) {
+func (t *Targets) best(open []*Target, now time.Time) *Target {
+	median := medianPace(open, now)
+	pool := withoutSlow(open, median, now)
+	if !t.switches.On(switches.SlowLast) {
 		pool = open
 	}
 	if rand.Float64() > farShare && t.switches.On(switches.Near) {
 		pool = t.nearFirst(pool)
 	}
+	if rand.Float64() < exploreShare {
+		return oneOf(t.nearFirst(open))
+	}
 	a, b := oneOf(pool), oneOf(pool)
-	if b.cost() < a.cost() {
+	if b.cost(median, now) < a.cost(median, now) {
 		return b
 	}
 	return a
@@ -149,28 +153,28 @@
 }
 
 // withoutSlow leaves out gates whose answers take far longer than the median.
-func withoutSlow(list []*Target) []*Target {
-	times := make([]time.Duration, len(list))
-	for i, n := range list {
-		times[i] = n.Status().Usual
-	}
-	slices.Sort(times)
-	bound := time.Duration(slowFactor * float64(times[len(times)/2]))
+func withoutSlow(list []*Target, median time.Duration, now time.Time) []*Target {
+	bound := time.Duration(slowFactor * float64(median))
 	if bound == 0 {
 		return list
 	}
 	var out []*Target
 	for _, n := range list {
-		if n.Status().Usual <= bound {
+		if n.pace.at(now) <= bound {
 			out = append(out, n)
 		}
 	}
 	return out
 }
 
-// cost is the time a request would take at the gate, as far as this node can tell.
-func (t *Target) cost() float64 {
+// cost is the time a request would take at the gate, as far as this node can tell. A
+// gate of which nothing recent is known counts as the median.
+func (t *Target) cost(median time.Duration, now time.Time) float64 {
 	s := t.Status()
+	mean := t.pace.at(now)
+	if mean == 0 {
+		mean = max(median, time.Millisecond)
+	}
 	busy := 1 + float64(t.inFlight.Load())/float64(max(s.Slots, 1))
-	return busy * float64(max(s.Usual, time.Millisecond)) * (1 + s.Suspect)
+	return busy * float64(mean) * (1 + s.Suspect)
 }
--- a/ingress/flight_test.go
+++ b/ingress/flight_test.go
@@ -37,7 +37,7 @@
 	var ways []*sentFrames
 	for range gates {
 		n := NewTarget(link.Member{Service: "a", DataCentre: "near"})
-		n.SetStatus(link.Status{Mode: link.ModeOpen, Slots: 4})
+		n.SetStatus(link.Status{Mode: link.ModeOpen, Slots: 4}, time.Unix(1000, 0))
 		w := &sentFrames{}
 		f.Connected(n, w, 1)
 		targets.Add(n)
--- a/ingress/outcome.go
+++ b/ingress/outcome.go
@@ -24,6 +24,7 @@
 // answered returns the answer, unless it is an error that a repeat may better.
 func (f *flight) answered(o *offer, a *link.Answer, now time.Time) *Response {
 	f.forget(o)
+	o.target.pace.note(a.Usual, now)
 	r := &Response{Status: a.Status, Header: a.Header, Body: a.Body}
 	if a.Status < http.StatusInternalServerError {
 		f.usual.Add(now.Sub(o.started))
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -33,6 +33,7 @@
 	way      atomic.Pointer[way]
 	status   atomic.Pointer[link.Status]
 	suspects atomic.Int64 // UnixNano until which it is avoided.
+	pace     pace
 	inFlight atomic.Int32
 	trialAt  atomic.Int64 // UnixNano before which a try on trial is refused.
 	busyAt   atomic.Int64 // UnixNano before which its queue is full,
@@ -70,7 +71,10 @@
 func (t *Target) Status() link.Status { return *t.status.Load() }
 
 // SetStatus takes the gate's word about itself.
-func (t *Target) SetStatus(s link.Status) { t.status.Store(&s) }
+func (t *Target) SetStatus(s link.Status, now time.Time) {
+	t.status.Store(&s)
+	t.pace.note(s.Usual, now)
+}
 
 // Reachable tells whether there is a connection.
 func (t *Target) Reachable() bool { return t.way.Load() != nil }
--- a/ingress/target_test.go
+++ b/ingress/target_test.go
@@ -31,7 +31,7 @@
 			mode = link.ModeClosed
 		}
 		n := NewTarget(link.Member{Service: "a", DataCentre: dataCentre})
-		n.SetStatus(link.Status{Mode: mode, Slots: 4, Usual: 100 * time.Millisecond})
+		n.SetStatus(link.Status{Mode: mode, Slots: 4, Usual: 100 * time.Millisecond}, time.Unix(1000, 0))
 		n.way.Store(&way{sink: deadSink{}})
 		targets.Add(n)
 		all = append(all, n)
@@ -86,7 +86,7 @@
 
 func TestSlowGateIsLastResort(t *testing.T) {
 	targets, all := gates("OOO")
-	all[0].SetStatus(link.Status{Mode: link.ModeOpen, Slots: 4, Usual: time.Second})
+	all[0].SetStatus(link.Status{Mode: link.ModeOpen, Slots: 4, Usual: time.Second}, time.Unix(1000, 0))
 	counts := chosen(targets, all, want{})
 	assert.Less(t, counts[0], 100)
 	assert.Positive(t, counts[0], "now and then it is looked at")
@@ -107,3 +107,23 @@
 	all[1].way.Store(nil)
 	assert.Equal(t, 4000, chosen(targets, all, want{retryable: true})[2])
 }
+
+// TestOldPaceIsForgotten lets a gate be slow by its last word, without work since: after
+// a while it is chosen as others are, or it would never show that it has recovered.
+func TestOldPaceIsForgotten(t *testing.T) {
+	targets, all := gates("OOO")
+	now := time.Unix(1000, 0)
+	all[0].SetStatus(link.Status{Mode: link.ModeOpen, Slots: 4, Usual: time.Second}, now.Add(-paceTrust))
+	counts := chosen(targets, all, want{})
+	assert.InDelta(t, 4000/3, counts[0], 300)
+}
+
+// TestUnknownPaceIsNoAdvantage compares a gate that has never told its answer times
+// with others that have.
+func TestUnknownPaceIsNoAdvantage(t *testing.T) {
+	targets, all := gates("OOO")
+	all[0].pace.mean.Store(0)
+	all[0].pace.until.Store(0)
+	counts := chosen(targets, all, want{})
+	assert.InDelta(t, 4000/3, counts[0], 300)
+}
--- a/link/message.go
+++ b/link/message.go
@@ -107,6 +107,7 @@
 	Status int                 `cbor:"2,keyasint"`
 	Header map[string][]string `cbor:"3,keyasint"`
 	Body   []byte              `cbor:"4,keyasint,omitempty"`
+	Usual  time.Duration       `cbor:"5,keyasint,omitempty"` // Mean time of the gate's answers.
 }
 
 // Failed says that the request may have run and that no answer came of it.
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -47,7 +47,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.node.gate.Status() // What is told last must be what is so now.
-	l.local.SetStatus(s)
+	l.local.SetStatus(s, now)
 	urgent := s.Mode == link.ModeClosed || l.told == link.ModeClosed
 	l.told = s.Mode
 	for in, from := range l.inbound {
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -90,7 +90,7 @@
 	case f.Hello != nil:
 		p.greet(l, f.Hello)
 	case f.Status != nil:
-		p.current().SetStatus(*f.Status)
+		p.current().SetStatus(*f.Status, time.Now())
 	case f.Configuration != nil:
 		p.know(f.Configuration.Version)
 		n.config.handle(f.Configuration, l)
@@ -115,7 +115,7 @@
 		n.targets.Remove(old)
 		n.targets.Add(target)
 	}
-	target.SetStatus(h.Status)
+	target.SetStatus(h.Status, time.Now())
 	p.links.measure(l, h.Member.DataCentre == n.self.DataCentre)
 	n.forwarder.Connected(target, l, h.Process)
 	p.know(h.Version)
