Slow gates are avoided past three times the median

Cause: since answer times come with answers they are the truth of the last seconds, and with a mix of short and long requests sound gates differ by a factor of two.

--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -23,7 +23,8 @@
 	// farShare of the choices ignore the data centre, for the same reason.
 	farShare = 0.005
 	// slowFactor is how many times the median answer time makes a gate the last resort.
-	slowFactor = 2.0
+	// Gates see different mixes of short and long requests, so their means differ by two.
+	slowFactor = 3.0
 )
 
 // want says what a request needs of a gate.
