--- a/cmd/eiderctl/losses.go
+++ b/cmd/eiderctl/losses.go
@@ -110,7 +110,7 @@
 	switch {
 	case line.message == attemptMessage:
 		l.outcomes[line.text("attempt")] = line.text("outcome")
-	case line.message == "request failed", line.message == "request late", line.message == "request abandoned":
+	case line.message == requestPrefix+"failed", line.message == requestPrefix+"late", line.message == requestPrefix+"abandoned":
 		l.requests = append(l.requests, line)
 	}
 }
@@ -198,10 +198,19 @@
 	case "shed":
 		return upstreamShed
 	default:
-		return incomplete
+		return l.unexplained(r)
 	}
 }
 
+// unexplained is the cause where no gate wrote a line: a caller that left an order which
+// ended well is no gap in the logs.
+func (l *losses) unexplained(r logLine) cause {
+	if r.message == requestPrefix+"abandoned" {
+		return callerLeft
+	}
+	return incomplete
+}
+
 // text returns a field of a line, "" where it is none of text.
 func (l logLine) text(field string) string {
 	value, _ := l.rest[field].(string)
