Reload says that switched mechanisms need a restart; comments on the silence test

Cause: read as a newcomer: a changed 'off' was taken without a word and without effect. Change: restart_needed of the reload's line covers it; two comments.

--- a/gate/doc.go
+++ b/gate/doc.go
@@ -6,6 +6,9 @@
 // commands. Gate carries the commands out: it answers offers, talks HTTP to the
 // upstream and keeps ended answers for a while, in case a link broke under them.
 //
+// Whether the upstream does its work is judged by outcomes (health) and, while attempts
+// still run, by their silence: each is compared with how long its kind of request takes.
+//
 // An offer goes through these states:
 //
 //	offered -> queued -> granted -> committed (running) -> ended
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -87,7 +87,8 @@
 	b.closed = true
 }
 
-// forget drops all evidence, but not what answers usually take.
+// forget drops all evidence, but not what answers usually take. Proven says whether the
+// upstream has just been seen to answer.
 func (s *silence) forget(proven bool) {
 	s.samples = nil
 	s.proven = proven
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -77,7 +77,8 @@
 	n.targets.SetFloorShare(s.FloorShare())
 	moved := s.Node() != old.Node() || s.Callers() != old.Callers() || s.Links() != old.Links() || s.Upstream() != old.Upstream() ||
 		s.Service() != old.Service() || s.Store() != old.Store() || s.DataCentre() != old.DataCentre() ||
-		s.Advertised() != old.Advertised() || s.Reports() != old.Reports() || s.Ready() != old.Ready() || s.Metrics() != old.Metrics()
+		s.Advertised() != old.Advertised() || s.Reports() != old.Reports() || s.Ready() != old.Ready() || s.Metrics() != old.Metrics() ||
+		s.Switches().String() != old.Switches().String()
 	n.log.Info("reload", zap.Bool("restart_needed", moved))
 }
 
