--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -81,7 +81,7 @@
 	outcome := Good
 	if a.status >= 500 {
 		outcome = Erred
-		if c.deadline.Sub(time.Now()) < deadlineMargin {
+		if time.Until(c.deadline) < deadlineMargin {
 			outcome = NoEvidence // It answers because time is up.
 		}
 	}
