eiderctl reads logs in one place

Cause: losses opened and scanned log files as explain does, the same loop twice. Change: eachLine serves both; no output changes, the tests keep their assertions. Measured: the tests of cmd/eiderctl, vet and staticcheck. Nothing that a node runs is touched.

--- a/cmd/eiderctl/explain.go
+++ b/cmd/eiderctl/explain.go
@@ -46,32 +46,40 @@
 
 func collectLines(id string, files []string, in io.Reader) ([]logLine, error) {
 	var lines []logLine
+	err := eachLine(files, in, func(text string) {
+		if l, ok := parseLine(text); ok && l.rest["attempt"] == id {
+			lines = append(lines, l)
+		}
+	})
+	return lines, err
+}
+
+// eachLine hands over every line of some files, or of in where there are none.
+func eachLine(files []string, in io.Reader, take func(text string)) error {
 	if len(files) == 0 {
-		return readLines(id, in, lines)
+		return scanLines(in, take)
 	}
 	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
-			return nil, errors.Wrap(err, "log")
+			return errors.Wrap(err, "log")
 		}
-		lines, err = readLines(id, f, lines)
+		err = scanLines(f, take)
 		_ = f.Close() // It was only read.
 		if err != nil {
-			return nil, errors.Wrap(err, name)
+			return errors.Wrap(err, name)
 		}
 	}
-	return lines, nil
+	return nil
 }
 
-func readLines(id string, in io.Reader, lines []logLine) ([]logLine, error) {
+func scanLines(in io.Reader, take func(text string)) error {
 	s := bufio.NewScanner(in)
 	s.Buffer(nil, maxLogLine)
 	for s.Scan() {
-		if l, ok := parseLine(s.Text()); ok && l.rest["attempt"] == id {
-			lines = append(lines, l)
-		}
+		take(s.Text())
 	}
-	return lines, errors.Wrap(s.Err(), "read")
+	return errors.Wrap(s.Err(), "read")
 }
 
 // parseLine reads a JSON line, also behind the prefix of a log collector.
--- a/cmd/eiderctl/losses.go
+++ b/cmd/eiderctl/losses.go
@@ -1,13 +1,9 @@
 package main
 
 import (
-	"bufio"
-	"io"
-	"os"
 	"slices"
 	"strings"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 )
 
@@ -64,7 +60,7 @@
 		Example: "  eiderctl losses node-*.log",
 		RunE: func(c *cobra.Command, args []string) error {
 			l := &losses{outcomes: map[string]string{}}
-			if err := l.collect(args, c.InOrStdin()); err != nil {
+			if err := eachLine(args, c.InOrStdin(), l.read); err != nil {
 				return err
 			}
 			return l.print(c.OutOrStdout())
@@ -72,37 +68,14 @@
 	}
 }
 
-// collect reads files, or in where there are none.
-func (l *losses) collect(files []string, in io.Reader) error {
-	if len(files) == 0 {
-		return l.read(in)
+// read takes one line of a log; what is no log line is counted.
+func (l *losses) read(text string) {
+	line, ok := parseLine(text)
+	if !ok {
+		l.skipped++
+		return
 	}
-	for _, name := range files {
-		f, err := os.Open(name)
-		if err != nil {
-			return errors.Wrap(err, "log")
-		}
-		err = l.read(f)
-		_ = f.Close() // It was only read.
-		if err != nil {
-			return errors.Wrap(err, name)
-		}
-	}
-	return nil
-}
-
-func (l *losses) read(in io.Reader) error {
-	s := bufio.NewScanner(in)
-	s.Buffer(nil, maxLogLine)
-	for s.Scan() {
-		line, ok := parseLine(s.Text())
-		if !ok {
-			l.skipped++
-			continue
-		}
-		l.take(line)
-	}
-	return errors.Wrap(s.Err(), "read")
+	l.take(line)
 }
 
 // take keeps a line about a request that was not served in time, or about an attempt.
