Nodes' records need no lease, and a start needs three calls of the store in place of five

A record has no lease. Who lives is seen by the links; a record only tells newcomers whom to ask. It is written at a start, stays over a restart, is removed by a node that stops after its upstream has ended, and otherwise by the first few of those that forget a node they have not reached for two minutes; a node whose record is gone writes it again at its next reading, now every five minutes. What leaves is recorded beside it, under the instance's address, so that the one reading at the start tells it too and the number of records is bounded by that of instances; old ones are removed at the next reading.

TestHelloIsNotOlderThanStatus lets its node read the directory, which is where a gate now looks whether its upstream leaves. TestLeavingOutlivesTheProcess unchanged.

--- a/memory/directory.go
+++ b/memory/directory.go
@@ -23,23 +23,15 @@
 	gone  bool
 }
 
-type directoryEntry struct {
-	port.Entry
-	lease port.Lease
-}
-
 // Directory is a port.Directory in memory, with faults.
 type Directory struct {
 	mu       sync.Mutex
 	clock    port.Clock
 	faults   Faults
-	entries  map[string]directoryEntry
-	leases   map[port.Lease]time.Time // When each ends.
-	ttl      map[port.Lease]time.Duration
+	entries  map[string]port.Entry
 	history  []change
 	oldest   uint64 // Changes up to this revision are forgotten.
 	revision uint64
-	last     port.Lease
 	changed  chan struct{} // Closed, and replaced, with every change.
 }
 
@@ -49,9 +41,7 @@
 func NewDirectory(clock port.Clock) *Directory {
 	return &Directory{
 		clock:    clock,
-		entries:  map[string]directoryEntry{},
-		leases:   map[port.Lease]time.Time{},
-		ttl:      map[port.Lease]time.Duration{},
+		entries:  map[string]port.Entry{},
 		revision: 1,
 		changed:  make(chan struct{}),
 	}
@@ -73,15 +63,6 @@
 	d.oldest = d.revision
 }
 
-// Revoke ends all leases, with their keys.
-func (d *Directory) Revoke() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for l := range d.leases {
-		d.end(l)
-	}
-}
-
 // Get implements port.Directory.
 func (d *Directory) Get(_ context.Context, key string) (port.Entry, uint64, error) {
 	d.mu.Lock()
@@ -93,7 +74,7 @@
 	if !ok {
 		return port.Entry{Key: key}, d.revision, port.ErrMissing
 	}
-	return e.Entry, d.revision, nil
+	return e, d.revision, nil
 }
 
 // Peek implements port.Directory; here nothing is old.
@@ -111,7 +92,7 @@
 	var out []port.Entry
 	for key, e := range d.entries {
 		if strings.HasPrefix(key, prefix) {
-			out = append(out, e.Entry)
+			out = append(out, e)
 		}
 	}
 	slices.SortFunc(out, func(a, b port.Entry) int { return strings.Compare(a.Key, b.Key) })
@@ -162,19 +143,16 @@
 }
 
 // Put implements port.Directory.
-func (d *Directory) Put(_ context.Context, key string, value []byte, under port.Lease) error {
+func (d *Directory) Put(_ context.Context, key string, value []byte) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.begin(); err != nil {
 		return err
 	}
-	if _, ok := d.leases[under]; under != 0 && !ok {
-		return port.ErrMissing
-	}
 	d.revision++
-	e := directoryEntry{Entry: port.Entry{Key: key, Value: value, Version: d.revision}, lease: under}
+	e := port.Entry{Key: key, Value: value, Version: d.revision}
 	d.entries[key] = e
-	d.record(change{entry: e.Entry})
+	d.record(change{entry: e})
 	return d.answer()
 }
 
@@ -189,56 +167,8 @@
 	return d.answer()
 }
 
-// Grant implements port.Directory.
-func (d *Directory) Grant(_ context.Context, ttl time.Duration) (port.Lease, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err := d.begin(); err != nil {
-		return 0, err
-	}
-	d.last++
-	d.leases[d.last] = d.clock().Add(ttl)
-	d.ttl[d.last] = ttl
-	return d.last, d.answer()
-}
-
-// Renew implements port.Directory.
-func (d *Directory) Renew(_ context.Context, l port.Lease) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err := d.begin(); err != nil {
-		return err
-	}
-	if _, ok := d.leases[l]; !ok {
-		return port.ErrMissing
-	}
-	d.leases[l] = d.clock().Add(d.ttl[l])
-	return d.answer()
-}
-
-// End implements port.Directory.
-func (d *Directory) End(_ context.Context, l port.Lease) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err := d.begin(); err != nil {
-		return err
-	}
-	if _, ok := d.leases[l]; !ok {
-		return port.ErrMissing
-	}
-	d.end(l)
-	return d.answer()
-}
-
-// begin lets leases end that are over, and fails while the directory is out. The
-// lock is held.
+// begin fails while the directory is out. The lock is held.
 func (d *Directory) begin() error {
-	now := d.clock()
-	for l, at := range d.leases {
-		if now.After(at) {
-			d.end(l)
-		}
-	}
 	if d.faults.Out {
 		return port.ErrUnavailable
 	}
@@ -253,17 +183,6 @@
 	return nil
 }
 
-// end removes a lease and its keys, with the lock held.
-func (d *Directory) end(l port.Lease) {
-	delete(d.leases, l)
-	delete(d.ttl, l)
-	for key, e := range d.entries {
-		if e.lease == l {
-			d.remove(key)
-		}
-	}
-}
-
 // remove deletes a key, with the lock held.
 func (d *Directory) remove(key string) {
 	if _, ok := d.entries[key]; !ok {
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -1,8 +1,10 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,65 +17,61 @@
 )
 
 const (
-	// nodesPrefix is where the records of nodes are in the store.
-	nodesPrefix = "eiderfold/nodes/"
-	// leaseTime is how long a record outlives its node. Who is alive is seen by
-	// the links; the record only tells newcomers whom to ask.
-	leaseTime = 60 * time.Second
-	// renewEvery leaves two further tries before the lease ends.
-	renewEvery = 18 * time.Second
-	// readEvery is how often the directory is read again, for nodes that neither
-	// side could reach when they started.
-	readEvery = 60 * time.Second
-	// storeRetry is the pause after a failed call, doubled up to storeRetryMost; a
-	// lapsed record must be back within two seconds of the store's return.
+	// recordsPrefix is where this fleet's records are in the store: those of nodes, and
+	// those of upstreams that leave.
+	recordsPrefix = "eiderfold/"
+	nodesPrefix   = recordsPrefix + "nodes/"
+	// readEvery is how often the directory is read again, for nodes that neither side
+	// could reach when they started, and to find a record of the own that was removed.
+	// Links tell of everything else.
+	readEvery = 5 * time.Minute
+	// storeRetry is the pause after a failed call, doubled up to storeRetryMost.
 	storeRetry     = 700 * time.Millisecond
 	storeRetryMost = 1400 * time.Millisecond
+	// readPoll is the pace at which it is looked whether the directory has been read.
+	readPoll = 10 * time.Millisecond
 )
 
-// directory keeps this node's record in the store and reads the others'.
+// errNotRead says that the store cannot be reached and the directory was never read.
+var errNotRead = errors.New("the directory has not been read")
+
+// directory keeps this node's record in the store and reads the others'. A record has no
+// lease: who is alive is seen by the links, and a record only tells newcomers whom to ask.
+// So nothing has to be renewed, nothing lapses while the store is out, and a node that is
+// restarted finds all it needs in one reading. The record of a node that is gone for good
+// is removed by the first of those that forget it.
 type directory struct {
-	node    *Node
-	lease   port.Lease
-	renewAt time.Time // Zero to look after the record at once.
-	readAt  time.Time
-	retry   backoff
-	wasRead atomic.Bool   // It has been read since the start.
-	reached bool          // The last call to the store succeeded.
-	regain  chan struct{} // The store answers again, as another part has seen.
-	mu      sync.Mutex
-	left    map[string]bool // Upstreams recorded as leaving by this process.
+	node       *Node
+	registered bool
+	readAt     time.Time
+	retry      backoff
+	wasRead    atomic.Bool // It has been read since the start.
+	lost       atomic.Bool // The last call to the store failed.
+	ended      atomic.Bool // The upstream beside this node has ended for good.
+	seenLeft   []string    // Incarnations that were recorded as leaving at the last reading.
+	mu         sync.Mutex
+	left       map[string]bool // Incarnations beside this node that are recorded as leaving.
 }
 
 func newDirectory(n *Node) *directory {
-	return &directory{node: n, left: map[string]bool{}, retry: backoff{least: storeRetry, most: storeRetryMost}, reached: true, regain: make(chan struct{}, 1)}
+	return &directory{node: n, left: map[string]bool{}, retry: backoff{least: storeRetry, most: storeRetryMost}}
 }
 
-// run registers this node and keeps it registered until ctx ends.
+// run registers this node and reads the directory from time to time until ctx ends.
 func (d *directory) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := d.step(ctx, time.Now())
 		select {
 		case <-ctx.Done():
-		case <-d.regain:
-			d.renewAt = time.Time{}
 		case <-time.After(pause):
 		}
 	}
 }
 
-// check makes the record be looked after at once: leases may have run out while
-// the store was away.
-func (d *directory) check() {
-	select {
-	case d.regain <- struct{}{}:
-	default:
-	}
-}
-
-// step does what is due and returns the pause until the next step.
+// step does what is due and returns the pause until the next step. The record is written
+// before the directory is read, so that of two nodes that start at once one sees the other.
 func (d *directory) step(ctx context.Context, now time.Time) time.Duration {
-	err := d.keep(ctx, now)
+	err := d.register(ctx)
 	if err == nil && !now.Before(d.readAt) {
 		err = d.read(ctx)
 		d.readAt = now.Add(jitter(readEvery))
@@ -84,78 +82,72 @@
 		return d.retry.next()
 	}
 	d.retry.reset()
-	return max(time.Until(earlier(d.renewAt, d.readAt)), time.Millisecond)
+	return max(time.Until(d.readAt), time.Millisecond)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
+// ownKey is where this node's record is.
+func (d *directory) ownKey() string { return nodesPrefix + d.node.self.Address }
 
-// keep renews the lease, or registers anew if there is none any more.
-func (d *directory) keep(ctx context.Context, now time.Time) error {
-	if d.lease != 0 && now.Before(d.renewAt) {
+// register writes this node's record, unless it is there.
+func (d *directory) register(ctx context.Context) error {
+	if d.registered {
 		return nil
 	}
-	if d.lease != 0 {
-		err := d.node.platform.Store.Renew(ctx, d.lease)
-		if err == nil {
-			d.renewAt = now.Add(jitter(renewEvery))
-			return nil
-		}
-		if !errors.Is(err, port.ErrMissing) {
-			return err
-		}
-		d.lease = 0
-	}
-	return d.register(ctx, now)
-}
-
-// register writes the record under a lease of its own, so that it goes with the node.
-func (d *directory) register(ctx context.Context, now time.Time) error {
-	lease, err := d.node.platform.Store.Grant(ctx, leaseTime)
-	if err != nil {
-		return err
-	}
 	value, err := json.Marshal(d.node.self)
 	if err != nil {
 		return errors.Wrap(err, "member")
 	}
-	if err := d.node.platform.Store.Put(ctx, nodesPrefix+d.node.self.Address, value, lease); err != nil {
+	if err := d.node.platform.Store.Put(ctx, d.ownKey(), value); err != nil {
 		return err
 	}
-	d.lease = lease
-	d.renewAt = now.Add(jitter(renewEvery))
-	d.node.log.Info("registered", zap.Uint64("lease", uint64(lease)))
+	d.registered = true
+	d.node.log.Info("registered", zap.String("key", d.ownKey()))
 	return nil
 }
 
-// read learns the nodes whose records are there.
+// read learns the nodes whose records are there, and which upstreams of this instance
+// leave. If the own record is gone, it is written again.
 func (d *directory) read(ctx context.Context) error {
-	entries, err := d.node.platform.Store.Range(ctx, nodesPrefix)
+	entries, err := d.node.platform.Store.Range(ctx, recordsPrefix)
 	if err != nil {
 		return err
 	}
+	own, err := json.Marshal(d.node.self)
+	if err != nil {
+		return errors.Wrap(err, "member")
+	}
+	d.registered = false
+	var left []string
 	for _, e := range entries {
-		var m link.Member
-		if err := json.Unmarshal(e.Value, &m); err != nil || m.Address == "" {
-			d.node.log.Warn("directory record cannot be read", zap.String("key", e.Key), zap.Error(err))
-			continue
+		switch {
+		case e.Key == d.ownKey():
+			d.registered = bytes.Equal(e.Value, own)
+		case strings.HasPrefix(e.Key, nodesPrefix):
+			d.learn(e)
+		case strings.HasPrefix(e.Key, d.leavingPrefix()):
+			left = append(left, strings.TrimPrefix(e.Key, d.leavingPrefix()))
 		}
-		d.node.links.learn(m)
 	}
+	d.noteRead(ctx, left)
 	d.wasRead.Store(true)
-	return nil
+	return d.register(ctx)
+}
+
+// learn takes another node's record.
+func (d *directory) learn(e port.Entry) {
+	var m link.Member
+	if err := json.Unmarshal(e.Value, &m); err != nil || m.Address == "" {
+		d.node.log.Warn("directory record cannot be read", zap.String("key", e.Key), zap.Error(err))
+		return
+	}
+	d.node.links.learn(m)
 }
 
 // note logs when the store is lost or regained.
 func (d *directory) note(ctx context.Context, err error) {
-	if (err == nil) == d.reached || ctx.Err() != nil {
+	if ctx.Err() != nil || d.lost.Swap(err != nil) == (err != nil) {
 		return
 	}
-	d.reached = err == nil
 	if err != nil {
 		d.node.log.Warn("store lost", zap.Error(err))
 		return
@@ -163,12 +155,22 @@
 	d.node.log.Info("store regained")
 }
 
-// end gives up this node's record.
+// drop removes the record of a node that has been away for long. Should it live all the
+// same, it writes its record again at its next reading.
+func (d *directory) drop(m link.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	err := d.node.platform.Store.Remove(ctx, nodesPrefix+m.Address)
+	d.node.log.Info("record removed", zap.String("node", m.Name), zap.String("address", m.Address), zap.Error(err))
+}
+
+// end removes this node's record if the upstream beside it has ended: the instance goes.
+// Otherwise the node is restarted, and finds its record in place.
 func (d *directory) end(ctx context.Context) {
-	if d.lease == 0 {
+	if !d.ended.Load() {
 		return
 	}
-	if err := d.node.platform.Store.End(ctx, d.lease); err != nil {
-		d.node.log.Info("record not withdrawn; it lapses", zap.Error(err))
+	if err := d.node.platform.Store.Remove(ctx, d.ownKey()); err != nil {
+		d.node.log.Info("record not removed; those that forget this node remove it", zap.Error(err))
 	}
 }
--- a/mesh/leaving.go
+++ b/mesh/leaving.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"eiderfold/port"
+	"go.uber.org/zap"
 )
 
 const (
-	// leavingPrefix is where the store keeps which incarnations leave.
-	leavingPrefix = "eiderfold/leaving/"
 	// maxUpstreamName keeps a key within the store's bound of 200 bytes.
 	maxUpstreamName = 150
 	// recordRetry is the pause between tries to record a leaving upstream, whose
@@ -20,30 +17,64 @@
 	recordRetry = 150 * time.Millisecond
 )
 
-// Leaving tells whether an incarnation was recorded as leaving.
+// Leaving tells whether an incarnation was recorded as leaving. Only earlier processes of
+// this node can have done so, and this one itself, so the first reading of the directory
+// tells all that the store knows.
 func (d *directory) Leaving(ctx context.Context, upstream string) (bool, error) {
-	_, _, err := d.node.platform.Store.Get(ctx, leavingKey(upstream))
-	if errors.Is(err, port.ErrMissing) {
-		return false, nil
+	for !d.wasRead.Load() {
+		if d.lost.Load() {
+			return false, errNotRead
+		}
+		select {
+		case <-ctx.Done():
+			return false, errNotRead
+		case <-time.After(readPoll):
+		}
 	}
-	return err == nil, err
+	return d.hasLeft(upstream), nil
 }
 
-// recordLeaving writes that an incarnation leaves, trying until ctx ends. The
-// record has no lease: it must outlast this process, whatever becomes of leases.
-func (d *directory) recordLeaving(ctx context.Context, upstream string) error {
+// hasLeft tells whether an incarnation is known to be recorded as leaving.
+func (d *directory) hasLeft(upstream string) bool {
 	d.mu.Lock()
-	known := d.left[upstream]
-	d.mu.Unlock()
-	if known {
+	defer d.mu.Unlock()
+	return d.left[keyPart(upstream)]
+}
+
+// noteLeft takes note that an incarnation is recorded as leaving.
+func (d *directory) noteLeft(part string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.left[part] = true
+}
+
+// noteRead takes note of the incarnations whose records were read. One that was there at
+// the last reading already, and is not beside this node now, has ended long ago: its record
+// is removed.
+func (d *directory) noteRead(ctx context.Context, left []string) {
+	current := keyPart(d.node.gate.Status().Upstream)
+	old := d.seenLeft
+	d.seenLeft = left
+	for _, part := range left {
+		d.noteLeft(part)
+		if part == current || !slices.Contains(old, part) {
+			continue
+		}
+		if err := d.node.platform.Store.Remove(ctx, d.leavingPrefix()+part); err != nil {
+			d.node.log.Info("record of an upstream that left not removed", zap.String("upstream", part), zap.Error(err))
+		}
+	}
+}
+
+// recordLeaving writes that an incarnation leaves, trying until ctx ends.
+func (d *directory) recordLeaving(ctx context.Context, upstream string) error {
+	if d.hasLeft(upstream) {
 		return nil
 	}
 	for {
-		err := d.node.platform.Store.Put(ctx, leavingKey(upstream), []byte(d.node.self.Name), 0)
+		err := d.node.platform.Store.Put(ctx, d.leavingKey(upstream), []byte(d.node.self.Name))
 		if err == nil {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			d.left[upstream] = true
+			d.noteLeft(keyPart(upstream))
 			return nil
 		}
 		select {
@@ -54,10 +85,18 @@
 	}
 }
 
+// leavingPrefix is where the store keeps which upstreams of this instance leave.
+func (d *directory) leavingPrefix() string {
+	return recordsPrefix + "leaving/" + d.node.self.Address + "/"
+}
+
 // leavingKey is where an incarnation is recorded.
-func leavingKey(upstream string) string {
+func (d *directory) leavingKey(upstream string) string { return d.leavingPrefix() + keyPart(upstream) }
+
+// keyPart is an incarnation's name as part of a key.
+func keyPart(upstream string) string {
 	if len(upstream) > maxUpstreamName {
 		upstream = upstream[:maxUpstreamName]
 	}
-	return leavingPrefix + strings.ReplaceAll(upstream, "/", "_")
+	return strings.ReplaceAll(upstream, "/", "_")
 }
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -143,6 +143,7 @@
 func TestHelloIsNotOlderThanStatus(t *testing.T) {
 	for range 300 {
 		n := idleNode(t, "x", "d0", nil)
+		require.NoError(t, n.directory.read(t.Context())) // Where its gate looks whether an upstream leaves.
 		conn, other := net.Pipe()
 		go n.links.serve(link.New(other))
 		last := make(chan link.Status, 64)
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -16,6 +16,9 @@
 	// of a node grow with the fleet.
 	nearLinks = 24
 	farLinks  = 24
+	// removers is how many nodes remove the records of those that they forget: more than
+	// one, as no node dials all others.
+	removers = 3
 )
 
 // learn takes note of a node that somebody has seen.
@@ -84,15 +87,19 @@
 	go p.run(l.ctx)
 }
 
-// forget drops a node that has been away for long.
+// forget drops a node that has been away for long, and its record if this node is one of
+// the few that see to that.
 func (l *links) forget(p *peer) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	delete(l.peers, p.address)
 	delete(l.known, p.address)
 	l.refill()
+	l.mu.Unlock()
 	l.node.targets.Remove(p.target)
 	l.node.log.Info("node forgotten", zap.String("node", p.member.Name), zap.Time("seen", p.seen))
+	if s := l.standing(); s.before < removers && !s.isolated {
+		l.node.directory.drop(p.member)
+	}
 }
 
 // refill dials members that have come into the place of one that is forgotten.
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -52,6 +52,7 @@
 		return
 	}
 	n.gate.Report(report)
+	n.directory.ended.Store(report.Final)
 	if report.Leaving && !n.recordLeaving(r.Context(), report) {
 		http.Error(w, "not recorded yet", http.StatusServiceUnavailable)
 		return
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -20,7 +20,7 @@
 	finishTime = 200 * time.Millisecond
 	// settleTime is kept for last answers to leave the socket.
 	settleTime = 50 * time.Millisecond
-	// endTimeout bounds the last call to the store; without it the record lapses.
+	// endTimeout bounds a last call to the store.
 	endTimeout = 300 * time.Millisecond
 )
 
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -37,11 +37,10 @@
 
 // run follows the operator's key until ctx ends.
 func (c *configuration) run(ctx context.Context) {
-	lost := false
 	pause := backoff{least: watchRetry, most: watchRetryMost}
 	for ctx.Err() == nil {
-		err := c.follow(ctx, lost, &pause)
-		if lost = err != nil; lost && ctx.Err() == nil {
+		err := c.follow(ctx, &pause)
+		if err != nil && ctx.Err() == nil {
 			c.node.log.Info("configuration not followed", zap.Error(err))
 			select {
 			case <-ctx.Done():
@@ -53,16 +52,13 @@
 
 // follow reads the key and watches it until something fails. Lost history is no
 // failure: the key is read again.
-func (c *configuration) follow(ctx context.Context, lost bool, pause *backoff) error {
+func (c *configuration) follow(ctx context.Context, pause *backoff) error {
 	store := c.node.platform.Store
 	entry, revision, err := c.read(ctx)
 	if err != nil && !errors.Is(err, port.ErrMissing) {
 		return err
 	}
 	pause.reset()
-	if lost {
-		c.node.directory.check()
-	}
 	if err == nil {
 		c.take(entry.Value, "store")
 	}
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -34,10 +34,7 @@
 	AcknowledgeReport func(w http.ResponseWriter)
 }
 
-// Lease names a lease of the store; 0 is none.
-type Lease uint64
-
-// Directory is a store with leases and short watches, as `eiderfold mesh` needs it.
+// Directory is a store with short watches, as `eiderfold mesh` needs it.
 type Directory interface {
 	// Get reads a key and the store's revision. It returns ErrMissing.
 	Get(ctx context.Context, key string) (Entry, uint64, error)
@@ -49,16 +46,10 @@
 	// Watch waits for what was written below prefix after a revision. It returns
 	// ErrCompacted when that is no longer known.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
-	// Put writes a key; ErrMissing says that the lease is over.
-	Put(ctx context.Context, key string, value []byte, under Lease) error
+	// Put writes a key, whatever was there before.
+	Put(ctx context.Context, key string, value []byte) error
 	// Remove deletes a key.
 	Remove(ctx context.Context, key string) error
-	// Grant makes a lease.
-	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
-	// Renew extends a lease; ErrMissing says that it is over.
-	Renew(ctx context.Context, l Lease) error
-	// End gives a lease up, with its keys.
-	End(ctx context.Context, l Lease) error
 }
 
 // RequestTerms is what a caller says about its request.
