A kind of request never answered at a gate is not taken to be as slow as the others

All added routes lead to one service whose answers take 570 ms; their aim and time are 1 s.

Of an unknown kind only this is known: its operators have set an aim that it can meet. It is taken to need half of the time until then, if that is less than the mean.

Test. unknown-kind.yaml fails without it (refuse 5 busy).

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -113,8 +113,9 @@
 		return a.refuse(m, reason)
 	}
 	e := &entry{Offered: m, place: overload.NewPlace(m.At, m.Priority, m.Aim, m.Deadline)}
+	likely := a.likely(m.Kind, m.Aim.Sub(m.At))
 	if a.switches.On(switches.LateLast) {
-		e.place.Note(m.At, a.likely(m.Kind))
+		e.place.Note(m.At, likely)
 	}
 	// What waits in the queue while a slot is free is an order in doubt; it holds
 	// nobody up.
@@ -127,7 +128,7 @@
 	}
 	i, _ := slices.BinarySearchFunc(a.queue, e, order)
 	wait := a.wait(i)
-	if i >= queuePerSlot*a.slots || m.At.Add(wait+a.likely(m.Kind)).After(e.place.Limit()) || !a.roomFor(e, wait) {
+	if i >= queuePerSlot*a.slots || m.At.Add(wait+likely).After(e.place.Limit()) || !a.roomFor(e, wait) {
 		return []Command{Refuse{Key: m.Key, Reason: link.ReasonBusy, After: wait}}
 	}
 	e.Ready = false // Another gate may be given it meanwhile; a commit decides.
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -18,6 +18,9 @@
 	// lateAnswers is for how many mean answer times an offer may wait that cannot be in
 	// time any more.
 	lateAnswers = 2
+	// unknownShare of the time until its aim is what a request is taken to need of a kind
+	// whose answer times are not known.
+	unknownShare = 0.5
 	// assumedTime stands in for the mean answer time before there is one.
 	assumedTime = 100 * time.Millisecond
 )
@@ -31,7 +34,7 @@
 		return nil
 	}
 	for _, e := range a.queue {
-		e.place.Note(at, a.likely(e.Kind))
+		e.place.Note(at, a.likely(e.Kind, e.Aim.Sub(at)))
 	}
 	slices.SortStableFunc(a.queue, order)
 	var out []Command
@@ -59,13 +62,16 @@
 	return usual * time.Duration(before+1) / time.Duration(max(a.slots, 1))
 }
 
-// likely is the time that most answers of a kind of request take; the mean of all
-// kinds until this one has been answered.
-func (a *Admission) likely(kind uint32) time.Duration {
-	if t := a.kinds[kind]; t != nil && t.count > 0 && a.switches.On(switches.KindTimes) {
+// likely is the time that most answers of a kind of request take. Of a kind that was never
+// answered here only this is known: its operators have set an aim that it can meet.
+func (a *Admission) likely(kind uint32, left time.Duration) time.Duration {
+	if !a.switches.On(switches.KindTimes) {
+		return a.usual
+	}
+	if t := a.kinds[kind]; t != nil && t.count > 0 {
 		return t.median()
 	}
-	return a.usual
+	return min(a.usual, time.Duration(unknownShare*float64(max(left, 0))))
 }
 
 // drop takes an offer out that has its end. A repeat that never started costs nothing.
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -46,6 +46,7 @@
 	Retryable bool          `yaml:"retryable"`
 	Ready     bool          `yaml:"ready"`
 	Force     bool          `yaml:"force"`
+	Kind      uint32        `yaml:"kind"`
 }
 
 type endStep struct {
@@ -141,7 +142,7 @@
 		aimed = left
 	}
 	return Offered{At: now, Key: key(o.Key), Service: service, Upstream: o.Upstream, Priority: o.Priority,
-		Deadline: now.Add(left), Aim: now.Add(aimed), Retryable: o.Retryable, Ready: o.Ready, Force: o.Force}
+		Deadline: now.Add(left), Aim: now.Add(aimed), Retryable: o.Retryable, Ready: o.Ready, Force: o.Force, Kind: o.Kind}
 }
 
 func key(n uint64) link.Key { return link.Key{Origin: 1, Number: n} }
