A refused caller is told when there may be room

Every refusal said 100 ms, whatever the gates had said of their queues and trials: callers that were refused together came back together, and to the same refusal.

The shortest wait that a gate told which turned the request away, at least 100 ms, 50 ms later for each step that it is less urgent, and spread over twice that by chance; at most 2 s. overload.Terms.ComeBack.

Test: TestComeBack, from overload/testdata.

--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -44,6 +44,7 @@
 	round     time.Time     // When a new round of offers may begin.
 	pause     time.Duration // Before the latest round.
 	last      link.Reason   // Of the latest refusal.
+	soonest   time.Duration // The shortest wait that a gate told which refused it, 0 for none.
 	fallback  *Response     // What is answered unless a repeat does better.
 	ended     *Response     // The final answer, where sending brought it about.
 	gates     []string      // Where it was committed, for the log.
@@ -122,6 +123,7 @@
 	case e.frame.Refused != nil:
 		f.last = e.frame.Refused.Reason
 		f.noteBudget(now)
+		f.noteWait(e.frame.Refused.After)
 		o.target.refuse(e.frame.Refused, f.terms.Priority(), now)
 		return f.refused(o, e.frame.Refused.Reason, now)
 	case e.frame.Answer != nil:
--- a/ingress/outcome.go
+++ b/ingress/outcome.go
@@ -57,6 +57,18 @@
 	return f.again(now)
 }
 
+// comeBack is when a caller that is refused now shall come back. Milliseconds are enough.
+func (f *flight) comeBack() time.Duration {
+	return f.terms.ComeBack(f.soonest, f.forwarder.targets.draw()).Round(time.Millisecond)
+}
+
+// noteWait takes note of when a gate that turned the request away may be asked again.
+func (f *flight) noteWait(after time.Duration) {
+	if after > 0 && (f.soonest == 0 || after < f.soonest) {
+		f.soonest = after
+	}
+}
+
 // final is the answer when no further attempt is made.
 func (f *flight) final(now time.Time) *Response {
 	switch {
@@ -67,10 +79,10 @@
 	case f.runs > 0:
 		return refusal(result.New(result.OutcomeUnknown, f.doubt))
 	case len(f.forwarder.targets.Of(f.service)) == 0:
-		return refusal(result.New(result.NoUpstream, f.service).WithRetryAfter(backLater))
+		return refusal(result.New(result.NoUpstream, f.service).WithRetryAfter(f.comeBack()))
 	case f.last == link.ReasonShed:
-		return refusal(result.New(result.UpstreamShed, f.service).WithRetryAfter(backLater))
+		return refusal(result.New(result.UpstreamShed, f.service).WithRetryAfter(f.comeBack()))
 	default:
-		return refusal(result.New(result.Overloaded, f.last.String()).WithRetryAfter(backLater))
+		return refusal(result.New(result.Overloaded, f.last.String()).WithRetryAfter(f.comeBack()))
 	}
 }
--- a/ingress/refusal.go
+++ b/ingress/refusal.go
@@ -8,7 +8,8 @@
 	"eiderfold/result"
 )
 
-// backLater is when a refused caller is told to come back.
+// backLater is when a caller is told to come back who finds no configuration: one comes
+// from the first peer that is reached.
 const backLater = 100 * time.Millisecond
 
 // refusal makes a node's own answer.
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -15,6 +15,7 @@
 type sheet struct {
 	Terms  []termsRow `yaml:"terms"`
 	Queues []queueRow `yaml:"queues"`
+	Backs  []backRow  `yaml:"come_back"`
 }
 
 // termsRow is a request, as times since its arrival, and what its terms have to be.
@@ -80,6 +81,23 @@
 	}
 }
 
+// backRow is a refusal, and when its caller has to be told to come back.
+type backRow struct {
+	Why      string        `yaml:"why"`
+	Priority int           `yaml:"priority"`
+	Wait     time.Duration `yaml:"wait"`
+	Spread   float64       `yaml:"spread"`
+	Want     time.Duration `yaml:"want"`
+}
+
+func TestComeBack(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	for _, r := range readSheet(t).Backs {
+		terms := NewTerms(r.Priority, begin, time.Second, begin.Add(time.Second))
+		assert.Equal(t, r.Want, terms.ComeBack(r.Wait, r.Spread), r.Why)
+	}
+}
+
 func TestPlaces(t *testing.T) {
 	begin := time.Unix(1000, 0)
 	for _, q := range readSheet(t).Queues {
