A gate without a mean answer time lets late work wait

Read in the diff: the bound on how long a late offer may wait was two mean answer times, which is nothing before the first answer, so a gate that had just started refused every late offer beside full slots. After a power loss callers that were in flight are late.

The assumed answer time stands in, as it does for the expected wait. A method that nothing calls any more goes.

--- a/gate/queue.go
+++ b/gate/queue.go
@@ -50,16 +50,20 @@
 // roomFor tells whether an offer that is late may wait for so long: behind more than a
 // few answers it would see others pass it until its deadline.
 func (a *Admission) roomFor(e *entry, wait time.Duration) bool {
-	return !e.place.Late() || wait <= lateAnswers*a.usual
+	return !e.place.Late() || wait <= lateAnswers*a.answerTime()
+}
+
+// answerTime returns the mean time of an answer, also before there is one.
+func (a *Admission) answerTime() time.Duration {
+	if a.usual == 0 {
+		return assumedTime
+	}
+	return a.usual
 }
 
 // wait estimates how long an offer takes with so many before it in the queue.
 func (a *Admission) wait(before int) time.Duration {
-	usual := a.usual
-	if usual == 0 {
-		usual = assumedTime
-	}
-	return usual * time.Duration(before+1) / time.Duration(max(a.slots, 1))
+	return a.answerTime() * time.Duration(before+1) / time.Duration(max(a.slots, 1))
 }
 
 // likely is the time that most answers of a kind of request take. Of a kind that was never
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -188,6 +188,3 @@
 		f.next(now)
 	}
 }
-
-// switched tells whether a mechanism is on.
-func (f *flight) switched(m switches.Mechanism) bool { return f.forwarder.targets.switches.On(m) }
