--- a/ingress/load_test.go
+++ b/ingress/load_test.go
@@ -105,19 +105,8 @@
 	return l.Routes[slices.IndexFunc(l.Routes, func(r routeLoad) bool { return r.Name == name })]
 }
 
-// routeOf finds the route of a kind of request.
-func (l load) routeOf(kind uint32) routeLoad {
-	table, err := route.New(l.document())
-	if err != nil {
-		panic(err)
-	}
-	for _, r := range l.Routes {
-		if m, _ := table.Match(replayHost, "/"+r.Name+"/x"); m.Kind() == kind {
-			return r
-		}
-	}
-	panic("a kind that the load does not have")
-}
+// path is that of the route's requests.
+func (r routeLoad) path() string { return "/" + r.Name + "/x" }
 
 // factor is how many times the usual load comes now.
 func (l load) factor(at time.Duration) float64 {
--- a/ingress/replay_test.go
+++ b/ingress/replay_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -14,12 +12,9 @@
 
 	"go.uber.org/zap"
 
-	"eiderfold/budget"
-	"eiderfold/gate"
 	"eiderfold/link"
 	"eiderfold/overload"
 	"eiderfold/platform"
-	"eiderfold/port"
 	"eiderfold/route"
 	"eiderfold/switches"
 )
@@ -51,6 +46,7 @@
 	nodes   []*replayNode
 	parents map[string]overload.Parent
 	totals  map[string]*totals
+	kinds   map[uint32]routeLoad
 }
 
 // totals are what became of a route's requests.
@@ -71,54 +67,11 @@
 type replayFlight struct {
 	*flight
 	node  *replayNode
-	name  string
 	wakes uint64 // The latest wake-up; earlier ones are void.
 	done  func(ok bool)
 	ended bool
 }
 
-// replayGate is a gate with its upstream.
-type replayGate struct {
-	replay    *replay
-	service   string
-	centre    string
-	admission *gate.Admission
-	slots     int
-	index     int
-	runs      map[link.Key]*replayRun
-}
-
-// replayRun is an offer in hand, and its run once it has one.
-type replayRun struct {
-	node  *replayNode
-	offer *link.Offer
-	over  bool
-}
-
-type timed struct {
-	at     time.Time
-	number uint64
-	do     func()
-}
-
-type eventHeap []timed
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].number < h[j].number
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(timed)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
 // after lets something happen later.
 func (p *replay) after(d time.Duration, do func()) {
 	p.number++
@@ -132,7 +85,7 @@
 		return nil, err
 	}
 	begin := time.Unix(1_000_000, 0)
-	p := &replay{load: l, random: rand.New(rand.NewPCG(seed, 7)), now: begin, begin: begin, parents: map[string]overload.Parent{}, totals: map[string]*totals{}}
+	p := &replay{load: l, random: rand.New(rand.NewPCG(seed, 7)), now: begin, begin: begin, parents: map[string]overload.Parent{}, totals: map[string]*totals{}, kinds: map[uint32]routeLoad{}}
 	table, err := route.New(l.document())
 	if err != nil {
 		return nil, err
@@ -152,6 +105,8 @@
 	}
 	for _, r := range l.Routes {
 		p.totals[r.Name] = &totals{}
+		matched, _ := table.Match(replayHost, r.path())
+		p.kinds[matched.Kind()] = r
 		if r.Rate > 0 {
 			p.arrive(r)
 		}
@@ -173,51 +128,6 @@
 	return n
 }
 
-func (p *replay) newGate(service string, s serviceLoad, i int, set switches.Set) *replayGate {
-	b := budget.New(replayRatio, float64(replaySlack*s.Gates), time.Time{})
-	b.NoteGates(s.Gates)
-	g := &replayGate{replay: p, service: service, centre: p.load.centres()[i%p.load.Centres], slots: s.Slots, index: i, runs: map[link.Key]*replayRun{}}
-	g.admission = gate.NewAdmission(service, b)
-	g.admission.SetSwitches(set)
-	g.update(gate.Reported{At: p.now, Report: port.Report{Upstream: "i-" + g.name(), Service: service, Slots: s.Slots, Sequence: 1}})
-	g.update(gate.Confirmed{At: p.now, Upstream: "i-" + g.name()})
-	p.after(replayTick, g.tick)
-	return g
-}
-
-func (g *replayGate) name() string { return fmt.Sprintf("%s-%03d", g.service, g.index) }
-
-func (g *replayGate) tick() {
-	g.update(gate.Ticked{At: g.replay.now})
-	g.replay.after(replayTick, g.tick)
-}
-
-// learn lets a node know a gate.
-func (n *replayNode) learn(g *replayGate) {
-	target := NewTarget(link.Member{Name: g.name(), Service: g.service, DataCentre: g.centre})
-	target.SetStatus(g.admission.Status(), n.replay.now)
-	n.forwarder.targets.Add(target)
-	n.forwarder.Connected(target, replayWay{node: n, gate: g}, 1)
-}
-
-// replayWay carries messages from a node to a gate.
-type replayWay struct {
-	node *replayNode
-	gate *replayGate
-}
-
-func (w replayWay) Send(f *link.Frame) bool {
-	w.node.replay.after(w.delay(), func() { w.gate.handle(w.node, f) })
-	return true
-}
-
-func (w replayWay) delay() time.Duration {
-	if w.node.centre == w.gate.centre {
-		return replayDelay
-	}
-	return replayFar
-}
-
 // run plays the load to its end.
 func (p *replay) run() {
 	end := p.begin.Add(p.load.Length)
@@ -248,21 +158,18 @@
 // ask sends a request; done is told whether it was answered.
 func (p *replay) ask(n *replayNode, r routeLoad, attempt string, caller *replayGate, done func(ok bool)) {
 	counted := p.elapsed() >= p.load.Count.From && p.elapsed() < p.load.Count.To
-	target := "/" + r.Name + "/x"
-	fl, refused := n.forwarder.prepare(&Request{Method: http.MethodGet, RequestURI: target, URL: &url.URL{Path: target}, Host: replayHost,
+	fl, refused := n.forwarder.prepare(&Request{Method: http.MethodGet, RequestURI: r.path(), URL: &url.URL{Path: r.path()}, Host: replayHost,
 		Header: http.Header{"Attempt-Id": {attempt}, "Deadline-Ms": {strconv.FormatInt(r.Timeout.Milliseconds(), 10)}}, Arrived: p.now})
 	if refused != nil {
 		panic("the load's own request was refused: " + string(refused.Body))
 	}
-	f := &replayFlight{flight: fl, node: n, name: attempt, done: func(bool) { done(false) }}
 	arrived := p.now
-	f.done = func(ok bool) { done(ok) }
-	finish := f.done
+	f := &replayFlight{flight: fl, node: n}
 	f.done = func(ok bool) {
 		if counted {
 			p.totals[r.Name].add(f, ok, p.now.Sub(arrived), r.Target)
 		}
-		finish(ok)
+		done(ok)
 	}
 	if caller != nil {
 		fl.crowded = caller.admission.Crowded
@@ -343,133 +250,3 @@
 	}
 	f.step(f.on(event{frame: frame, key: k.Number}, n.replay.now))
 }
-
-// handle takes a node's message.
-func (g *replayGate) handle(from *replayNode, f *link.Frame) {
-	now := g.replay.now
-	switch {
-	case f.Offer != nil:
-		o := f.Offer
-		g.runs[o.Key] = &replayRun{node: from, offer: o}
-		deadline := now.Add(o.Left)
-		g.update(gate.Offered{At: now, Key: o.Key, Service: o.Service, Upstream: o.Upstream, Deadline: deadline, Aim: g.admission.AimOf(now, deadline, o.Aim),
-			Priority: o.Priority, Retryable: o.Retryable, Force: o.Force, Ready: o.Content != nil, Kind: o.Kind, Claim: o.Claim})
-	case f.Commit != nil:
-		g.update(gate.Committed{At: now, Key: f.Commit.Key})
-	case f.Withdraw != nil:
-		g.update(gate.Withdrawn{At: now, Key: f.Withdraw.Key})
-	}
-}
-
-// update moves the admission on and carries its commands out.
-func (g *replayGate) update(m gate.Message) {
-	for _, c := range g.admission.Update(m) {
-		switch c := c.(type) {
-		case gate.Grant:
-			g.tell(c.Key, &link.Frame{Granted: &link.Granted{Key: c.Key}})
-		case gate.Queue:
-			g.tell(c.Key, &link.Frame{Queued: &link.Queued{Key: c.Key}})
-		case gate.Refuse:
-			g.tell(c.Key, &link.Frame{Refused: &link.Refused{Key: c.Key, Reason: c.Reason, After: c.After}})
-		case gate.Warn:
-			g.tell(c.Key, &link.Frame{Silent: &link.Silent{Key: c.Key}})
-		case gate.Start:
-			g.start(c.Key)
-		case gate.Abort:
-			g.finish(c.Key, gate.NoEvidence, 0)
-		case gate.Announce:
-			g.announce()
-		}
-	}
-}
-
-// announce tells every node of the gate's state.
-func (g *replayGate) announce() {
-	s := g.admission.Status()
-	for _, n := range g.replay.nodes {
-		for _, t := range n.forwarder.targets.Of(g.service) {
-			if t.Member().Name == g.name() {
-				t.SetStatus(s, g.replay.now)
-			}
-		}
-	}
-}
-
-func (g *replayGate) tell(k link.Key, f *link.Frame) {
-	r := g.runs[k]
-	if r == nil {
-		return
-	}
-	g.replay.after(replayWay{node: r.node, gate: g}.delay(), func() { r.node.deliver(f) })
-}
-
-// start lets the upstream work: by the load it may shed, hang, break, or make a call.
-func (g *replayGate) start(k link.Key) {
-	p, r := g.replay, g.runs[k]
-	began := p.now
-	if r.offer.Content != nil && r.offer.Retryable {
-		g.tell(k, &link.Frame{Granted: &link.Granted{Key: k, Started: true}})
-	}
-	kind := p.load.routeOf(r.offer.Kind)
-	work := time.Duration(float64(kind.Work) * math.Exp(kind.Spread*p.random.NormFloat64()-kind.Spread*kind.Spread/2))
-	fault := p.load.fault(g.service, g.index, p.elapsed(), p.random)
-	switch fault {
-	case "shed":
-		p.after(replayShed, func() { g.finish(k, gate.Shed, replayShed) })
-	case "break":
-		p.after(replayShed, func() { g.finish(k, gate.Broken, replayShed) })
-	case "hang":
-		p.after(replayHang, func() { g.finish(k, gate.NoEvidence, replayHang) })
-	default:
-		p.after(work, func() { g.worked(k, kind, began) })
-	}
-}
-
-// worked ends a run, after its calls if the route makes any.
-func (g *replayGate) worked(k link.Key, kind routeLoad, began time.Time) {
-	p, r := g.replay, g.runs[k]
-	if r == nil || r.over || kind.CallTimes == 0 {
-		g.finish(k, gate.Good, p.now.Sub(began))
-		return
-	}
-	name := r.offer.Attempt
-	p.parents[name] = overload.Parent{Priority: r.offer.Priority, Aim: began.Add(r.offer.Aim), Deadline: began.Add(r.offer.Left)}
-	node := p.nodes[slices.Index(p.load.centres(), g.centre)]
-	left := kind.CallTimes
-	for range kind.CallTimes {
-		p.number++
-		p.ask(node, p.load.route(kind.Calls), name+"."+strconv.FormatUint(p.number, 10), g, func(ok bool) {
-			left--
-			switch {
-			case !ok:
-				g.finish(k, gate.CallFailed, p.now.Sub(began))
-			case left == 0:
-				g.finish(k, gate.Good, p.now.Sub(began))
-			}
-			if left == 0 {
-				delete(p.parents, name)
-			}
-		})
-	}
-}
-
-// finish ends a run and tells the node.
-func (g *replayGate) finish(k link.Key, o gate.Outcome, took time.Duration) {
-	r := g.runs[k]
-	if r == nil || r.over {
-		return
-	}
-	r.over = true
-	switch o {
-	case gate.Good:
-		g.tell(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusOK, Usual: g.admission.Status().Usual}})
-	case gate.CallFailed:
-		g.tell(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusInternalServerError, Usual: g.admission.Status().Usual}})
-	case gate.Shed:
-		g.tell(k, &link.Frame{Refused: &link.Refused{Key: k, Reason: link.ReasonShed}})
-	default:
-		g.tell(k, &link.Frame{Failed: &link.Failed{Key: k, Detail: o.String()}})
-	}
-	delete(g.runs, k)
-	g.update(gate.Ended{At: g.replay.now, Key: k, Outcome: o, Took: took})
-}
--- /dev/null
+++ b/ingress/replayevents_test.go
@@ -0,0 +1,29 @@
+package ingress
+
+import (
+	"time"
+)
+
+type timed struct {
+	at     time.Time
+	number uint64
+	do     func()
+}
+
+type eventHeap []timed
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].number < h[j].number
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(timed)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
