A record of what leaves is kept for minutes, however often the directory is read

Read in the diff: a record was removed at the second reading that saw it, unless its upstream was known to be beside the node. Readings are five minutes apart, but follow one another at once while calls to the store fail, and a node that has just started knows of no upstream: it could remove the record of one that still leaves, and a further restart would then believe a late report of readiness (DRAIN).

A record is removed three minutes after this process first read it, at the earliest.

TestOldLeavingRecordsGo wanted a record gone at the third reading whatever the time, which was the fault itself; it now reads in a row and wants it kept, and gone after leftKept, with the same exceptions.

--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -45,16 +45,16 @@
 	registered bool
 	readAt     time.Time
 	retry      backoff
-	wasRead    atomic.Bool // It has been read since the start.
-	lost       atomic.Bool // The last call to the store failed.
-	ended      atomic.Bool // The upstream beside this node has ended for good.
-	seenLeft   []string    // Incarnations that were recorded as leaving at the last reading.
+	wasRead    atomic.Bool          // It has been read since the start.
+	lost       atomic.Bool          // The last call to the store failed.
+	ended      atomic.Bool          // The upstream beside this node has ended for good.
+	firstRead  map[string]time.Time // When a record of what leaves was first read.
 	mu         sync.Mutex
 	left       map[string]bool // Incarnations beside this node that are recorded as leaving.
 }
 
 func newDirectory(n *Node) *directory {
-	return &directory{node: n, left: map[string]bool{}, retry: backoff{least: storeRetry, most: storeRetryMost}}
+	return &directory{node: n, left: map[string]bool{}, firstRead: map[string]time.Time{}, retry: backoff{least: storeRetry, most: storeRetryMost}}
 }
 
 // run registers this node and reads the directory from time to time until ctx ends.
@@ -128,7 +128,7 @@
 			left = append(left, strings.TrimPrefix(e.Key, d.leavingPrefix()))
 		}
 	}
-	d.noteRead(ctx, left)
+	d.noteRead(ctx, left, time.Now())
 	d.wasRead.Store(true)
 	return d.register(ctx)
 }
--- a/mesh/leaving.go
+++ b/mesh/leaving.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"time"
 
@@ -15,6 +14,9 @@
 	// recordRetry is the pause between tries to record a leaving upstream, whose
 	// report waits for it.
 	recordRetry = 150 * time.Millisecond
+	// leftKept is how long a record of what leaves is kept after it was first read: far
+	// longer than an upstream lives that has said so, and less than between two readings.
+	leftKept = 3 * time.Minute
 )
 
 // Leaving tells whether an incarnation was recorded as leaving. Only earlier processes of
@@ -48,16 +50,19 @@
 	d.left[part] = true
 }
 
-// noteRead takes note of the incarnations whose records were read. One that was there at
-// the last reading already, and is not beside this node now, has ended long ago: its record
-// is removed.
-func (d *directory) noteRead(ctx context.Context, left []string) {
+// noteRead takes note of the incarnations whose records were read. One that was read for
+// the first time leftKept ago, and is not beside this node now, has ended: its record is
+// removed. Readings may follow one another at once while the store fails now and then.
+func (d *directory) noteRead(ctx context.Context, left []string, now time.Time) {
 	current := keyPart(d.node.gate.Status().Upstream)
-	old := d.seenLeft
-	d.seenLeft = left
 	for _, part := range left {
 		d.noteLeft(part)
-		if part == current || !slices.Contains(old, part) {
+		first, ok := d.firstRead[part]
+		if !ok {
+			d.firstRead[part] = now
+			continue
+		}
+		if part == current || now.Sub(first) < leftKept {
 			continue
 		}
 		if err := d.node.platform.Store.Remove(ctx, d.leavingPrefix()+part); err != nil {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -12,6 +12,7 @@
 
 	"eiderfold/link"
 	"eiderfold/memory"
+	"eiderfold/port"
 )
 
 // TestServes sends a request through a node beside another service.
@@ -265,8 +266,10 @@
 	assert.Empty(t, entries, "its upstream has ended: the instance goes")
 }
 
-// TestOldLeavingRecordsGo reads a record of an upstream that left twice: it is not there at
-// the third reading, while what left later is.
+// TestOldLeavingRecordsGo reads records of upstreams that left, again and again: one stays
+// for leftKept, and longer while its upstream is beside the node. Readings that follow one
+// another at once, as after failed calls, remove nothing: a node that is restarted knows of
+// no upstream yet.
 func TestOldLeavingRecordsGo(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
@@ -275,12 +278,20 @@
 	ctx := context.Background()
 	d := one.directory
 	require.NoError(t, d.recordLeaving(ctx, "i-old/1"))
-	require.NoError(t, d.read(ctx))
 	require.NoError(t, d.recordLeaving(ctx, "i-one"))
-	require.NoError(t, d.read(ctx))
-	require.NoError(t, d.read(ctx))
-	entries, err := b.store.Range(ctx, d.leavingPrefix())
-	require.NoError(t, err)
+	records := func() []port.Entry {
+		require.NoError(t, d.read(ctx))
+		entries, err := b.store.Range(ctx, d.leavingPrefix())
+		require.NoError(t, err)
+		return entries
+	}
+	for range 3 {
+		assert.Len(t, records(), 2)
+	}
+	for part := range d.firstRead {
+		d.firstRead[part] = time.Now().Add(-leftKept)
+	}
+	entries := records()
 	require.Len(t, entries, 1)
 	assert.Equal(t, d.leavingKey("i-one"), entries[0].Key, "it is beside the node still")
 	left, err := d.Leaving(ctx, "i-old/1")
