Reading: the package comment of overload, a clock that nothing reads, one record in one place

The comment of package overload named a method that is gone, gave KeptUntil its former argument, and left out queues and coming back. The directory in memory kept a clock for leases that it no longer has. A node's record was encoded in two places, and KeptUntil wrote one formula twice.

The comment says what the package does; the clock goes; directory.ownRecord and one formula serve both. Behaviour and tests' assertions are as they were.

--- a/bench/standin/metadata.go
+++ b/bench/standin/metadata.go
@@ -32,7 +32,7 @@
 
 // NewMetadata returns an empty store without faults.
 func NewMetadata() *Metadata {
-	m := &Metadata{directory: memory.NewDirectory(time.Now), mux: http.NewServeMux()}
+	m := &Metadata{directory: memory.NewDirectory(), mux: http.NewServeMux()}
 	m.faults.Store(&MetadataFaults{})
 	for pattern, handler := range map[string]http.HandlerFunc{
 		"GET /-/kv-key":   m.key,
--- a/memory/directory.go
+++ b/memory/directory.go
@@ -26,7 +26,6 @@
 // Directory is a port.Directory in memory, with faults.
 type Directory struct {
 	mu       sync.Mutex
-	clock    port.Clock
 	faults   Faults
 	entries  map[string]port.Entry
 	history  []change
@@ -38,9 +37,8 @@
 var _ port.Directory = (*Directory)(nil)
 
 // NewDirectory returns an empty directory without faults.
-func NewDirectory(clock port.Clock) *Directory {
+func NewDirectory() *Directory {
 	return &Directory{
-		clock:    clock,
 		entries:  map[string]port.Entry{},
 		revision: 1,
 		changed:  make(chan struct{}),
--- a/mesh/bed_test.go
+++ b/mesh/bed_test.go
@@ -65,7 +65,7 @@
 
 func newBed(t *testing.T) *bed {
 	t.Helper()
-	b := &bed{t: t, store: memory.NewDirectory(time.Now)}
+	b := &bed{t: t, store: memory.NewDirectory()}
 	b.configure(3)
 	return b
 }
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -88,14 +88,20 @@
 // ownKey is where this node's record is.
 func (d *directory) ownKey() string { return nodesPrefix + d.node.self.Address }
 
+// ownRecord is what others find there.
+func (d *directory) ownRecord() ([]byte, error) {
+	value, err := json.Marshal(d.node.self)
+	return value, errors.Wrap(err, "member")
+}
+
 // register writes this node's record, unless it is there.
 func (d *directory) register(ctx context.Context) error {
 	if d.registered {
 		return nil
 	}
-	value, err := json.Marshal(d.node.self)
+	value, err := d.ownRecord()
 	if err != nil {
-		return errors.Wrap(err, "member")
+		return err
 	}
 	if err := d.node.platform.Store.Put(ctx, d.ownKey(), value); err != nil {
 		return err
@@ -112,9 +118,9 @@
 	if err != nil {
 		return err
 	}
-	own, err := json.Marshal(d.node.self)
+	own, err := d.ownRecord()
 	if err != nil {
-		return errors.Wrap(err, "member")
+		return err
 	}
 	d.registered = false
 	var left []string
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -28,7 +28,7 @@
 store: "127.0.0.1:6"
 `, name, dataCentre))
 	require.NoError(t, err)
-	n := New(s, port.Platform{Store: memory.NewDirectory(time.Now)}, NewMetrics(), zap.NewNop())
+	n := New(s, port.Platform{Store: memory.NewDirectory()}, NewMetrics(), zap.NewNop())
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	n.links.ctx = ended
--- a/overload/doc.go
+++ b/overload/doc.go
@@ -7,11 +7,15 @@
 //
 //   - A service is short and calls itself or others. A request that an upstream makes
 //     while it works on another one is a call. Turned away, it takes with it the work
-//     that its parent has had, so it has its parent's urgency, and waits for as long
-//     as its answer can still be of use (Terms.ForCall).
+//     that its parent has had, so it has its parent's urgency and aim, and waits until
+//     then while it is in nobody's way (Terms.ForCall, Terms.KeptUntil).
 //   - A service is short of room for what is asked of it. What no gate takes is told so
-//     at once rather than at its deadline; only what has run already, and calls, are
-//     kept for longer (Terms.Keep).
+//     soon rather than at its deadline; only what has run already, and calls, are kept
+//     for longer (Terms.KeptUntil).
+//   - A burst fills the queues. Served in their order, all would be late, though as many
+//     could be in time as there is room for: what no longer can goes last (Place).
+//   - Callers are refused together. They are told to come back when a gate expects room,
+//     spread, and the more urgent first (Terms.ComeBack).
 //
 // # Usage
 //
@@ -19,7 +23,7 @@
 //	if parent, ok := parentOf(attempt); ok {
 //		t = t.ForCall(parent)
 //	}
-//	if !now.Before(t.KeptUntil(ran, usual)) {
-//		// It is refused now.
+//	if !now.Before(t.KeptUntil(ran, crowded)) {
+//		retryAfter := t.ComeBack(shortestWait, rand.Float64()) // It is refused now.
 //	}
 package overload
--- a/overload/terms.go
+++ b/overload/terms.go
@@ -71,13 +71,12 @@
 // turned away takes the work of its parent with it, so it waits while that is in nobody's
 // way.
 func (t Terms) KeptUntil(ran, crowded bool) time.Time {
-	target := t.aim.Sub(t.arrived)
-	switch {
-	case t.call && !crowded:
+	if t.call && !crowded {
 		return t.aim
-	case ran:
-		return t.arrived.Add(max(time.Duration(waitRanShare*float64(target)), waitLeast))
-	default:
-		return t.arrived.Add(max(time.Duration(waitShare*float64(target)), waitLeast))
 	}
+	share := waitShare
+	if ran {
+		share = waitRanShare
+	}
+	return t.arrived.Add(max(time.Duration(share*float64(t.aim.Sub(t.arrived))), waitLeast))
 }
