Callers show a key, and upstreams are told the client account that holds it

Cause: on the shifted site callers carry keys of client accounts. The ingress looks every request up anew; platform/ decodes header and fields. An unknown key gets 401, a node without a configuration 503 as before. Own refusals by what is asked or who asks are logged and counted as refused, no longer as answered; eiderctl losses tells limits apart.

--- a/cmd/eiderctl/losses.go
+++ b/cmd/eiderctl/losses.go
@@ -24,6 +24,8 @@
 	gateClosed      cause = "gates closed"
 	notReached      cause = "node or link lost"
 	noConfiguration cause = "no configuration"
+	overLimit       cause = "over the account's limit"
+	unconfirmed     cause = "limit unconfirmed"
 	lateByQueue     cause = "late by queue"
 	lateByWork      cause = "late by work"
 	callerLeft      cause = "caller left"
@@ -83,7 +85,7 @@
 	switch {
 	case line.message == attemptMessage:
 		l.outcomes[line.text("attempt")] = line.text("outcome")
-	case line.message == requestPrefix+"failed", line.message == requestPrefix+"late", line.message == requestPrefix+"abandoned":
+	case line.message == requestPrefix+"failed", line.message == requestPrefix+"refused", line.message == requestPrefix+"late", line.message == requestPrefix+"abandoned":
 		l.requests = append(l.requests, line)
 	}
 }
@@ -93,8 +95,8 @@
 	slices.SortStableFunc(l.requests, func(a, b logLine) int { return strings.Compare(a.time, b.time) })
 	var out []loss
 	for _, r := range l.requests {
-		if status, _ := r.rest["status"].(float64); status == 404 {
-			continue // No route: nothing was lost.
+		if status, _ := r.rest["status"].(float64); status >= 400 && status < 500 && r.text("result") != "over-limit" {
+			continue // What it asks for is not there, or who asks is not known: nothing was lost.
 		}
 		out = append(out, loss{line: r, cause: l.causeOf(r)})
 	}
@@ -129,8 +131,13 @@
 
 // refusal reads why a request that never ran was refused.
 func refusal(r logLine) cause {
-	if r.text("result") == "no-configuration" {
+	switch r.text("result") {
+	case "no-configuration":
 		return noConfiguration
+	case "over-limit":
+		return overLimit
+	case "limit-unconfirmed":
+		return unconfirmed
 	}
 	switch r.text("refused") {
 	case "trial":
--- a/cmd/eiderctl/losses_test.go
+++ b/cmd/eiderctl/losses_test.go
@@ -9,16 +9,19 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestLosses attributes one request to each cause, whichever node's line comes first.
+// TestLosses attributes one request to each cause, whichever node's line comes first; in
+// accounts.log, what was refused for its account, and what is no loss.
 func TestLosses(t *testing.T) {
-	var out bytes.Buffer
-	command := lossesCommand()
-	command.SetArgs([]string{"testdata/losses.log"})
-	command.SetOut(&out)
-	require.NoError(t, command.Execute())
-	want, err := os.ReadFile("testdata/losses.txt")
-	require.NoError(t, err)
-	assert.Equal(t, string(want), out.String())
+	for _, name := range []string{"losses", "accounts"} {
+		var out bytes.Buffer
+		command := lossesCommand()
+		command.SetArgs([]string{"testdata/" + name + ".log"})
+		command.SetOut(&out)
+		require.NoError(t, command.Execute())
+		want, err := os.ReadFile("testdata/" + name + ".txt")
+		require.NoError(t, err)
+		assert.Equal(t, string(want), out.String())
+	}
 }
 
 // TestLossesOfNoFile names the file that cannot be read.
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -40,7 +40,7 @@
 func (g *Gate) run(ctx context.Context, c *call, upstream string) {
 	defer c.cancel()
 	began := time.Now()
-	terms := port.OutgoingTerms{Left: c.deadline.Sub(began), Upstream: upstream, CallerService: c.offer.CallerService}
+	terms := port.OutgoingTerms{Left: c.deadline.Sub(began), Upstream: upstream, CallerService: c.offer.CallerService, Account: c.offer.Account}
 	a, f := g.client.do(ctx, c.offer.Content, terms, !c.offer.Retryable)
 	took := time.Since(began)
 	frame, outcome := g.result(c, a, f)
--- a/ingress/explain.go
+++ b/ingress/explain.go
@@ -45,6 +45,7 @@
 	answeredInTime = "answered"
 	answeredLate   = "late"
 	failedRequest  = "failed"
+	refusedRequest = "refused" // By what it asks or who asks, not for want of room.
 	callerGone     = "abandoned"
 )
 
@@ -52,6 +53,8 @@
 	switch {
 	case answer == nil:
 		return callerGone
+	case answer.own && answer.Status < http.StatusInternalServerError:
+		return refusedRequest
 	case fl == nil || answer.Status >= http.StatusInternalServerError:
 		return failedRequest
 	case fl.route.Target > 0 && took > fl.route.Target:
@@ -65,6 +68,9 @@
 func (f *flight) story() []zap.Field {
 	fields := []zap.Field{zap.String("route", f.route.Name), zap.String("service", f.service), zap.Int("offers", f.made),
 		zap.Int("runs", f.runs), zap.Strings("gates", f.gates)}
+	if f.account != nil {
+		fields = append(fields, zap.String("account", f.account.Name))
+	}
 	if !f.committed.IsZero() {
 		fields = append(fields, zap.Duration("waited", f.committed.Sub(f.began)))
 	}
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -25,6 +25,7 @@
 	forwarder *Forwarder
 	route     *route.Route
 	service   string
+	account   *route.Account // For which it is made; nil without one.
 	attempt   string
 	content   *link.Content
 	usual     *core.Usual // How long the route's answers take.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -44,6 +44,7 @@
 	crowded  func() bool                                  // No slot is free on the upstream beside this node.
 	parents  func(attempt string) (overload.Parent, bool) // The attempts that run on the upstream beside this node.
 	failed   func(arrived time.Time)                      // Is told of requests that failed.
+	limits   Limits
 	table    atomic.Pointer[route.Table]
 	origin   uint64 // Of this process's offers; differs after a restart.
 	number   atomic.Uint64
@@ -82,6 +83,7 @@
 		crowded:  func() bool { return true },
 		parents:  func(string) (overload.Parent, bool) { return overload.Parent{}, false },
 		failed:   func(time.Time) {},
+		limits:   noLimits{},
 		origin:   rand.Uint64(),
 		flights:  map[uint64]*flight{},
 	}
@@ -104,10 +106,15 @@
 		f.explain(r, nil, refused)
 		return refused
 	}
+	if refused := f.admit(ctx, fl); refused != nil {
+		f.explain(r, fl, refused)
+		return refused
+	}
 	if fl.ofRepeat {
 		f.count("call_of_repeat")
 	}
 	response := fl.run(ctx)
+	f.giveBack(fl)
 	f.explain(r, fl, response)
 	if response == nil {
 		return nil
@@ -133,12 +140,19 @@
 	if !ok {
 		return nil, refusal(result.New(result.NoRoute, path))
 	}
+	parent, isCall := f.parents(terms.Parent)
+	account, refused := identify(table, matched, terms.Key, isCall)
+	if refused != nil {
+		return nil, refused
+	}
 	header := r.Header.Clone()
 	strip(header)
 	header.Del("Content-Length")
+	if table.HasAccounts() {
+		f.dialect.Conceal(header)
+	}
 	deadline := r.Arrived.Add(patience(terms.Patience, matched.Timeout))
 	own := overload.NewTerms(matched.Priority, r.Arrived, matched.Target, deadline)
-	parent, isCall := f.parents(terms.Parent)
 	if isCall && f.targets.switches.On(switches.CallTerms) {
 		own = own.ForCall(parent)
 	}
@@ -146,6 +160,7 @@
 		forwarder: f,
 		route:     matched,
 		service:   matched.Pick(),
+		account:   account,
 		attempt:   terms.Attempt,
 		usual:     f.usualOf(matched),
 		content:   &link.Content{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: r.Body},
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -79,6 +79,7 @@
 		Aim:           cmp.Or(f.terms.Aim().Sub(now), -1),
 		Kind:          f.route.Kind(),
 		Claim:         f.claim(),
+		Account:       f.accountName(),
 	}
 }
 
--- a/link/message.go
+++ b/link/message.go
@@ -40,6 +40,7 @@
 	Aim           time.Duration `cbor:"11,keyasint,omitempty"` // Until the answer loses most of its worth, under 0 if it has; 0 for the deadline.
 	Claim         budget.Claim  `cbor:"12,keyasint,omitempty"` // By what right it starts, if it repeats another.
 	Kind          uint32        `cbor:"13,keyasint,omitempty"` // Requests of one kind take about the same time.
+	Account       string        `cbor:"14,keyasint,omitempty"` // The client account for which it is made.
 }
 
 // Granted says that a slot is held for the offer. The gate waits for the commit,
@@ -184,6 +185,39 @@
 	Reply bool `cbor:"1,keyasint,omitempty"`
 }
 
+// LimitAsk asks an account's home for a token.
+type LimitAsk struct {
+	Number  uint64 `cbor:"1,keyasint"` // The sender's name for the request.
+	Account string `cbor:"2,keyasint"`
+	Spent   int    `cbor:"3,keyasint,omitempty"` // Tokens spent without a home and not reported yet.
+	Hops    int    `cbor:"4,keyasint,omitempty"` // How many nodes have passed it on.
+}
+
+// LimitAnswer is a home's word on a request.
+type LimitAnswer struct {
+	Number  uint64        `cbor:"1,keyasint"`
+	Granted bool          `cbor:"2,keyasint,omitempty"`
+	Unknown bool          `cbor:"3,keyasint,omitempty"` // The sender reaches no home itself.
+	After   time.Duration `cbor:"4,keyasint,omitempty"` // When to come back, where it is not granted.
+}
+
+// LimitReport tells a home of tokens that were spent without it, or come back.
+type LimitReport struct {
+	Account string `cbor:"1,keyasint"`
+	Count   int    `cbor:"2,keyasint"` // Under 0 for tokens that come back.
+}
+
+// LimitProbe asks whether the receiver reaches a node.
+type LimitProbe struct {
+	Address string `cbor:"1,keyasint"`
+}
+
+// LimitReached says whether the sender reaches the node that it was asked about.
+type LimitReached struct {
+	Address string `cbor:"1,keyasint"`
+	Reached bool   `cbor:"2,keyasint,omitempty"`
+}
+
 // Frame is one message; exactly one field is set.
 type Frame struct {
 	Hello         *Hello         `cbor:"1,keyasint,omitempty"`
@@ -201,4 +235,9 @@
 	Ping          *Ping          `cbor:"13,keyasint,omitempty"`
 	Members       []Member       `cbor:"14,keyasint,omitempty"`
 	Silent        *Silent        `cbor:"15,keyasint,omitempty"`
+	LimitAsk      *LimitAsk      `cbor:"16,keyasint,omitempty"`
+	LimitAnswer   *LimitAnswer   `cbor:"17,keyasint,omitempty"`
+	LimitReports  []LimitReport  `cbor:"18,keyasint,omitempty"`
+	LimitProbe    *LimitProbe    `cbor:"19,keyasint,omitempty"`
+	LimitReached  *LimitReached  `cbor:"20,keyasint,omitempty"`
 }
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -58,6 +58,7 @@
 	Parent    string        // The attempt for which it is made, where the name tells one.
 	Patience  time.Duration // How long the caller waits from now; 0 if it does not say.
 	Malformed bool          // A header of ours cannot be read.
+	Key       string        // Of a client account; "" if the caller shows none that can be read.
 }
 
 // OutgoingTerms is what an upstream is told about a request.
@@ -65,6 +66,7 @@
 	Left          time.Duration // Until the request's deadline.
 	Upstream      string        // The incarnation that shall run it.
 	CallerService string        // The service beside which the request started.
+	Account       string        // The client account for which it was made, "" if none.
 }
 
 // AnswerTerms is what an upstream says about its answer.
@@ -85,6 +87,9 @@
 	AttemptHeader() string
 	// Request reads what a caller says.
 	Request(h http.Header) RequestTerms
+	// Conceal takes out what only the node may see that took the request from its caller,
+	// and what a caller may not say of itself.
+	Conceal(h http.Header)
 	// SetOutgoing writes what the upstream is told, over whatever the caller sent.
 	SetOutgoing(h http.Header, t OutgoingTerms)
 	// Answer reads what an upstream says.
--- a/result/result.go
+++ b/result/result.go
@@ -49,6 +49,8 @@
 	SlowCaller         Code = 24
 	KeyReused          Code = 25
 	HeaderTooLarge     Code = 26
+	UnknownKey         Code = 27
+	OverLimit          Code = 28
 	NoConfiguration    Code = 30
 	Overloaded         Code = 31
 	Stopping           Code = 32
@@ -56,6 +58,7 @@
 	NoUpstream         Code = 34
 	UpstreamShed       Code = 35
 	ConnectFailed      Code = 36
+	LimitUnconfirmed   Code = 37
 	TooManyConnections Code = 38
 	CallerGone         Code = 39
 	OutcomeUnknown     Code = 40
@@ -92,6 +95,8 @@
 	BadRequest:         {"bad-request", http.StatusBadRequest, NotRun, "a header of ours cannot be read"},
 	SlowCaller:         {"slow-caller", http.StatusRequestTimeout, NotRun, "the body did not come within the deadline; nothing was sent"},
 	HeaderTooLarge:     {"header-too-large", http.StatusRequestHeaderFieldsTooLarge, NotRun, "the header is over the limit of the configuration"},
+	UnknownKey:         {"unknown-key", http.StatusUnauthorized, NotRun, "the request shows no key of a client account"},
+	OverLimit:          {"over-limit", http.StatusTooManyRequests, NotRun, "the client account is over its limit"},
 	KeyReused:          {"key-reused", http.StatusUnprocessableEntity, NotRun, "the Idempotency-Key names an operation with another body"},
 	NoConfiguration:    {"no-configuration", http.StatusServiceUnavailable, NotRun, "the node holds no configuration yet"},
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, NotRun, "no slot comes free within the deadline"},
@@ -100,6 +105,7 @@
 	NoUpstream:         {"no-upstream", http.StatusServiceUnavailable, NotRun, "no upstream of the service is known or live"},
 	UpstreamShed:       {"upstream-shed", http.StatusServiceUnavailable, NotRun, "the upstreams refused it by contract"},
 	ConnectFailed:      {"connect-failed", http.StatusBadGateway, NotRun, "no connection could be made, so nothing was sent"},
+	LimitUnconfirmed:   {"limit-unconfirmed", http.StatusServiceUnavailable, NotRun, "nobody who knows what the client account has used can be reached"},
 	KeyUnconfirmed:     {"key-unconfirmed", http.StatusServiceUnavailable, Unknown, "nobody who knows whether this key has run can be reached; repeat with the same key"},
 	TooManyConnections: {"too-many-connections", http.StatusServiceUnavailable, NotRun, "the node holds as many connections as its settings allow"},
 	CallerGone:         {"caller-gone", 499, NotRun, "the caller went away before anything was sent"},
--- a/route/route.go
+++ b/route/route.go
@@ -1,11 +1,13 @@
 // Package route holds the routing table that a configuration describes: a host
 // and the longest prefix of a path choose a route, and the route's shares choose
-// a service. A table never changes; a node swaps the whole.
+// a service. It also holds the client accounts, which callers name by a key. A table
+// never changes; a node swaps the whole.
 //
 // # Usage
 //
 //	table, err := route.New(document)
 //	r, ok := table.Match("office.example", "/births/118")
+//	account, ok := table.AccountOf(key)
 //	service := r.Pick()
 package route
 
@@ -37,6 +39,7 @@
 	Timeout   time.Duration
 	Target    time.Duration // Within it, an answer is worth most.
 	Attempts  int           // At how many upstreams one request may run.
+	Open      bool          // Callers need no key.
 	Shares    []Share
 	turn      *atomic.Uint64 // How often a service was picked.
 	kind      uint32
@@ -67,6 +70,7 @@
 	Limits   Limits
 	Routes   []Route
 	Services []Service
+	Accounts []Account // None: callers need no keys.
 }
 
 // Table is a checked configuration.
@@ -75,12 +79,14 @@
 	limits   Limits
 	services map[string]Service
 	hosts    map[string][]*Route // Longest prefix first.
+	accounts accounts
 }
 
 // New checks a document. Its error names every fault with its field.
 func New(d Document) (*Table, error) {
 	t := &Table{version: d.Version, limits: d.Limits, services: map[string]Service{}, hosts: map[string][]*Route{}}
 	var faults []string
+	t.accounts, faults = newAccounts(d.Accounts)
 	for _, s := range d.Services {
 		t.services[s.Name] = s
 	}
