Limits of client accounts, kept over the whole fleet

Cause: an account may send rate x window + burst (and what operators grant above it) over all nodes together, in touch or not; nothing kept that. Change: package quota, pure: every account has a home among the nodes (rendezvous hashing) with a token bucket; a node asks it for each request, before anything else is spent on it; what has not run gives its token back. A home that does not answer is reached through another node, found by indirect probes; only one that nobody reaches is stood in for; a node that reaches nobody has half of its part. Homes look which part of the fleet they reach and leave the rest its part.

--- a/link/link.go
+++ b/link/link.go
@@ -51,6 +51,7 @@
 	closed   chan struct{}
 	once     sync.Once
 	received atomic.Int64 // UnixNano of the last message.
+	ponged   atomic.Int64 // UnixNano of the last reply to a ping.
 	meter    atomic.Pointer[Meter]
 }
 
@@ -108,6 +109,10 @@
 // Received returns when the last message came.
 func (l *Link) Received() time.Time { return time.Unix(0, l.received.Load()) }
 
+// Ponged returns when a ping was last replied to: unlike any other message, it shows that
+// the peer hears as well.
+func (l *Link) Ponged() time.Time { return time.Unix(0, l.ponged.Load()) }
+
 // Remote returns the peer's address.
 func (l *Link) Remote() string { return l.conn.RemoteAddr().String() }
 
@@ -126,9 +131,11 @@
 			handle(f)
 			continue
 		}
-		if !f.Ping.Reply {
-			l.Send(&Frame{Ping: &Ping{Reply: true}})
+		if f.Ping.Reply {
+			l.ponged.Store(time.Now().UnixNano())
+			continue
 		}
+		l.Send(&Frame{Ping: &Ping{Reply: true}})
 	}
 }
 
--- a/link/meter.go
+++ b/link/meter.go
@@ -32,6 +32,9 @@
 		return "answer"
 	case f.Configuration != nil:
 		return "configuration"
+	case f.LimitAsk != nil, f.LimitAnswer != nil, f.LimitReports != nil,
+		f.LimitProbe != nil, f.LimitReached != nil:
+		return "limit"
 	default:
 		return "other"
 	}
--- /dev/null
+++ b/mesh/account_test.go
@@ -0,0 +1,214 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"eiderfold/platform"
+)
+
+// accountsText is a configuration with accounts, whose keys callers show as Token KEY.
+func accountsText(version int, accounts string) []byte {
+	text := configurationText(version, "/open/")
+	text = bytes.Replace(text, []byte(`"name":"r4",`), []byte(`"name":"r4","authExempt":true,`), 1)
+	return bytes.Replace(text, []byte(`"listeners"`), []byte(`"tenants":[`+accounts+`],"listeners"`), 1)
+}
+
+const (
+	officeAccount = `{"name":"office","apiKeys":["key-of-office","second-key"],"priority":1}`
+	courtAccount  = `{"name":"court","apiKeys":["key-of-court"],"priority":0}`
+)
+
+// withAccounts puts a configuration with accounts in force on all nodes.
+func (b *bed) withAccounts(version int, accounts string) {
+	b.t.Helper()
+	require.NoError(b.t, b.store.Put(context.Background(), platform.ConfigurationKey, accountsText(version, accounts)))
+	b.awaitVersion(uint64(version))
+}
+
+// call sends a request with headers and returns the answer's status.
+func (n *testNode) call(path, attempt string, header http.Header) (int, http.Header) {
+	n.bed.t.Helper()
+	r, err := http.NewRequest(http.MethodGet, "http://"+n.settings.Load().Callers()+path, nil)
+	require.NoError(n.bed.t, err)
+	r.Host = "office.example"
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	r.Header.Set("Attempt-Id", attempt)
+	r.Header.Set("Deadline-Ms", "8000")
+	answer, err := http.DefaultClient.Do(r)
+	require.NoError(n.bed.t, err)
+	_ = answer.Body.Close()
+	return answer.StatusCode, answer.Header
+}
+
+func keyHeader(key string) http.Header { return http.Header{"Authorization": {"Token " + key}} }
+
+// TestWhoCalls plays the data file: what each header is answered with, and what the
+// upstream is told.
+func TestWhoCalls(t *testing.T) {
+	t.Parallel()
+	text, err := os.ReadFile("testdata/callers.yaml")
+	require.NoError(t, err)
+	var cases []struct {
+		Why     string              `yaml:"why"`
+		Path    string              `yaml:"path"`
+		Header  map[string][]string `yaml:"header"`
+		Fill    int                 `yaml:"fill"` // Bytes put behind the key.
+		Status  int                 `yaml:"status"`
+		Account string              `yaml:"account"`
+	}
+	require.NoError(t, yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()))
+	b := newBed(t)
+	one := b.add("one", "births")
+	b.meet()
+	assert.Equal(t, http.StatusOK, one.status(http.MethodGet, "/look/x", "before"), "without accounts nobody needs a key")
+	b.withAccounts(4, officeAccount+","+courtAccount)
+	for i, c := range cases {
+		attempt := fmt.Sprintf("a%d", i)
+		header := http.Header{}
+		for name, values := range c.Header {
+			header[name] = values
+		}
+		if c.Fill > 0 {
+			header["Authorization"] = []string{header.Get("Authorization") + strings.Repeat("x", c.Fill)}
+		}
+		status, _ := one.call(c.Path, attempt, header)
+		assert.Equal(t, c.Status, status, c.Why)
+		seen, ran := one.upstream.seen(attempt)
+		assert.Equal(t, c.Status == http.StatusOK, ran, c.Why)
+		if !ran {
+			continue
+		}
+		assert.Equal(t, c.Account, seen.Get("Tenant"), c.Why)
+		assert.Empty(t, seen.Values("Authorization"), c.Why)
+	}
+}
+
+// TestKeysFollowTheConfiguration takes a key away, and passes another on to a different
+// account, while a connection stays open.
+func TestKeysFollowTheConfiguration(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	one := b.add("one", "births")
+	two := b.add("two", "births")
+	b.meet()
+	b.withAccounts(4, officeAccount+","+courtAccount)
+	status, _ := one.call("/look/x", "a1", keyHeader("second-key"))
+	assert.Equal(t, http.StatusOK, status)
+	b.withAccounts(5, `{"name":"office","apiKeys":["key-of-court"]},{"name":"court","apiKeys":[]}`)
+	for _, n := range []*testNode{one, two} {
+		status, _ = n.call("/look/x", "b-"+n.self.Name, keyHeader("second-key"))
+		assert.Equal(t, http.StatusUnauthorized, status)
+		status, _ = n.call("/look/x", "c-"+n.self.Name, keyHeader("key-of-court"))
+		assert.Equal(t, http.StatusOK, status)
+	}
+	account := ""
+	for _, n := range b.nodes {
+		if seen, ran := n.upstream.seen("c-one"); ran {
+			account = seen.Get("Tenant")
+		}
+	}
+	assert.Equal(t, "office", account)
+}
+
+// TestRestartedNodeKnowsNoKey answers 503, never 401, until it has a configuration.
+func TestRestartedNodeKnowsNoKey(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	one := b.add("one", "births")
+	b.meet()
+	b.withAccounts(4, officeAccount)
+	one.stopNode()
+	one.store.denied.Store(true)
+	one.start()
+	status, _ := one.call("/look/x", "a1", keyHeader("key-of-office"))
+	assert.Equal(t, http.StatusServiceUnavailable, status)
+	one.store.denied.Store(false)
+	b.awaitVersion(4)
+}
+
+// flood sends requests of an account to all nodes at once, and returns how many were
+// answered with which status.
+func (b *bed) flood(count int, prefix, key string) map[int]int {
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	var all sync.WaitGroup
+	for i := range count {
+		n := b.nodes[i%len(b.nodes)]
+		all.Go(func() {
+			status, header := n.call("/look/x", fmt.Sprintf("%s-%d", prefix, i), keyHeader(key))
+			if status == http.StatusTooManyRequests {
+				assert.NotEmpty(b.t, header.Get("Retry-After"))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[status]++
+		})
+	}
+	all.Wait()
+	return statuses
+}
+
+// TestLimitHoldsOverAllNodes floods four nodes with an account that may send ten requests
+// at once: no more than those run, whichever node they reach, also when the account's home
+// has gone and another node has taken its place.
+func TestLimitHoldsOverAllNodes(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.addBirths(4)
+	b.meet()
+	b.withAccounts(4, `{"name":"office","apiKeys":["key-of-office"],"ratePerS":0.01,"burstSize":10},{"name":"court","apiKeys":["key-of-court"]}`)
+	for _, n := range b.nodes {
+		n.limits.mu.Lock()
+		n.limits.home.Unsettle(time.Now().Add(-time.Hour))
+		n.limits.fleet = n.links.reached.Load()
+		n.limits.mu.Unlock()
+	}
+	statuses := b.flood(40, "first", "key-of-office")
+	assert.Equal(t, 10, statuses[http.StatusOK], "%v", statuses)
+	assert.Equal(t, 30, statuses[http.StatusTooManyRequests], "%v", statuses)
+	assert.Equal(t, 40, b.flood(40, "other", "key-of-court")[http.StatusOK], "an account without a limit is not asked about")
+	home := b.nodes[0].limits.homes.Of("office", time.Now()).Home
+	for i, n := range b.nodes {
+		if n.self.Address == home {
+			n.stopNode()
+			b.nodes = append(b.nodes[:i:i], b.nodes[i+1:]...)
+			break
+		}
+	}
+	statuses = b.flood(30, "second", "key-of-office")
+	assert.LessOrEqual(t, statuses[http.StatusOK], 4, "a home that does not know what was given has a token, and each node may have one of its part: %v", statuses)
+}
+
+// TestLimitReturns gives a token back for what found no room: it had not run.
+func TestLimitReturns(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	one := b.add("one", "births")
+	b.meet()
+	b.withAccounts(4, `{"name":"office","apiKeys":["key-of-office"],"ratePerS":0.01,"burstSize":5}`)
+	one.limits.mu.Lock()
+	one.limits.home.Unsettle(time.Now().Add(-time.Hour))
+	one.limits.fleet = one.links.reached.Load()
+	one.limits.mu.Unlock()
+	for i := range 8 {
+		status, _ := one.call("/marriages/x", fmt.Sprintf("m%d", i), keyHeader("key-of-office"))
+		assert.Equal(t, http.StatusServiceUnavailable, status, "no upstream of that service is there")
+		time.Sleep(2 * limitFlush)
+	}
+	status, _ := one.call("/look/x", "a1", keyHeader("key-of-office"))
+	assert.Equal(t, http.StatusOK, status)
+}
--- a/mesh/bed_test.go
+++ b/mesh/bed_test.go
@@ -100,7 +100,7 @@
 // add starts a node with an upstream that has reported itself.
 func (b *bed) add(name, service string) *testNode {
 	b.t.Helper()
-	u := &testUpstream{id: "i-" + name, service: service, runs: map[string]int{}, callers: map[string]string{}}
+	u := &testUpstream{id: "i-" + name, service: service, runs: map[string]int{}, callers: map[string]string{}, headers: map[string]http.Header{}}
 	u.healthy.Store(true)
 	u.Server = httptest.NewServer(u)
 	b.t.Cleanup(u.Close)
--- a/mesh/dump.go
+++ b/mesh/dump.go
@@ -11,6 +11,16 @@
 	Ready         bool        `json:"ready"`
 	Gate          gateDump    `json:"gate"`
 	Peers         []peerDump  `json:"peers"`
+	// Accounts are those whose home this node is, by how much of their limits they use.
+	Accounts []accountDump `json:"accounts,omitempty"`
+}
+
+type accountDump struct {
+	Name  string  `json:"name"`
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	Left  float64 `json:"left"`  // Requests that may come at once.
+	Holds float64 `json:"holds"` // What left is when the account rests.
 }
 
 type gateDump struct {
@@ -43,5 +53,8 @@
 		s := t.Status()
 		d.Peers = append(d.Peers, peerDump{Member: t.Member(), Reachable: t.Reachable(), Mode: s.Mode.String(), Upstream: s.Upstream})
 	}
+	for _, u := range n.limits.uses() {
+		d.Accounts = append(d.Accounts, accountDump{Name: u.Account, Rate: u.Limit.Rate, Burst: u.Limit.Burst, Left: u.Left, Holds: u.Depth})
+	}
 	return d
 }
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -38,6 +38,7 @@
 	near bool      // It is in the own data centre.
 	owed bool      // It has not been told of the last status.
 	next time.Time // When it may be told.
+	from string    // The node's address, once it has told it.
 }
 
 // announce tells everybody of the own gate's status: at once where it closes or
@@ -69,12 +70,13 @@
 	i.next = now.Add(farStatusEvery)
 }
 
-// locate takes note of where the node that dialed is.
-func (l *links) locate(in *link.Link, dataCentre string) {
+// locate takes note of which node dialed, and where it is.
+func (l *links) locate(in *link.Link, m link.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if from := l.inbound[in]; from != nil {
-		from.near = dataCentre == l.node.self.DataCentre
+		from.near = m.DataCentre == l.node.self.DataCentre
+		from.from = m.Address
 		l.measure(in, from.near)
 	}
 }
@@ -100,6 +102,7 @@
 	delete(l.inbound, in)
 	l.mu.Unlock()
 	l.node.gate.Lost(in)
+	l.node.limits.parted(in)
 	l.node.log.Debug("inbound link ended", zap.String("from", in.Remote()), zap.Error(err))
 }
 
@@ -107,11 +110,20 @@
 func (l *links) fromIngress(in *link.Link, f *link.Frame) {
 	switch {
 	case f.Hello != nil:
-		l.learn(f.Hello.Member)
-		l.locate(in, f.Hello.Member.DataCentre)
+		l.hear(f.Hello.Member)
+		l.locate(in, f.Hello.Member)
+		l.node.limits.joined(f.Hello.Member.Address, in)
 		l.node.config.handle(&link.Configuration{Version: f.Hello.Version}, in)
 	case f.Configuration != nil:
 		l.node.config.handle(f.Configuration, in)
+	case len(f.Members) > 0:
+		l.hear(f.Members...)
+	case f.LimitAsk != nil:
+		l.node.limits.asked(in, f.LimitAsk)
+	case f.LimitProbe != nil:
+		go l.node.limits.probe(in, f.LimitProbe)
+	case len(f.LimitReports) > 0:
+		l.node.limits.reported(f.LimitReports)
 	default:
 		l.node.gate.Handle(in, f)
 	}
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eiderfold/ingress"
@@ -30,6 +31,8 @@
 	peers   map[string]*peer
 	inbound map[*link.Link]*inbound
 	told    link.Mode     // As all inbound links were told last.
+	news    []link.Member // Newcomers of which others are to be told.
+	reached atomic.Uint64 // Changes with the nodes that are known or reached.
 	pending []link.Member // Learned before run.
 }
 
@@ -55,6 +58,7 @@
 			return
 		case now := <-t.C:
 			l.check(now)
+			l.spread()
 		}
 	}
 }
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,22 +20,60 @@
 	// removers is how many nodes remove the records of those that they forget: more than
 	// one, as no node dials all others.
 	removers = 3
+	// newsMargin is how many nodes hear of a newcomer above ln(n): one in a hundred
+	// newcomers is missed by some node, which finds it when the directory is read again.
+	newsMargin = 4
+	// newsAfter is how long after its start a node passes on no news.
+	newsAfter = 3 * time.Second
 )
 
-// learn takes note of a node that somebody has seen.
-func (l *links) learn(m link.Member) {
+// learn takes note of a node that somebody has seen, and reports whether it is new.
+func (l *links) learn(m link.Member) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m.Address == l.node.self.Address || l.known[m.Address] == m {
-		return
+		return false
 	}
 	l.known[m.Address] = m
+	l.reached.Add(1)
 	l.node.budget.NoteGates(l.gates())
 	if l.ctx == nil {
 		l.pending = append(l.pending, m)
-		return
+		return true
 	}
 	l.consider(m)
+	return true
+}
+
+// hear is learn for what another node has said. A newcomer dials some nodes only, and
+// the others must know of it too: nodes that know different members take different ones
+// for an account's home. So what is news here is passed on, once. A node that has just
+// started passes nothing on: it has met the whole fleet, which knows itself.
+func (l *links) hear(members ...link.Member) {
+	for _, m := range members {
+		if !l.learn(m) || time.Now().Before(l.node.settled.Add(newsAfter)) {
+			continue
+		}
+		l.mu.Lock()
+		l.news = append(l.news, m)
+		l.mu.Unlock()
+	}
+}
+
+// spread passes news on to some nodes drawn by chance. To so many that all hear of it:
+// with ln(n) + c of them, e^-c nodes of the whole fleet are left out.
+func (l *links) spread() {
+	l.mu.Lock()
+	news := l.news
+	l.news = nil
+	count := int(math.Ceil(math.Log(float64(len(l.known)+2)))) + newsMargin
+	l.mu.Unlock()
+	if len(news) == 0 {
+		return
+	}
+	for _, to := range l.some(count, "") {
+		to.Send(&link.Frame{Members: news})
+	}
 }
 
 // gates counts the known gates of this node's service, its own among them, with the
@@ -93,6 +132,7 @@
 	l.mu.Lock()
 	delete(l.peers, p.address)
 	delete(l.known, p.address)
+	l.reached.Add(1)
 	l.refill()
 	l.mu.Unlock()
 	l.node.targets.Remove(p.target)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -19,6 +19,7 @@
 	"eiderfold/link"
 	"eiderfold/overload"
 	"eiderfold/port"
+	"eiderfold/quota"
 	"eiderfold/route"
 	"eiderfold/settings"
 )
@@ -39,6 +40,7 @@
 	links     *links
 	config    *configuration
 	directory *directory
+	limits    *limits
 	settled   time.Time // When it takes its place among the others at the latest.
 	stopping  atomic.Bool
 }
@@ -57,14 +59,17 @@
 	n.budget = budget.New(ratio, slack, time.Now())
 	n.settings.Store(s)
 	n.targets.SetSwitches(s.Switches())
+	n.limits = newLimits(n, s.AccountLimits())
 	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, p.Dialect, log, metrics,
 		ingress.WithParents(func(attempt string) (overload.Parent, bool) { return n.gate.Parent(attempt) }),
 		ingress.WithCrowd(func() bool { return n.gate.Crowded() }),
+		ingress.WithLimits(n.limits),
 		ingress.WithFailures(func(arrived time.Time) { n.gate.NoteFailure(arrived) }))
-	n.server = ingress.NewServer(n.forwarder.Serve, n.limits)
+	n.server = ingress.NewServer(n.forwarder.Serve, n.callerLimits)
 	n.directory = newDirectory(n)
 	n.config = newConfiguration(n)
 	n.links = newLinks(n)
+	n.limits.homes = quota.NewHomes(fleetView{n.links})
 	n.gate = gate.New(gate.Upstream{Address: s.Upstream(), Service: s.Service()}, p.Dialect, log,
 		gate.WithBudget(n.budget), gate.WithSwitches(s.Switches()), gate.WithRecords(n.directory), gate.WithCounters(metrics), gate.WithAnnounce(n.links.announce), gate.WithHealthPath(n.healthPath))
 	n.links.addLocal()
@@ -77,6 +82,7 @@
 	old := n.settings.Swap(s)
 	n.budget.SetBounds(s.Retries())
 	n.targets.SetFloorShare(s.FloorShare())
+	n.limits.setBounds(s.AccountLimits())
 	moved := s.Node() != old.Node() || s.Callers() != old.Callers() || s.Links() != old.Links() || s.Upstream() != old.Upstream() ||
 		s.Service() != old.Service() || s.Store() != old.Store() || s.DataCentre() != old.DataCentre() ||
 		s.Advertised() != old.Advertised() || s.Reports() != old.Reports() || s.Ready() != old.Ready() || s.Metrics() != old.Metrics() ||
@@ -84,8 +90,8 @@
 	n.log.Info("reload", zap.Bool("restart_needed", moved))
 }
 
-// limits returns what callers may send now.
-func (n *Node) limits() route.Limits {
+// callerLimits returns what callers may send now.
+func (n *Node) callerLimits() route.Limits {
 	if t := n.forwarder.Table(); t != nil {
 		return t.Limits()
 	}
@@ -118,7 +124,7 @@
 	defer cancel()
 	n.settled = time.Now().Add(meetTime)
 	var background sync.WaitGroup
-	for _, f := range []func(context.Context){n.gate.Run, n.config.run, n.directory.run, n.links.run, n.summarize} {
+	for _, f := range []func(context.Context){n.gate.Run, n.config.run, n.directory.run, n.links.run, n.limits.run, n.summarize} {
 		background.Go(func() { f(running) })
 	}
 	n.serve(listeners)
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -80,6 +80,8 @@
 	target, name := p.target, p.member.Name
 	p.mu.Unlock()
 	p.links.node.forwarder.Disconnected(target, l)
+	p.links.reached.Add(1)
+	p.links.node.limits.homeLost(p.address)
 	p.links.node.log.Info("link lost", zap.String("node", name), zap.Error(err))
 }
 
@@ -91,6 +93,10 @@
 		p.greet(l, f.Hello)
 	case f.Status != nil:
 		p.current().SetStatus(*f.Status, time.Now())
+	case f.LimitAnswer != nil:
+		n.limits.answered(f.LimitAnswer)
+	case f.LimitReached != nil:
+		n.limits.reached(p.address, f.LimitReached)
 	case f.Configuration != nil:
 		p.know(f.Configuration.Version)
 		n.config.handle(f.Configuration, l)
@@ -118,6 +124,8 @@
 	target.SetStatus(h.Status, time.Now())
 	p.links.measure(l, h.Member.DataCentre == n.self.DataCentre)
 	n.forwarder.Connected(target, l, h.Process)
+	p.links.reached.Add(1)
+	n.limits.homeBack(p.address)
 	p.know(h.Version)
 	n.config.handle(&link.Configuration{Version: h.Version}, l)
 	n.log.Info("link up", zap.String("node", h.Member.Name), zap.String("service", h.Member.Service), zap.Stringer("mode", h.Status.Mode))
--- a/mesh/upstream_test.go
+++ b/mesh/upstream_test.go
@@ -18,6 +18,7 @@
 	mu      sync.Mutex
 	runs    map[string]int
 	callers map[string]string
+	headers map[string]http.Header
 	work    func(r *http.Request)
 }
 
@@ -38,6 +39,7 @@
 	u.mu.Lock()
 	u.runs[attempt]++
 	u.callers[attempt] = r.Header.Get("Caller-Service")
+	u.headers[attempt] = r.Header.Clone()
 	work := u.work
 	u.mu.Unlock()
 	body, _ := io.ReadAll(r.Body)
@@ -65,6 +67,14 @@
 	return started, sync.OnceFunc(func() { close(wait) })
 }
 
+// seen returns the header that an attempt came with, if it ran here.
+func (u *testUpstream) seen(attempt string) (http.Header, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	h, ok := u.headers[attempt]
+	return h, ok
+}
+
 func (u *testUpstream) ran(attempt string) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- /dev/null
+++ b/quota/homes.go
@@ -0,0 +1,220 @@
+package quota
+
+import "time"
+
+const (
+	// probeAgain is how long the word of others on whether they reach a node counts.
+	probeAgain = 2 * time.Second
+	// pingAgain is the pace at which a node in doubt is asked for a sign of life: while it
+	// is believed to be gone and is not, its tokens and those of who stands in for it are
+	// both given.
+	pingAgain = 200 * time.Millisecond
+	// aloneAgain is the pause before a node asks again that nobody has answered.
+	aloneAgain = 250 * time.Millisecond
+)
+
+// Fleet is what Homes needs of the other nodes. Nodes are named by their addresses.
+type Fleet interface {
+	// Self returns this node.
+	Self() string
+	// Changed returns a number that changes with the nodes that are known or linked.
+	Changed() uint64
+	// First returns the node that ranks first for an account, leaving some out. It is the
+	// same wherever the same nodes are known.
+	First(account string, without map[string]bool) string
+	// Known tells whether a node is still known.
+	Known(node string) bool
+	// Linked tells whether there is a link to a node, and when it last answered a ping.
+	Linked(node string) (bool, time.Time)
+	// Dial begins to make a link to a node, and reports whether none was being made.
+	Dial(node string) bool
+	// Ping asks a node for a sign of life.
+	Ping(node string)
+	// Probe asks others whether they reach a node.
+	// They answer by Homes.Reached; once they had time to, Homes.ProbeEnded is called.
+	Probe(node string)
+}
+
+// Place is where an account's tokens are, and how they are reached.
+type Place struct {
+	Home    string // "" if this node is cut off from all others.
+	Way     string // The node to ask: the home itself, or one that reaches it.
+	Pending bool   // It is not known yet how the home is reached.
+	Acting  bool   // The home stands in for one that is gone.
+}
+
+// doubt is a node that did not answer, or to which there is no link.
+type doubt struct {
+	since   time.Time
+	until   time.Time // When others are asked again.
+	pinged  time.Time // When it was last asked for a sign of life.
+	via     string    // A node that reaches it.
+	gone    bool      // Nobody that was asked reaches it.
+	alone   bool      // Nobody that was asked answered.
+	probing bool
+	heard   int // How many of those that were asked have answered.
+}
+
+// Homes finds the home of each account: the node that ranks first for it, on which all
+// agree that know the same nodes; when one goes only its accounts move. A home that does
+// not answer is probed for through others, as SWIM does: an account whose home is behind
+// a cut keeps it, reached through somebody else. With two homes it would have twice its
+// limit, so only a home that nobody reaches is taken for gone.
+type Homes struct {
+	fleet  Fleet
+	at     uint64           // Of the fleet's changes, when found was begun.
+	found  map[string]Place // By account.
+	doubts map[string]*doubt
+}
+
+// NewHomes returns homes among the nodes of a fleet.
+func NewHomes(f Fleet) *Homes {
+	return &Homes{fleet: f, found: map[string]Place{}, doubts: map[string]*doubt{}}
+}
+
+// Of returns where an account's tokens are.
+func (h *Homes) Of(account string, now time.Time) Place {
+	for node, d := range h.doubts {
+		h.review(node, d, now)
+	}
+	if at := h.fleet.Changed(); at != h.at {
+		h.at = at
+		clear(h.found)
+	}
+	p, ok := h.found[account]
+	if ok {
+		return p
+	}
+	p = h.search(account, now)
+	if !p.Pending {
+		h.found[account] = p
+	}
+	return p
+}
+
+// search ranks the nodes for an account, leaving out those that are gone.
+func (h *Homes) search(account string, now time.Time) Place {
+	gone := map[string]bool{}
+	for {
+		node := h.fleet.First(account, gone)
+		d := h.doubts[node]
+		linked, _ := h.fleet.Linked(node)
+		switch {
+		case node == h.fleet.Self() || linked && d == nil:
+			return Place{Home: node, Way: node, Acting: len(gone) > 0}
+		case h.fleet.Dial(node):
+			return Place{Home: node, Pending: true}
+		case d == nil:
+			h.Doubt(node, now)
+			return Place{Home: node, Pending: true}
+		case d.via != "":
+			return Place{Home: node, Way: d.via}
+		case d.alone:
+			return Place{}
+		case !d.gone:
+			return Place{Home: node, Pending: true}
+		}
+		gone[node] = true
+	}
+}
+
+// Unanswered takes note that a home was asked in vain.
+func (h *Homes) Unanswered(p Place, now time.Time) {
+	if d := h.doubts[p.Home]; d != nil && d.via == p.Way {
+		d.via = ""
+	}
+	h.Doubt(p.Home, now)
+}
+
+// Doubt takes note that a node does not answer, and has others asked for it.
+func (h *Homes) Doubt(node string, now time.Time) {
+	if node == "" || node == h.fleet.Self() {
+		return
+	}
+	d := h.doubts[node]
+	if d == nil {
+		d = &doubt{since: now}
+		h.doubts[node] = d
+	}
+	h.probe(node, d, now)
+}
+
+// review ends a doubt about a node that has been heard since, or is no longer known, and
+// has others asked again about the rest from time to time.
+func (h *Homes) review(node string, d *doubt, now time.Time) {
+	if h.answered(node, d) || !h.fleet.Known(node) {
+		h.Trust(node)
+		return
+	}
+	if !now.Before(d.pinged.Add(pingAgain)) {
+		d.pinged = now
+		h.fleet.Ping(node)
+	}
+	if now.Before(d.until) {
+		return
+	}
+	h.probe(node, d, now)
+}
+
+// answered tells whether a node has answered a ping since it is in doubt.
+func (h *Homes) answered(node string, d *doubt) bool {
+	linked, at := h.fleet.Linked(node)
+	return linked && at.After(d.since)
+}
+
+// Trust ends the doubt about a node: there is a new link to it.
+func (h *Homes) Trust(node string) {
+	if h.doubts[node] != nil {
+		delete(h.doubts, node)
+		clear(h.found)
+	}
+}
+
+// probe has others asked about a node. What was known until now holds until they had time
+// to answer.
+func (h *Homes) probe(node string, d *doubt, now time.Time) {
+	if d.probing {
+		return
+	}
+	d.probing = true
+	d.until = now.Add(probeAgain)
+	d.heard = 0
+	d.pinged = now
+	h.fleet.Ping(node)
+	h.fleet.Probe(node)
+	clear(h.found)
+}
+
+// Reached takes another node's word on whether it reaches one that was probed for.
+func (h *Homes) Reached(node, via string, reached bool) {
+	d := h.doubts[node]
+	if d == nil {
+		return
+	}
+	d.heard++
+	if reached {
+		d.via = via
+		d.gone, d.alone = false, false
+		clear(h.found)
+	}
+}
+
+// ProbeEnded takes a node for gone that nobody said to reach. Where nobody answered it is
+// this node that is cut off: were it to take the home's place, the account would have two.
+func (h *Homes) ProbeEnded(node string, now time.Time) {
+	d := h.doubts[node]
+	if d == nil {
+		return
+	}
+	d.probing = false
+	if h.answered(node, d) {
+		h.Trust(node) // It was only late.
+		return
+	}
+	d.alone = d.via == "" && d.heard == 0
+	d.gone = d.via == "" && !d.alone
+	if d.alone {
+		d.until = now.Add(aloneAgain)
+	}
+	clear(h.found)
+}
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -8,6 +8,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
 
+	"eiderfold/quota"
 	"eiderfold/switches"
 )
 
@@ -18,6 +19,7 @@
 	standardRetrySlack  = 20              // Repeats above the ratio.
 	standardFloorShare  = 0.7             // Of a service's gates.
 	standardAcknowledge = 4 * time.Second
+	standardLimitWindow = 5 * time.Second // Over which an account's requests are counted.
 )
 
 // leastMeshGrace leaves something of the time that a node keeps free before it is
@@ -26,15 +28,16 @@
 
 // meshFile is the YAML of a node of `eiderfold mesh`.
 type meshFile struct {
-	Node       string     `yaml:"node"`
-	DataCentre string     `yaml:"data_centre"`
-	Upstream   upstream   `yaml:"upstream"`
-	Listen     meshListen `yaml:"listen"`
-	Store      string     `yaml:"store"`
-	Fleet      fleet      `yaml:"fleet"`
-	Retries    retries    `yaml:"retries"`
-	Stop       meshStop   `yaml:"stop"`
-	Log        logFields  `yaml:"log"`
+	Node       string        `yaml:"node"`
+	DataCentre string        `yaml:"data_centre"`
+	Upstream   upstream      `yaml:"upstream"`
+	Listen     meshListen    `yaml:"listen"`
+	Store      string        `yaml:"store"`
+	Fleet      fleet         `yaml:"fleet"`
+	Retries    retries       `yaml:"retries"`
+	Limits     accountLimits `yaml:"account_limits"`
+	Stop       meshStop      `yaml:"stop"`
+	Log        logFields     `yaml:"log"`
 	// Off names mechanisms to switch off, for measurements.
 	Off []string `yaml:"off"`
 }
@@ -64,6 +67,13 @@
 	Slack float64 `yaml:"slack"`
 }
 
+// accountLimits is what is granted above the limits of client accounts.
+type accountLimits struct {
+	Window time.Duration `yaml:"window"`
+	Over   float64       `yaml:"over"`  // Part of a window's requests.
+	Slack  float64       `yaml:"slack"` // Requests in a window.
+}
+
 type meshStop struct {
 	Grace time.Duration `yaml:"grace"`
 }
@@ -141,6 +151,12 @@
 // number above it.
 func (m *Mesh) Retries() (ratio, slack float64) { return m.file.Retries.Ratio, m.file.Retries.Slack }
 
+// AccountLimits returns what is granted above the limits of client accounts.
+func (m *Mesh) AccountLimits() quota.Bounds {
+	l := m.file.Limits
+	return quota.Bounds{Window: l.Window, Over: l.Over, Slack: l.Slack}
+}
+
 // Grace returns how long after SIGTERM the process is killed.
 func (m *Mesh) Grace() time.Duration { return m.file.Stop.Grace }
 
@@ -158,6 +174,7 @@
 	f := &m.file
 	orDuration(&f.Stop.Grace, standardMeshGrace)
 	orDuration(&f.Fleet.Acknowledge, standardAcknowledge)
+	orDuration(&f.Limits.Window, standardLimitWindow)
 	orNumber(&f.Fleet.FloorShare, standardFloorShare)
 	orNumber(&f.Retries.Ratio, standardRetryRatio)
 	orNumber(&f.Retries.Slack, standardRetrySlack)
--- a/settings/meshcheck.go
+++ b/settings/meshcheck.go
@@ -67,6 +67,9 @@
 	if f.Retries.Ratio < 0 || f.Retries.Slack < 0 {
 		fault("retries", "ratio %v and slack %v must not be under 0", f.Retries.Ratio, f.Retries.Slack)
 	}
+	if f.Limits.Window < 0 || f.Limits.Over < 0 || f.Limits.Slack < 0 {
+		fault("account_limits", "window %v, over %v and slack %v must not be under 0", f.Limits.Window, f.Limits.Over, f.Limits.Slack)
+	}
 	if _, err := switches.Off(f.Off...); err != nil {
 		fault("off", "%v", err)
 	}
--- a/settings/meshcheck_test.go
+++ b/settings/meshcheck_test.go
@@ -35,11 +35,13 @@
 store: "10.0.0.9:85"
 fleet: {floor_share: 1.5, acknowledge: -1s}
 retries: {ratio: -1}
+account_limits: {window: -5s, over: -0.1}
 stop: {grace: 500ms}
 log: {level: loud, format: console}
 off: [hedges, luck]
 `))
-	assert.EqualError(t, err, `node.yaml: fleet.acknowledge: -1s is under 0
+	assert.EqualError(t, err, `node.yaml: account_limits: window -5s, over -0.1 and slack 0 must not be under 0
+node.yaml: fleet.acknowledge: -1s is under 0
 node.yaml: fleet.floor_share: 1.5 is not between 0 and 1
 node.yaml: listen.advertise: "a" is no IP:port
 node.yaml: log.format: "console": a mesh node logs json
