An account's priority goes before its route's

Change: Table.Priority orders by account and then by route; gates, calls and times to come back follow, as they take the priority that the ingress offers with. Test with it.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -152,7 +152,7 @@
 		f.dialect.Conceal(header)
 	}
 	deadline := r.Arrived.Add(patience(terms.Patience, matched.Timeout))
-	own := overload.NewTerms(matched.Priority, r.Arrived, matched.Target, deadline)
+	own := overload.NewTerms(table.Priority(matched, account), r.Arrived, matched.Target, deadline)
 	if isCall && f.targets.switches.On(switches.CallTerms) {
 		own = own.ForCall(parent)
 	}
--- a/route/account_test.go
+++ b/route/account_test.go
@@ -62,6 +62,21 @@
 	assert.False(t, court.Limited())
 }
 
+// TestAccountsPriorityGoesFirst orders requests by their accounts before their routes.
+func TestAccountsPriorityGoesFirst(t *testing.T) {
+	table, err := New(Document{Version: 1, Services: []Service{{Name: "s"}},
+		Routes: []Route{{Name: "order", Host: "h", Prefix: "/a/", Priority: 0, Shares: []Share{{"s", 1}}}, {Name: "lookup", Host: "h", Prefix: "/b/", Priority: 2, Shares: []Share{{"s", 1}}}},
+		Accounts: []Account{{Name: "first"}, {Name: "second", Priority: 1}}})
+	require.NoError(t, err)
+	order, _ := table.Match("h", "/a/")
+	lookup, _ := table.Match("h", "/b/")
+	first, _ := table.Account("first")
+	second, _ := table.Account("second")
+	priorities := []int{table.Priority(order, first), table.Priority(lookup, first), table.Priority(order, second), table.Priority(lookup, second)}
+	assert.IsIncreasing(t, priorities)
+	assert.Equal(t, []int{0, 2}, []int{table.Priority(order, nil), table.Priority(lookup, nil)}, "without an account by the route alone")
+}
+
 // largeDocument is as large as the design has to carry.
 func largeDocument() Document {
 	d := Document{Version: 1, Services: []Service{{Name: "s"}}}
--- a/route/route.go
+++ b/route/route.go
@@ -80,6 +80,7 @@
 	services map[string]Service
 	hosts    map[string][]*Route // Longest prefix first.
 	accounts accounts
+	levels   int // How many priorities routes have: 0 and up to the largest one.
 }
 
 // New checks a document. Its error names every fault with its field.
@@ -104,6 +105,7 @@
 		r.Attempts = max(r.Attempts, 1)
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], &r)
+		t.levels = max(t.levels, r.Priority+1)
 	}
 	if len(faults) > 0 {
 		return nil, errors.Errorf("configuration %d: %s", d.Version, strings.Join(faults, "; "))
@@ -160,6 +162,14 @@
 	return s, ok
 }
 
+// Priority returns the priority of a request: its account's goes before its route's.
+func (t *Table) Priority(r *Route, a *Account) int {
+	if a == nil {
+		return r.Priority
+	}
+	return a.Priority*t.levels + r.Priority
+}
+
 // Match returns the route of a host, with or without a port, and a path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	routes, ok := t.hosts[strings.ToLower(host)]
