--- a/mesh/bed_test.go
+++ b/mesh/bed_test.go
@@ -32,6 +32,8 @@
 	t     *testing.T
 	store *memory.Directory
 	nodes []*testNode
+	// written keeps all that the nodes log, if it is set before they start.
+	written *writtenLog
 }
 
 // testNode is a node with the upstream beside it.
@@ -135,6 +137,9 @@
 	s, err := settings.ParseMesh("test", []byte(n.yaml))
 	require.NoError(n.bed.t, err)
 	log := zaptest.NewLogger(n.bed.t, zaptest.Level(zap.DebugLevel)).Named(s.Node())
+	if n.bed.written != nil {
+		log = n.bed.written.logger()
+	}
 	n.Node = New(s, platform.New(n.store), NewMetrics(), log)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
