--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -34,6 +34,7 @@
 	from := c.Flags().Uint64("from", 1, "the first seed")
 	length := c.Flags().Duration("for", 20*time.Second, "how long faults are injected")
 	nodes := c.Flags().Int("nodes", 6, "how many nodes")
+	accounts := c.Flags().Bool("accounts", false, "callers show keys of client accounts, one of them over its limit")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		dir, err := os.MkdirTemp("", "eiderfold-soak")
 		if err != nil {
@@ -45,7 +46,7 @@
 		}
 		failed := 0
 		for seed := *from; seed < *from+*seeds; seed++ {
-			bad, err := play(c, soak.Options{Program: program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes})
+			bad, err := play(c, soak.Options{Program: program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts})
 			if err != nil {
 				return err
 			}
--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -37,13 +37,21 @@
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	for i := 0; ctx.Err() == nil; i++ {
-		s.request(ctx, client, n, fmt.Sprintf("s%d-c%d-%d", s.options.Seed, caller, i), i%orderOf == 0)
+		s.request(ctx, client, n, fmt.Sprintf("s%d-c%d-%d", s.options.Seed, caller, i), i%orderOf == 0, s.keyOf(caller+i))
 		time.Sleep(callPause/2 + rand.N(callPause))
 	}
 }
 
+// keyOf is the key that a caller's request shows, "" in a run without accounts.
+func (s *soak) keyOf(i int) string {
+	if !s.options.Accounts {
+		return ""
+	}
+	return keyOf(i)
+}
+
 // request sends one request and judges what came of it.
-func (s *soak) request(ctx context.Context, client *http.Client, n *node, attempt string, once bool) {
+func (s *soak) request(ctx context.Context, client *http.Client, n *node, attempt string, once bool, key string) {
 	method, path, body := http.MethodGet, "/look/"+attempt, ""
 	if once {
 		method, path, body = http.MethodPost, "/order/"+attempt, "order of "+attempt
@@ -58,8 +66,13 @@
 	r.Host = "soak.example"
 	r.Header.Set("Attempt-Id", attempt)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(callDeadline.Milliseconds(), 10))
-	s.ledger.send(attempt, method+" "+path+" "+body, once)
-	s.asked.Add(1)
+	if key != "" {
+		r.Header.Set("Authorization", "Token "+key)
+	}
+	s.ledger.send(attempt, method+" "+path+" "+body, once, key)
+	if countsAsServed(key) {
+		s.asked.Add(1)
+	}
 	life := n.lives.Load()
 	answer, err := client.Do(r)
 	if err != nil {
@@ -70,17 +83,19 @@
 	s.ledger.noteEnd(fmt.Sprint(n.name, " ", answer.StatusCode, " ", answer.Header.Get(result.Header)))
 	defer answer.Body.Close() //nolint:errcheck // Nothing is written to it.
 	text, err := io.ReadAll(answer.Body)
-	s.check(n, attempt, answer.StatusCode, string(text), err)
+	s.check(n, attempt, key, answer.StatusCode, string(text), err)
 }
 
 // check compares an answer with what belongs to the attempt.
-func (s *soak) check(n *node, attempt string, status int, body string, err error) {
+func (s *soak) check(n *node, attempt, key string, status int, body string, err error) {
 	switch {
 	case status == http.StatusOK && err == nil && body == expectedBody(attempt):
-		s.served.Add(1)
+		if countsAsServed(key) {
+			s.served.Add(1)
+		}
 	case status == http.StatusOK && err == nil:
 		s.ledger.violate("MIXED: %s got %q", attempt, body[:min(len(body), 60)])
-	case status == http.StatusNotFound:
+	case status == http.StatusNotFound || status == http.StatusUnauthorized && key != keyUnknown:
 		s.ledger.violate("DENIED: %s by %s", attempt, n.name)
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		s.ledger.deny(attempt)
--- a/bench/soak/ledger.go
+++ b/bench/soak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,6 +14,8 @@
 type entry struct {
 	once   bool // It may run only once.
 	sent   string
+	key    string    // Shown with it, "" for none.
+	at     time.Time // When it was sent.
 	runs   int
 	denied bool // The caller was told that it has not run and never will.
 }
@@ -23,8 +26,12 @@
 	entries map[string]*entry
 	found   []string       // Violations.
 	ends    map[string]int // Requests by their node and their end, since the last reset.
+	small   []span         // Requests of the small account that ran, each at its first run.
 }
 
+// span is from when a request was sent until it reached an upstream.
+type span struct{ sent, ran time.Time }
+
 func newLedger() *ledger { return &ledger{entries: map[string]*entry{}, ends: map[string]int{}} }
 
 // noteEnd counts a request by the node that was asked and by how it ended.
@@ -56,14 +63,14 @@
 }
 
 // send takes note of a request before it is sent.
-func (l *ledger) send(attempt, request string, once bool) {
+func (l *ledger) send(attempt, request string, once bool, key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries[attempt] = &entry{once: once, sent: request}
+	l.entries[attempt] = &entry{once: once, sent: request, key: key, at: time.Now()}
 }
 
 // ran takes note of a run, and compares the request with what was sent.
-func (l *ledger) ran(attempt, request string) {
+func (l *ledger) ran(attempt, request, account string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[attempt]
@@ -78,9 +85,36 @@
 	case e.once && e.denied:
 		l.found = append(l.found, "REFUSED, then ran: "+attempt)
 	}
+	if e.key != "" && !slices.Contains(holders[e.key], account) {
+		l.found = append(l.found, fmt.Sprintf("UNASKED: %s ran for account %q", attempt, account))
+	}
+	if e.key == keySmall && e.runs == 0 {
+		l.small = append(l.small, span{sent: e.at, ran: time.Now()})
+	}
 	e.runs++
 }
 
+// checkLimit looks for a window in which the small account ran more than its limit and
+// what is granted above it.
+func (l *ledger) checkLimit() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	nominal := smallRate*limitWindow.Seconds() + smallBurst
+	most := nominal*(1+limitOver) + limitSlack
+	for _, first := range l.small {
+		count := 0
+		for _, o := range l.small {
+			if !o.sent.Before(first.sent) && !o.ran.After(first.sent.Add(limitWindow)) {
+				count++
+			}
+		}
+		if float64(count) > most {
+			l.found = append(l.found, fmt.Sprintf("QUOTA: %d requests of the small account ran in %v from %v; allowed %v", count, limitWindow, first.sent.Format("05.000"), most))
+			return
+		}
+	}
+}
+
 // deny takes note that the caller was told that the attempt has not run.
 func (l *ledger) deny(attempt string) {
 	l.mu.Lock()
--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -70,8 +70,8 @@
 	}
 	n.callers = callers
 	n.settings = filepath.Join(s.options.Dir, n.name+".yaml")
-	text := fmt.Sprintf("node: %s\ndata_centre: d%d\nupstream: {address: %q, service: a}\nlisten: {callers: %q, links: %q, advertise: %q, reports: %q, ready: %q}\nstore: %q\nstop: {grace: %v}\n",
-		n.name, dataCentre, n.upstream.address, callers, links, advertised, reports, ready, s.address, stopGrace)
+	text := fmt.Sprintf("node: %s\ndata_centre: d%d\nupstream: {address: %q, service: a}\nlisten: {callers: %q, links: %q, advertise: %q, reports: %q, ready: %q}\nstore: %q\nstop: {grace: %v}\naccount_limits: {window: %v, over: %v, slack: %v}\n",
+		n.name, dataCentre, n.upstream.address, callers, links, advertised, reports, ready, s.address, stopGrace, limitWindow, limitOver, limitSlack)
 	return errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), n.name)
 }
 
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -47,6 +47,8 @@
 	Seed    uint64
 	For     time.Duration // How long faults are injected.
 	Nodes   int
+	// Accounts lets callers show keys of client accounts, one of which is far over its limit.
+	Accounts bool
 }
 
 // Report is what a run found.
@@ -95,9 +97,11 @@
 	s.heal()
 	time.Sleep(recoverTime)
 	s.checkRecovery()
+	s.checkKeys(ctx)
 	stop()
 	clients.Wait()
 	s.ledger.settle()
+	s.ledger.checkLimit()
 	return &Report{Seed: o.Seed, Asked: s.asked.Load(), Served: s.served.Load(), Faults: s.faults, Violations: s.ledger.violations()}, nil
 }
 
@@ -134,13 +138,17 @@
 // publish writes the next configuration, as the operator.
 func (s *soak) publish(ctx context.Context) error {
 	s.version++
-	return s.store.Directory().Put(ctx, "op/config", configurationText(s.version))
+	return s.store.Directory().Put(ctx, "op/config", configurationText(s.version, s.options.Accounts))
 }
 
-func configurationText(version int) []byte {
+func configurationText(version int, withAccounts bool) []byte {
+	accounts := ""
+	if withAccounts {
+		accounts = accountsText(version)
+	}
 	const rule = `{"name":"%s","routeKind":"%s","priority":1,"targetLatencyMs":1000,"match":{"pathPrefix":"%s"},"action":{"service":"a","timeoutMs":3000,"maxAttempts":2}}`
-	return fmt.Appendf(nil, `{"version":"r%d","limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"listeners":[{"authority":"soak.example","rules":[%s,%s,%s]}],"clusters":[{"name":"a","healthPath":"/health","maxConnections":100}]}`, version,
+	return fmt.Appendf(nil, `{"version":"r%d","limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},%s
+"listeners":[{"authority":"soak.example","rules":[%s,%s,%s]}],"clusters":[{"name":"a","healthPath":"/health","maxConnections":100}]}`, version, accounts,
 		fmt.Sprintf(rule, "look", "idempotent", "/look/"), fmt.Sprintf(rule, "order", "non_idempotent", "/order/"),
 		fmt.Sprintf(rule, "version", "idempotent", fmt.Sprintf("/v%d/", version)))
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -14,21 +14,28 @@
 
 // TestSeed1 runs a short soak of a fixed seed, which once found a process that a
 // signal at its start had ended.
-func TestSeed1(t *testing.T) { playSeed(t, 1, 4, 12*time.Second) }
+func TestSeed1(t *testing.T) { playSeed(t, Options{Seed: 1, Nodes: 4, For: 12 * time.Second}) }
 
 // TestSeed58 found an order in doubt when its ingress's grace time was over.
-func TestSeed58(t *testing.T) { playSeed(t, 58, 5, 8*time.Second) }
+func TestSeed58(t *testing.T) { playSeed(t, Options{Seed: 58, Nodes: 5, For: 8 * time.Second}) }
+
+// TestAccounts lets callers show keys, one account be far over its limit, and keys be
+// passed on and taken away.
+func TestAccounts(t *testing.T) {
+	playSeed(t, Options{Seed: 7, Nodes: 4, For: 8 * time.Second, Accounts: true})
+}
 
 // playSeed plays a seed. The nodes' logs stay when it breaks a promise, since
 // another play may not.
-func playSeed(t *testing.T, seed uint64, nodes int, length time.Duration) {
+func playSeed(t *testing.T, o Options) {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "eiderfold")
 	output, err := exec.Command("go", "build", "-o", program, "eiderfold/cmd/eiderfold").CombinedOutput()
 	require.NoError(t, err, string(output))
-	logs, err := os.MkdirTemp("", fmt.Sprintf("eiderfold-seed%d-", seed))
+	logs, err := os.MkdirTemp("", fmt.Sprintf("eiderfold-seed%d-", o.Seed))
 	require.NoError(t, err)
-	report, err := Run(t.Context(), Options{Program: program, Dir: logs, Seed: seed, For: length, Nodes: nodes})
+	o.Program, o.Dir = program, logs
+	report, err := Run(t.Context(), o)
 	require.NoError(t, err)
 	assert.Empty(t, report.Violations, "logs: %s, faults: %v", logs, report.Faults)
 	assert.Positive(t, report.Served)
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -99,7 +99,10 @@
 	if broken && rand.Float64() < 0.5 {
 		panic(http.ErrAbortHandler)
 	}
-	u.ledger.ran(attempt, r.Method+" "+r.RequestURI+" "+string(body))
+	if r.Header.Get("Authorization") != "" {
+		u.ledger.violate("SECRET: %s was shown the key of %s", id, attempt)
+	}
+	u.ledger.ran(attempt, r.Method+" "+r.RequestURI+" "+string(body), r.Header.Get("Tenant"))
 	time.Sleep(workLeast + rand.N(workMost-workLeast))
 	if broken {
 		panic(http.ErrAbortHandler)
