The pause on trial is the standing one again; calls have their parent's account, and callers come back by the route

An upstream that fails half of its work and answers fast is tried all the time; each try that fails needs a repeat, which may fail as well. Of the account's priority: a call has its parent's account's priority as well, since it would else go before all requests of less urgent accounts, orders among them; and when a refused caller comes back goes by the route alone, since 150 ms more are the whole aim of the shortest requests. Conclusion: what is missing is a pause that is short only while the service is short of room.

--- a/gate/health.go
+++ b/gate/health.go
@@ -20,6 +20,8 @@
 	suspicionHang      = 0.6
 	// maxSuspicion bounds the sum, so that a long trouble is forgotten in a few answers.
 	maxSuspicion = 8.0
+	// maxDoublings of trialPause are past trialPauseMost already; it keeps the shift small.
+	maxDoublings = 4
 	// trialRecheck is the least time after which a refused try is of use again.
 	trialRecheck = 20 * time.Millisecond
 	// goodFactor is what a good answer leaves of the suspicion.
@@ -28,17 +30,11 @@
 	// one that began it among them, and at most trialGoods. One stray reset costs
 	// one answer; an upstream that fails most of its work stays out.
 	trialGoods = 3
-	// The pause after a bad outcome on trial is trialPauseShare of the mean answer time,
-	// doubled with each further one up to trialPauseDoublings times. Each such try costs a
-	// repeat elsewhere, which is worth a pause; but where work is short, a pause that fits
-	// long work keeps upstreams out that are well: of work of 33 to 92 ms beside upstreams
-	// that reset a tenth of it, 2 in a hundred more are in time than with a pause of 200 ms
-	// (replay short-trials). The bounds are a few turns of a slow processor, and what is
-	// right for answers of some hundred milliseconds.
-	trialPauseShare     = 0.5
-	trialPauseLeast     = 20 * time.Millisecond
-	trialPauseMost      = 200 * time.Millisecond
-	trialPauseDoublings = 2
+	// trialPause is the pause after a bad outcome on trial, doubled up to
+	// trialPauseMost. Each such try costs a repeat elsewhere, and troubles last for
+	// seconds.
+	trialPause     = 200 * time.Millisecond
+	trialPauseMost = 800 * time.Millisecond
 	// relapseTime is how soon after a trial another one counts as its continuation;
 	// some answers' time.
 	relapseTime = 2 * time.Second
@@ -138,7 +134,7 @@
 	h.goods = 0
 	if h.trial {
 		h.trialHeard = at
-		h.trialFrom = at.Add(h.pause() << min(h.bads-1, trialPauseDoublings))
+		h.trialFrom = at.Add(min(trialPause<<min(h.bads-1, maxDoublings), trialPauseMost))
 		h.bads++
 		return
 	}
@@ -153,14 +149,6 @@
 	h.trialFrom = at
 }
 
-// pause is how long an upstream on trial rests after its first bad outcome.
-func (h *health) pause() time.Duration {
-	if h.usual == 0 || !h.switches.On(switches.AnswerPauses) {
-		return trialPauseMost
-	}
-	return min(max(time.Duration(trialPauseShare*float64(h.usual)), trialPauseLeast), trialPauseMost)
-}
-
 // forced is how many attempts at a time are right for an upstream on trial when
 // too few others are open: as many of its slots as it answers well. It may be none:
 // an upstream that fails nearly all of its work is no capacity.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -152,9 +152,9 @@
 		f.dialect.Conceal(header)
 	}
 	deadline := r.Arrived.Add(patience(terms.Patience, matched.Timeout))
-	own := overload.NewTerms(table.Priority(matched, account), r.Arrived, matched.Target, deadline)
+	own := overload.NewTerms(matched.Priority, r.Arrived, matched.Target, deadline).ForAccount(table.Priority(matched, account))
 	if isCall && f.targets.switches.On(switches.CallTerms) {
-		own = own.ForCall(parent)
+		own = own.ForAccount(table.CallPriority(matched, parent.Priority)).ForCall(parent)
 	}
 	return &flight{
 		forwarder: f,
--- a/overload/comeback.go
+++ b/overload/comeback.go
@@ -18,6 +18,6 @@
 // [0, 1): callers that were refused together come back over twice that time, and not all
 // at once.
 func (t Terms) ComeBack(wait time.Duration, spread float64) time.Duration {
-	least := max(wait, backLeast) + time.Duration(t.priority)*backStep
+	least := max(wait, backLeast) + time.Duration(t.backRank)*backStep
 	return min(least+time.Duration(spread*float64(least)), backMost)
 }
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -85,6 +85,7 @@
 type backRow struct {
 	Why      string        `yaml:"why"`
 	Priority int           `yaml:"priority"`
+	Account  int           `yaml:"account"` // The priority by the account's word as well.
 	Wait     time.Duration `yaml:"wait"`
 	Spread   float64       `yaml:"spread"`
 	Want     time.Duration `yaml:"want"`
@@ -94,6 +95,10 @@
 	begin := time.Unix(1000, 0)
 	for _, r := range readSheet(t).Backs {
 		terms := NewTerms(r.Priority, begin, time.Second, begin.Add(time.Second))
+		if r.Account > 0 {
+			terms = terms.ForAccount(r.Account)
+			assert.Equal(t, r.Account, terms.Priority(), r.Why)
+		}
 		assert.Equal(t, r.Want, terms.ComeBack(r.Wait, r.Spread), r.Why)
 	}
 }
--- a/overload/terms.go
+++ b/overload/terms.go
@@ -24,6 +24,7 @@
 // of its worth and when all of it.
 type Terms struct {
 	priority int
+	backRank int // How many steps later its caller comes back than the most urgent one.
 	arrived  time.Time
 	aim      time.Time
 	deadline time.Time
@@ -36,7 +37,15 @@
 	if target <= 0 {
 		target = deadline.Sub(arrived)
 	}
-	return Terms{priority: priority, arrived: arrived, aim: arrived.Add(target), deadline: deadline}
+	return Terms{priority: priority, backRank: priority, arrived: arrived, aim: arrived.Add(target), deadline: deadline}
+}
+
+// ForAccount returns the terms of the same request by its client account's word as well: it
+// goes first by that. When its caller comes back still goes by the route alone: all callers
+// of a less urgent account would else come back too late for a short aim.
+func (t Terms) ForAccount(priority int) Terms {
+	t.priority = priority
+	return t
 }
 
 // ForCall returns the terms of the same request as a call of a parent. It is as urgent
@@ -45,6 +54,7 @@
 func (t Terms) ForCall(p Parent) Terms {
 	t.call = true
 	t.priority = min(t.priority, p.Priority)
+	t.backRank = min(t.backRank, p.Priority)
 	if p.Deadline.Before(t.deadline) {
 		t.deadline = p.Deadline
 	}
--- a/route/account_test.go
+++ b/route/account_test.go
@@ -65,7 +65,7 @@
 // TestAccountsPriorityGoesFirst orders requests by their accounts before their routes.
 func TestAccountsPriorityGoesFirst(t *testing.T) {
 	table, err := New(Document{Version: 1, Services: []Service{{Name: "s"}},
-		Routes: []Route{{Name: "order", Host: "h", Prefix: "/a/", Priority: 0, Shares: []Share{{"s", 1}}}, {Name: "lookup", Host: "h", Prefix: "/b/", Priority: 2, Shares: []Share{{"s", 1}}}},
+		Routes:   []Route{{Name: "order", Host: "h", Prefix: "/a/", Priority: 0, Shares: []Share{{"s", 1}}}, {Name: "lookup", Host: "h", Prefix: "/b/", Priority: 2, Shares: []Share{{"s", 1}}}},
 		Accounts: []Account{{Name: "first"}, {Name: "second", Priority: 1}}})
 	require.NoError(t, err)
 	order, _ := table.Match("h", "/a/")
@@ -74,6 +74,8 @@
 	second, _ := table.Account("second")
 	priorities := []int{table.Priority(order, first), table.Priority(lookup, first), table.Priority(order, second), table.Priority(lookup, second)}
 	assert.IsIncreasing(t, priorities)
+	assert.Equal(t, table.Priority(order, second), table.CallPriority(order, table.Priority(lookup, second)), "a call is made for its parent's account")
+	assert.Equal(t, 2, table.CallPriority(lookup, table.Priority(order, nil)), "or for none")
 	assert.Equal(t, []int{0, 2}, []int{table.Priority(order, nil), table.Priority(lookup, nil)}, "without an account by the route alone")
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -170,6 +170,13 @@
 	return a.Priority*t.levels + r.Priority
 }
 
+// CallPriority returns the priority of a call, given that of the request that it is made
+// for: of the same account, by its own route. Without the account it would go before all
+// requests of less urgent accounts.
+func (t *Table) CallPriority(r *Route, parent int) int {
+	return parent - parent%t.levels + r.Priority
+}
+
 // Match returns the route of a host, with or without a port, and a path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	routes, ok := t.hosts[strings.ToLower(host)]
--- a/switches/switches.go
+++ b/switches/switches.go
@@ -20,24 +20,23 @@
 
 // Mechanisms, with what happens where one is off.
 const (
-	Silence      Mechanism = "silence"       // No trial begins because attempts are not answered.
-	Hold         Mechanism = "hold"          // Orders are given to upstreams whose answers are in doubt.
-	Warnings     Mechanism = "warnings"      // No ingress is told of attempts that are silent.
-	OwnCalls     Mechanism = "own-calls"     // Errors count against an upstream whatever its calls did.
-	KindTimes    Mechanism = "kind-times"    // Queues expect the mean time of all kinds of request.
-	Trials       Mechanism = "trials"        // No upstream is set aside for its outcomes.
-	Forced       Mechanism = "forced"        // Gates on trial take no orders, however few are open.
-	Hedges       Mechanism = "hedges"        // A late attempt is not repeated beside itself.
-	Near         Mechanism = "near"          // The own data centre is not preferred.
-	SlowLast     Mechanism = "slow-last"     // Slow gates are chosen as others are.
-	Priority     Mechanism = "priority"      // Queues do not look at priorities.
-	LateLast     Mechanism = "late-last"     // Queues do not put behind what can no longer be in time.
-	CallTerms    Mechanism = "call-terms"    // A call is not as urgent as the request that it is made for.
-	AnswerPauses Mechanism = "answer-pauses" // Pauses on trial are the same however long answers take.
+	Silence   Mechanism = "silence"    // No trial begins because attempts are not answered.
+	Hold      Mechanism = "hold"       // Orders are given to upstreams whose answers are in doubt.
+	Warnings  Mechanism = "warnings"   // No ingress is told of attempts that are silent.
+	OwnCalls  Mechanism = "own-calls"  // Errors count against an upstream whatever its calls did.
+	KindTimes Mechanism = "kind-times" // Queues expect the mean time of all kinds of request.
+	Trials    Mechanism = "trials"     // No upstream is set aside for its outcomes.
+	Forced    Mechanism = "forced"     // Gates on trial take no orders, however few are open.
+	Hedges    Mechanism = "hedges"     // A late attempt is not repeated beside itself.
+	Near      Mechanism = "near"       // The own data centre is not preferred.
+	SlowLast  Mechanism = "slow-last"  // Slow gates are chosen as others are.
+	Priority  Mechanism = "priority"   // Queues do not look at priorities.
+	LateLast  Mechanism = "late-last"  // Queues do not put behind what can no longer be in time.
+	CallTerms Mechanism = "call-terms" // A call is not as urgent as the request that it is made for.
 )
 
 var all = []Mechanism{Silence, Hold, Warnings, OwnCalls, KindTimes, Trials, Forced, Hedges, Near, SlowLast, Priority,
-	LateLast, CallTerms, AnswerPauses}
+	LateLast, CallTerms}
 
 // All returns every mechanism.
 func All() []Mechanism { return slices.Clone(all) }
