--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -38,7 +38,6 @@
 	near bool      // It is in the own data centre.
 	owed bool      // It has not been told of the last status.
 	next time.Time // When it may be told.
-	from string    // The node's address, once it has told it.
 }
 
 // announce tells everybody of the own gate's status: at once where it closes or
@@ -76,7 +75,6 @@
 	defer l.mu.Unlock()
 	if from := l.inbound[in]; from != nil {
 		from.near = m.DataCentre == l.node.self.DataCentre
-		from.from = m.Address
 		l.measure(in, from.near)
 	}
 }
--- /dev/null
+++ b/quota/modelnode_test.go
@@ -0,0 +1,420 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// tally counts requests that came, and those that were refused.
+type tally struct{ asked, refused int }
+
+func (t *tally) add(o tally) {
+	t.asked += o.asked
+	t.refused += o.refused
+}
+
+func (t *tally) share() float64 { return float64(t.refused) / float64(max(t.asked, 1)) }
+
+// modelNode is one node's process.
+type modelNode struct {
+	*model
+	id      int
+	life    int
+	alive   bool
+	away    bool // All its links are cut.
+	home    *Home
+	spender *Spender
+	homes   *Homes
+	number  uint64
+	waiting map[uint64]*modelRequest
+	flushed bool
+	changed uint64
+	down    map[int]bool          // Nodes to which the link was given up.
+	heard   map[int]time.Duration // When a ping was last answered.
+}
+
+// modelRequest is a request on its way to a decision.
+type modelRequest struct {
+	came   time.Duration
+	place  Place
+	hops   int
+	decide func(granted, unknown bool, after time.Duration)
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	m.order++
+	heap.Push(&m.queue, event{at: m.now + d, order: m.order, do: do})
+}
+
+func (m *model) time() time.Time { return scriptBegin.Add(m.now) }
+
+func address(id int) string { return fmt.Sprintf("n%02d", id) }
+
+func idOf(address string) int {
+	id, err := strconv.Atoi(address[1:])
+	if err != nil {
+		return -1
+	}
+	return id
+}
+
+// Self implements Fleet.
+func (n *modelNode) Self() string { return address(n.id) }
+
+// Changed implements Fleet.
+func (n *modelNode) Changed() uint64 { return n.changed }
+
+// First implements Fleet: nodes rank by their numbers.
+func (n *modelNode) First(_ string, without map[string]bool) string {
+	for id := range n.nodes {
+		if !without[address(id)] || id == n.id {
+			return address(id)
+		}
+	}
+	return n.Self()
+}
+
+// Known implements Fleet.
+func (n *modelNode) Known(string) bool { return true }
+
+// Linked implements Fleet.
+func (n *modelNode) Linked(node string) (bool, time.Time) {
+	id := idOf(node)
+	return !n.down[id], scriptBegin.Add(n.heard[id])
+}
+
+// Dial implements Fleet: all nodes keep links to all.
+func (n *modelNode) Dial(string) bool { return false }
+
+// Ping implements Fleet.
+func (n *modelNode) Ping(node string) { n.ping(idOf(node), func() {}) }
+
+// Probe implements Fleet.
+func (n *modelNode) Probe(node string) {
+	life := n.life
+	n.after(modelProbe, func() {
+		if n.life == life {
+			n.homes.ProbeEnded(node, n.time())
+		}
+	})
+	to := idOf(node)
+	asked := 0
+	for _, through := range n.some(len(n.nodes)) {
+		if through == to || through == n.id || n.down[through] || asked == 5 {
+			continue
+		}
+		asked++
+		n.send(through, func(z *modelNode) { z.probeFor(n, to) })
+	}
+}
+
+// ping asks a node for a sign of life.
+func (n *modelNode) ping(to int, answered func()) {
+	n.send(to, func(target *modelNode) {
+		target.send(n.id, func(n *modelNode) {
+			n.heard[to] = n.now
+			answered()
+		})
+	})
+}
+
+// probeFor pings a node on behalf of another one.
+func (n *modelNode) probeFor(asker *modelNode, to int) {
+	reached := false
+	n.ping(to, func() { reached = n.plant != plantNoProbe })
+	n.after(modelPing, func() {
+		n.send(asker.id, func(asker *modelNode) { asker.homes.Reached(address(to), n.Self(), reached) })
+	})
+}
+
+// look counts the nodes that are reached.
+func (n *modelNode) look(life int) {
+	if n.life != life {
+		return
+	}
+	n.after(modelLook, func() { n.look(life) })
+	if n.home.Idle() {
+		return
+	}
+	count := modelSample
+	if n.home.Short(n.time()) {
+		count = len(n.nodes)
+	}
+	asked, heard := 1, 1
+	for _, to := range n.some(len(n.nodes)) {
+		if to == n.id || asked > count {
+			continue
+		}
+		asked++
+		n.ping(to, func() { heard++ })
+	}
+	n.after(modelSign, func() {
+		if n.life == life && n.plant != plantWholeShare {
+			n.home.SetShare(float64(heard) / float64(asked))
+		}
+	})
+}
+
+// send carries a message, unless the link is cut or a process is gone. A link that
+// carries nothing in one direction is given up by both sides after some time.
+func (n *modelNode) send(to int, do func(*modelNode)) {
+	target := n.nodes[to]
+	if n.down[to] || !target.alive {
+		n.giveUp(to)
+		return
+	}
+	life := target.life
+	delay := time.Duration(1+n.random.IntN(4)) * time.Millisecond
+	if n.random.IntN(40) == 0 {
+		delay += time.Duration(n.random.IntN(60)) * time.Millisecond
+	}
+	if n.cut[[2]int{n.id, to}] {
+		own := n.life
+		n.after(modelDead, func() {
+			if n.life == own && n.cut[[2]int{n.id, to}] {
+				n.giveUp(to)
+			}
+		})
+		return
+	}
+	n.after(delay, func() {
+		if target.alive && target.life == life && !n.cut[[2]int{n.id, to}] {
+			do(target)
+		}
+	})
+}
+
+// giveUp ends the links between two nodes; they are made again once they can be.
+func (n *modelNode) giveUp(to int) {
+	if n.down[to] {
+		return
+	}
+	n.down[to] = true
+	n.change()
+	n.do(n.spender.Update(HomeLost{At: n.time(), Home: address(to)}))
+	n.redial(to, n.life)
+}
+
+func (n *modelNode) redial(to, life int) {
+	n.after(100*time.Millisecond, func() {
+		if n.life != life {
+			return
+		}
+		if n.nodes[to].alive && !n.cut[[2]int{n.id, to}] && !n.cut[[2]int{to, n.id}] {
+			delete(n.down, to)
+			n.change()
+			n.homes.Trust(address(to))
+			return
+		}
+		n.redial(to, life)
+	})
+}
+
+// start runs a new process.
+func (n *modelNode) start() {
+	n.life++
+	n.alive = true
+	n.home = NewHome(n.bounds)
+	if n.now > 0 {
+		n.home.Unsettle(n.time()) // The fleet of the beginning has been there for long.
+	}
+	n.spender = NewSpender(n.bounds, n.random.Float64)
+	n.spender.SetNodes(len(n.nodes))
+	n.homes = NewHomes(n)
+	n.waiting = map[uint64]*modelRequest{}
+	n.flushed = false
+	n.down = map[int]bool{}
+	n.heard = map[int]time.Duration{}
+	n.look(n.life)
+}
+
+// change takes note that another node came or went.
+func (n *modelNode) change() {
+	n.changed++
+	n.home.Unsettle(n.time())
+}
+
+// request takes a request of the account.
+func (n *modelNode) request() {
+	if !n.alive {
+		return
+	}
+	came := n.now
+	tally := &n.reached
+	if n.away {
+		tally = &n.cutOffs
+	}
+	tally.asked++
+	n.take(0, func(granted, _ bool, _ time.Duration) {
+		if granted {
+			n.ran = append(n.ran, admitted{came: came, at: n.now})
+			return
+		}
+		tally.refused++
+	})
+}
+
+// take has a request decided, as package mesh does.
+func (n *modelNode) take(hops int, decide func(granted, unknown bool, after time.Duration)) {
+	r := &modelRequest{came: n.now, hops: hops, decide: decide}
+	n.place(r, n.life, func() {
+		n.number++
+		number := n.number
+		n.waiting[number] = r
+		n.do(n.spender.Update(Wanted{At: n.time(), Number: number, Account: modelAccount, Limit: n.limit, Home: r.place.Way}))
+		n.watch(number, n.life)
+	})
+}
+
+// place finds out how the home is reached, and goes on.
+func (n *modelNode) place(r *modelRequest, life int, goOn func()) {
+	if n.life != life || !n.alive {
+		return
+	}
+	r.place = n.homes.Of(modelAccount, n.time())
+	if !r.place.Pending {
+		goOn()
+		return
+	}
+	if n.now >= r.came+modelTotal {
+		r.place = Place{}
+		goOn()
+		return
+	}
+	n.after(modelPoll, func() { n.place(r, life, goOn) })
+}
+
+// watch asks elsewhere when a home does not answer.
+func (n *modelNode) watch(number uint64, life int) {
+	if n.waiting[number] == nil {
+		return
+	}
+	n.after(modelAsk, func() {
+		r := n.waiting[number]
+		if n.life != life || !n.alive || r == nil {
+			return
+		}
+		n.homes.Unanswered(r.place, n.time())
+		if n.now >= r.came+modelTotal {
+			r.place = Place{}
+			n.again(number, r, life)
+			return
+		}
+		n.place(r, life, func() { n.again(number, r, life) })
+	})
+}
+
+func (n *modelNode) again(number uint64, r *modelRequest, life int) {
+	if n.waiting[number] == nil {
+		return
+	}
+	delete(n.waiting, number)
+	n.number++
+	next := n.number
+	n.waiting[next] = r
+	n.do(n.spender.Update(Unanswered{At: n.time(), Number: number, Next: next, Home: r.place.Way}))
+	n.watch(next, life)
+}
+
+// do carries commands out.
+func (n *modelNode) do(commands []Command) {
+	for _, c := range commands {
+		switch c := c.(type) {
+		case Admit:
+			n.decide(c.Number, true, false, 0)
+		case Refuse:
+			n.decide(c.Number, c.Unconfirmed && n.plant == plantFreePart, c.Unconfirmed, c.After)
+		case Ask:
+			n.ask(c)
+		case Report:
+			n.report(c)
+		case Answer:
+			n.noteGrant(c)
+			n.sendAnswer(c)
+		}
+	}
+	if n.spender.Dirty() && !n.flushed {
+		n.flushed = true
+		life := n.life
+		n.after(modelFlush, func() {
+			if n.life == life && n.alive {
+				n.flushed = false
+				n.do(n.spender.Update(Flushed{At: n.time()}))
+			}
+		})
+	}
+}
+
+// noteGrant counts what a home gives.
+func (n *modelNode) noteGrant(c Answer) {
+	if !c.Granted {
+		return
+	}
+	second := int(n.now / time.Second)
+	if n.granted[second] == nil {
+		n.granted[second] = map[int]int{}
+	}
+	n.granted[second][n.id]++
+}
+
+func (n *modelNode) decide(number uint64, granted, unknown bool, after time.Duration) {
+	if r := n.waiting[number]; r != nil {
+		delete(n.waiting, number)
+		r.decide(granted, unknown, after)
+	}
+}
+
+// sendTo is send that reaches the node itself as well.
+func (n *modelNode) sendTo(to string, do func(*modelNode)) {
+	if to == n.Self() {
+		do(n)
+		return
+	}
+	n.send(idOf(to), do)
+}
+
+func (n *modelNode) ask(c Ask) {
+	hops := 0
+	if r := n.waiting[c.Number]; r != nil {
+		hops = r.hops
+	}
+	n.sendTo(c.To, func(to *modelNode) { to.asked(n.Self(), c, hops) })
+}
+
+// asked answers a question, or passes it on to the home.
+func (n *modelNode) asked(from string, c Ask, hops int) {
+	place := n.homes.Of(modelAccount, n.time())
+	switch {
+	case place.Home == n.Self():
+		n.do(n.home.Update(Asked{At: n.time(), From: from, Number: c.Number, Account: c.Account, Limit: n.limit, Spent: c.Spent, Acting: place.Acting}))
+	case hops >= 2:
+		n.sendTo(from, func(to *modelNode) {
+			to.do(to.spender.Update(Answered{At: to.time(), Number: c.Number, Unknown: true}))
+		})
+	default:
+		n.do(n.spender.Update(Passed{At: n.time(), Account: c.Account, Limit: n.limit, Count: c.Spent}))
+		n.take(hops+1, func(granted, unknown bool, after time.Duration) {
+			n.sendTo(from, func(to *modelNode) {
+				to.do(to.spender.Update(Answered{At: to.time(), Number: c.Number, Granted: granted, Unknown: unknown, After: after}))
+			})
+		})
+	}
+}
+
+func (n *modelNode) sendAnswer(c Answer) {
+	n.sendTo(c.To, func(to *modelNode) {
+		to.do(to.spender.Update(Answered{At: to.time(), Number: c.Number, Granted: c.Granted, After: c.After}))
+	})
+}
+
+func (n *modelNode) report(c Report) {
+	n.sendTo(c.To, func(to *modelNode) {
+		if place := to.homes.Of(modelAccount, to.time()); place.Home == to.Self() {
+			to.do(to.home.Update(Reported{At: to.time(), Account: c.Account, Limit: to.limit, Count: c.Count, Acting: place.Acting}))
+			return
+		}
+		to.do(to.spender.Update(Passed{At: to.time(), Account: c.Account, Limit: to.limit, Count: c.Count}))
+	})
+}
