A home says that it is there to the node that may have stood in for it

Until the old home has heard of the newcomer, both give the whole rate. Change: a home that begins, or was not asked for a second, tells the node that ranks next (quota.Claim), which thereby learns it and asks it; one that had taken it for gone gives nothing in its place for a second. Ruled out: a longer wait before a newcomer is ranked, which moves the gap and does not close it.

--- a/link/message.go
+++ b/link/message.go
@@ -218,6 +218,12 @@
 	Reached bool   `cbor:"2,keyasint,omitempty"`
 }
 
+// LimitClaim says that the sender is the home of an account for which the receiver may
+// have stood in.
+type LimitClaim struct {
+	Member Member `cbor:"1,keyasint"`
+}
+
 // Frame is one message; exactly one field is set.
 type Frame struct {
 	Hello         *Hello         `cbor:"1,keyasint,omitempty"`
@@ -240,4 +246,5 @@
 	LimitReports  []LimitReport  `cbor:"18,keyasint,omitempty"`
 	LimitProbe    *LimitProbe    `cbor:"19,keyasint,omitempty"`
 	LimitReached  *LimitReached  `cbor:"20,keyasint,omitempty"`
+	LimitClaim    *LimitClaim    `cbor:"21,keyasint,omitempty"`
 }
--- a/link/meter.go
+++ b/link/meter.go
@@ -33,7 +33,7 @@
 	case f.Configuration != nil:
 		return "configuration"
 	case f.LimitAsk != nil, f.LimitAnswer != nil, f.LimitReports != nil,
-		f.LimitProbe != nil, f.LimitReached != nil:
+		f.LimitProbe != nil, f.LimitReached != nil, f.LimitClaim != nil:
 		return "limit"
 	default:
 		return "other"
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -118,6 +118,8 @@
 		l.hear(f.Members...)
 	case f.LimitAsk != nil:
 		l.node.limits.asked(in, f.LimitAsk)
+	case f.LimitClaim != nil:
+		l.node.limits.claimed(f.LimitClaim)
 	case f.LimitProbe != nil:
 		go l.node.limits.probe(in, f.LimitProbe)
 	case len(f.LimitReports) > 0:
--- a/mesh/limitpeers.go
+++ b/mesh/limitpeers.go
@@ -45,6 +45,25 @@
 	l.homes.Trust(address)
 }
 
+// claim tells the node that may have stood in for this one that it is an account's home, if
+// there is a way to it; one that is dialed now hears of this node by its greeting.
+func (l *limits) claim(account string) {
+	next := l.homes.Next(account)
+	if way := l.node.links.wayTo(next); way != nil {
+		way.Send(&link.Frame{LimitClaim: &link.LimitClaim{Member: l.node.self}})
+		return
+	}
+	fleetView{l.node.links}.Dial(next)
+}
+
+// claimed takes another node's word that it is the home of an account.
+func (l *limits) claimed(m *link.LimitClaim) {
+	l.node.links.hear(m.Member)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.homes.Claimed(m.Member.Address, time.Now())
+}
+
 // answered takes a home's word on a request.
 func (l *limits) answered(m *link.LimitAnswer) {
 	now := time.Now()
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -129,6 +129,8 @@
 		case quota.Over:
 			l.node.log.Info("account over its limit", zap.String("account", c.Account), zap.Float64("rate", c.Limit.Rate), zap.Float64("burst", c.Limit.Burst),
 				zap.Float64("left", c.Left), zap.Float64("holds", c.Depth), zap.Int("refused", c.Refused))
+		case quota.Claim:
+			l.claim(c.Account)
 		case quota.Answer:
 			l.tell(c.To, &link.LimitAnswer{Number: c.Number, Granted: c.Granted, After: c.After}, now)
 		}
--- a/quota/home.go
+++ b/quota/home.go
@@ -97,6 +97,7 @@
 
 // asked gives a token, or says when there is one.
 func (h *Home) asked(m Asked) []Command {
+	claims := h.claims(m)
 	l := h.ledger(m.At, m.Account, m.Limit, m.Acting)
 	l.charge(float64(m.Spent))
 	answer := Answer{To: m.From, Number: m.Number, Granted: l.take()}
@@ -106,10 +107,21 @@
 	if l.level < shortShare*l.depth {
 		h.short = m.At.Add(h.bounds.Window)
 	}
+	claims = append(claims, answer)
 	if answer.Granted {
-		return []Command{answer}
+		return claims
 	}
-	return append([]Command{answer}, l.over(m.At, m.Account)...)
+	return append(claims, l.over(m.At, m.Account)...)
+}
+
+// claims tells the node that may have stood in for this one, if it was not asked lately:
+// until that one knows, the account would have two homes.
+func (h *Home) claims(m Asked) []Command {
+	l := h.accounts[m.Account]
+	if l != nil && m.At.Sub(l.used) <= actingTime {
+		return nil
+	}
+	return []Command{Claim{Account: m.Account}}
 }
 
 // over says that the account is over its limit, if it is time to.
--- a/quota/homes.go
+++ b/quota/homes.go
@@ -9,6 +9,9 @@
 	// is believed to be gone and is not, its tokens and those of who stands in for it are
 	// both given.
 	pingAgain = 200 * time.Millisecond
+	// claimTime is how long a node's own word counts that it is there: links are made again
+	// within a second.
+	claimTime = 1 * time.Second
 	// aloneAgain is the pause before a node asks again that nobody has answered.
 	aloneAgain = 250 * time.Millisecond
 )
@@ -52,7 +55,8 @@
 	gone    bool      // Nobody that was asked reaches it.
 	alone   bool      // Nobody that was asked answered.
 	probing bool
-	heard   int // How many of those that were asked have answered.
+	heard   int       // How many of those that were asked have answered.
+	claimed time.Time // Until when its own word counts that it is there.
 }
 
 // Homes finds the home of each account: the node that ranks first for it, on which all
@@ -111,7 +115,7 @@
 			return Place{Home: node, Way: d.via}
 		case d.alone:
 			return Place{}
-		case !d.gone:
+		case !d.gone || now.Before(d.claimed):
 			return Place{Home: node, Pending: true}
 		}
 		gone[node] = true
@@ -185,6 +189,20 @@
 	clear(h.found)
 }
 
+// Claimed takes a node's own word that it is the home of accounts for which this one may
+// have stood in. Without a link to it yet, nothing is given in its place for a while.
+func (h *Homes) Claimed(node string, now time.Time) {
+	if d := h.doubts[node]; d != nil {
+		d.claimed = now.Add(claimTime)
+		clear(h.found)
+	}
+}
+
+// Next returns the node that would stand in for this one as an account's home.
+func (h *Homes) Next(account string) string {
+	return h.fleet.First(account, map[string]bool{h.fleet.Self(): true})
+}
+
 // Reached takes another node's word on whether it reaches one that was probed for.
 func (h *Homes) Reached(node, via string, reached bool) {
 	d := h.doubts[node]
--- a/quota/message.go
+++ b/quota/message.go
@@ -96,6 +96,8 @@
 		Granted bool
 		After   time.Duration
 	}
+	// Claim tells the node that may have stood in for this one that it is an account's home.
+	Claim struct{ Account string }
 	// Over says, once a second at the most, that an account is over its limit.
 	Over struct {
 		Use
@@ -130,6 +132,7 @@
 
 func (Answer) command() {}
 func (Over) command()   {}
+func (Claim) command()  {}
 func (Admit) command()  {}
 func (Refuse) command() {}
 func (Ask) command()    {}
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -44,6 +44,8 @@
 	plantWholeShare
 	// plantFreePart lets nodes that reach no home admit everything.
 	plantFreePart
+	// plantNoClaim loses the word of a home that it is there.
+	plantNoClaim
 )
 
 // event is something that happens at a time of the model.
@@ -73,20 +75,22 @@
 // model is one schedule: nodes, links between them that are cut and come back, and the
 // requests of one account.
 type model struct {
-	random  *rand.Rand
-	plant   plant
-	bounds  Bounds
-	limit   Limit
-	now     time.Duration
-	order   int
-	queue   events
-	nodes   []*modelNode
-	cut     map[[2]int]bool // Links that carry nothing, in one direction.
-	ran     []admitted
-	story   []string            // What went wrong, for people.
-	granted map[int]map[int]int // Tokens given, by second and home.
-	reached tally               // Requests at nodes that others reach,
-	cutOffs tally               // and at those that are cut off.
+	random   *rand.Rand
+	plant    plant
+	bounds   Bounds
+	limit    Limit
+	now      time.Duration
+	order    int
+	queue    events
+	nodes    []*modelNode
+	ranks    []int           // Nodes, those first that are the home before others.
+	newcomer int             // The node that joins later, -1 for none.
+	cut      map[[2]int]bool // Links that carry nothing, in one direction.
+	ran      []admitted
+	story    []string            // What went wrong, for people.
+	granted  map[int]map[int]int // Tokens given, by second and home.
+	reached  tally               // Requests at nodes that others reach,
+	cutOffs  tally               // and at those that are cut off.
 }
 
 // newModel draws a fleet and a limit.
@@ -101,13 +105,37 @@
 	for id := range nodes {
 		n := &modelNode{model: m, id: id}
 		m.nodes = append(m.nodes, n)
+		m.ranks = append(m.ranks, id)
 	}
+	m.newcomer = -1
 	for _, n := range m.nodes {
 		n.start()
 	}
 	return m
 }
 
+// modelNews is how long it may take until all have heard of a newcomer.
+const modelNews = 3 * time.Second
+
+// join lets a node join that is the account's home from then on.
+func (m *model) join(at time.Duration) {
+	if m.newcomer >= 0 {
+		return
+	}
+	n := &modelNode{model: m, id: len(m.nodes), down: map[int]bool{}}
+	m.newcomer = n.id
+	m.story = append(m.story, fmt.Sprintf("%v: n%02d joins", at, n.id))
+	m.nodes = append(m.nodes, n)
+	m.ranks = append([]int{n.id}, m.ranks...)
+	m.after(at, n.start)
+	for _, o := range m.nodes[:n.id] {
+		m.after(at+time.Duration(m.random.Float64()*float64(modelNews)), func() {
+			o.met = true
+			o.change()
+		})
+	}
+}
+
 // load draws when requests come: at a share of the limit, for a while at times as much,
 // over all nodes or one.
 func (m *model) load(share, hot float64) {
@@ -135,7 +163,7 @@
 	for range 1 + m.random.IntN(3) {
 		at := time.Duration(m.random.Float64() * float64(modelLength))
 		length := time.Duration(1+m.random.IntN(6)) * time.Second
-		switch m.random.IntN(6) {
+		switch m.random.IntN(7) {
 		case 0:
 			m.cutOff(at, length, 1)
 		case 1:
@@ -148,6 +176,8 @@
 			m.kill(at, len(m.nodes)/2)
 		case 5:
 			m.kill(at, len(m.nodes))
+		case 6:
+			m.join(at)
 		}
 	}
 }
@@ -280,7 +310,7 @@
 // TestModelFindsFaults plants faults: the model has to find each.
 func TestModelFindsFaults(t *testing.T) {
 	t.Parallel()
-	for _, p := range []plant{plantNoProbe, plantWholeShare, plantFreePart} {
+	for _, p := range []plant{plantNoProbe, plantWholeShare, plantFreePart, plantNoClaim} {
 		found := false
 		for seed := uint64(0); seed < 4*modelSchedules && !found; seed++ {
 			most, bound, _ := play(seed, p)
--- a/quota/modelnode_test.go
+++ b/quota/modelnode_test.go
@@ -24,6 +24,7 @@
 	life    int
 	alive   bool
 	away    bool // All its links are cut.
+	met     bool // It knows the newcomer.
 	home    *Home
 	spender *Spender
 	homes   *Homes
@@ -68,14 +69,17 @@
 
 // First implements Fleet: nodes rank by their numbers.
 func (n *modelNode) First(_ string, without map[string]bool) string {
-	for id := range n.nodes {
-		if !without[address(id)] || id == n.id {
+	for _, id := range n.ranks {
+		if n.knows(id) && !without[address(id)] {
 			return address(id)
 		}
 	}
 	return n.Self()
 }
 
+// knows tells whether the node has heard of another one: all know those of the beginning.
+func (n *modelNode) knows(id int) bool { return id != n.newcomer || id == n.id || n.met }
+
 // Known implements Fleet.
 func (n *modelNode) Known(string) bool { return true }
 
@@ -330,6 +334,8 @@
 			n.ask(c)
 		case Report:
 			n.report(c)
+		case Claim:
+			n.claim(c.Account)
 		case Answer:
 			n.noteGrant(c)
 			n.sendAnswer(c)
@@ -409,6 +415,20 @@
 	})
 }
 
+// claim tells who may have stood in for this node, unless that is lost on purpose.
+func (n *modelNode) claim(account string) {
+	if n.plant == plantNoClaim {
+		return
+	}
+	n.send(idOf(n.homes.Next(account)), func(to *modelNode) {
+		if n.id == to.newcomer && !to.met {
+			to.met = true
+			to.change()
+		}
+		to.homes.Claimed(n.Self(), to.time())
+	})
+}
+
 func (n *modelNode) report(c Report) {
 	n.sendTo(c.To, func(to *modelNode) {
 		if place := to.homes.Of(modelAccount, to.time()); place.Home == to.Self() {
--- a/quota/script_test.go
+++ b/quota/script_test.go
@@ -82,6 +82,8 @@
 		return fmt.Sprintf("refuse %d after %v%s", c.Number, c.After, suffix)
 	case Ask:
 		return fmt.Sprintf("ask %s %d spent %d", c.To, c.Number, c.Spent)
+	case Claim:
+		return "claim"
 	case Over:
 		return fmt.Sprintf("over by %d", c.Refused)
 	case Report:
