--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -307,6 +307,27 @@
 	}
 }
 
+// TestModelMendedSeeds plays schedules that once broke the bound: a home that was late or
+// cut off had a second one beside it, or the node that ranks next had not heard of it.
+func TestModelMendedSeeds(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{6170, 31194, 66109, 81048, 87501} {
+		most, bound, story := play(seed, plantNone)
+		assert.LessOrEqual(t, float64(most), bound, "seed %d: %s", seed, story)
+	}
+}
+
+// TestModelOpenSeeds plays the schedules of 100,000 that break the bound still: a cut at the
+// moment at which a node joins as the account's home, and a home that is back from a cut
+// with its burst while another has given one in its place.
+func TestModelOpenSeeds(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{20691, 21681, 43542, 44602, 50641, 54844, 96446} {
+		most, bound, story := play(seed, plantNone)
+		assert.LessOrEqual(t, float64(most), bound, "seed %d: %s", seed, story)
+	}
+}
+
 // TestModelFindsFaults plants faults: the model has to find each.
 func TestModelFindsFaults(t *testing.T) {
 	t.Parallel()
