--- a/quota/doc.go
+++ b/quota/doc.go
@@ -29,8 +29,8 @@
 // The bucket is the token bucket of traffic shaping; that one node keeps it and others
 // ask is what global rate limiters of the field do, here with the home chosen by
 // rendezvous hashing, found again by SWIM's indirect probes, and without anything stored.
-// Lending tokens ahead was tried and dropped: what a dozen nodes hold of a small account
-// is more than its tolerance.
+// Tokens are not lent ahead: what a dozen nodes would hold of a small account is more than
+// its tolerance.
 //
 // # Usage
 //
