Reading: who asks about a limit is looked up, not searched for; one ping, one shuffle

Cause: for each question about a limit the home searched all dialed links for the asker's address. A ping was written out four times and the peers were shuffled in three places, one of them a random pick that links.some already makes. Change: limits keeps the address by link beside the link by address; link.Ping; links.shuffled, which some and answering use; links.any is the first of some. Nothing else changes, and no test.

--- a/link/link.go
+++ b/link/link.go
@@ -95,6 +95,9 @@
 	return true
 }
 
+// Ping asks the peer for a sign of life; Ponged tells when it came.
+func (l *Link) Ping() { l.Send(&Frame{Ping: &Ping{}}) }
+
 // Close ends the link.
 func (l *Link) Close() {
 	l.once.Do(func() {
--- a/mesh/homes.go
+++ b/mesh/homes.go
@@ -81,7 +81,7 @@
 // Ping implements quota.Fleet.
 func (v fleetView) Ping(node string) {
 	if way := v.wayTo(node); way != nil {
-		way.Send(&link.Frame{Ping: &link.Ping{}})
+		way.Ping()
 	}
 }
 
@@ -121,7 +121,7 @@
 		return false
 	}
 	asked := time.Now()
-	way.Send(&link.Frame{Ping: &link.Ping{}})
+	way.Ping()
 	for time.Since(asked) < pingTime {
 		time.Sleep(probePoll)
 		if way.Ponged().After(asked) {
@@ -142,12 +142,17 @@
 	return p.way()
 }
 
-// some returns the links to a few nodes drawn by chance, other than one.
-func (l *links) some(count int, but string) []*link.Link {
+// shuffled returns the peers in an order drawn by chance.
+func (l *links) shuffled() []*peer {
 	peers := l.all()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers
+}
+
+// some returns the links to a few nodes drawn by chance, other than one.
+func (l *links) some(count int, but string) []*link.Link {
 	var out []*link.Link
-	for _, p := range peers {
+	for _, p := range l.shuffled() {
 		if way := p.way(); way != nil && p.address != but && len(out) < count {
 			out = append(out, way)
 		}
@@ -165,13 +170,12 @@
 // answering pings some nodes drawn by chance, and returns which part of them, this node
 // among them, has answered once they had time to.
 func (l *links) answering(count int, within time.Duration) float64 {
-	peers := l.all()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers := l.shuffled()
 	peers = peers[:min(count, len(peers))]
 	asked := time.Now()
 	for _, p := range peers {
 		if way := p.way(); way != nil {
-			way.Send(&link.Frame{Ping: &link.Ping{}})
+			way.Ping()
 		}
 	}
 	time.Sleep(within)
--- a/mesh/limitpeers.go
+++ b/mesh/limitpeers.go
@@ -17,17 +17,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inbound[address] = in
+	l.dialers[in] = address
 }
 
 // parted takes note that a node that dialed has gone.
 func (l *limits) parted(in *link.Link) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for address, known := range l.inbound {
-		if known == in {
-			delete(l.inbound, address)
-		}
+	if address := l.dialers[in]; l.inbound[address] == in {
+		delete(l.inbound, address)
 	}
+	delete(l.dialers, in)
 }
 
 // homeLost takes note that a node that was dialed has gone.
@@ -91,17 +91,7 @@
 		go l.relay(from, m)
 		return
 	}
-	l.do(l.home.Update(quota.Asked{At: now, From: l.addressOf(from), Number: m.Number, Account: m.Account, Limit: limit, Spent: m.Spent, Acting: place.Acting}), now)
-}
-
-// addressOf returns the address of a node that dialed.
-func (l *limits) addressOf(in *link.Link) string {
-	for address, known := range l.inbound {
-		if known == in {
-			return address
-		}
-	}
-	return ""
+	l.do(l.home.Update(quota.Asked{At: now, From: l.dialers[from], Number: m.Number, Account: m.Account, Limit: limit, Spent: m.Spent, Acting: place.Acting}), now)
 }
 
 // relay asks an account's home on behalf of another node.
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -40,7 +40,8 @@
 	spender *quota.Spender
 	number  uint64
 	waiting map[uint64]waiting
-	inbound map[string]*link.Link // Of nodes that dialed, by address.
+	inbound map[string]*link.Link // Of nodes that dialed, by address,
+	dialers map[*link.Link]string // and their addresses.
 	flushed bool                  // A flush is due.
 	fleet   uint64                // Of links.reached, when the home was last unsettled.
 }
@@ -56,7 +57,7 @@
 	home := quota.NewHome(b)
 	home.Unsettle(time.Now())
 	return &limits{node: n, home: home, spender: quota.NewSpender(b, rand.Float64),
-		waiting: map[uint64]waiting{}, inbound: map[string]*link.Link{}}
+		waiting: map[uint64]waiting{}, inbound: map[string]*link.Link{}, dialers: map[*link.Link]string{}}
 }
 
 // setBounds changes what is granted above limits.
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -65,12 +64,8 @@
 
 // any returns a link to some node that can be reached; nil if there is none.
 func (l *links) any() *link.Link {
-	peers := l.all()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, p := range peers {
-		if up := p.way(); up != nil {
-			return up
-		}
+	if found := l.some(1, ""); len(found) > 0 {
+		return found[0]
 	}
 	return nil
 }
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -185,6 +185,6 @@
 		}
 	case silent > bound:
 		p.pinged = now
-		p.link.Send(&link.Frame{Ping: &link.Ping{}})
+		p.link.Ping()
 	}
 }
