Logs name a request by what it asks, and say whether its upstream's process ended

Cause: of an incident in which upstreams end one after the other, the logs could not tell whether one request does it or upstreams end by themselves: each return of a caller has another attempt's name, and a connection that broke looks the same whether the upstream closed it or its process is gone.

Change: 'attempt without a good answer' and 'request failed' with a doubt carry 'request', a digest of method, host, target, client account and body. After a connection that the upstream ended, the gate looks once whether its port still takes a connection (50 ms at most, refused at once where nobody listens) and writes process_ended; where the upstream lives, the next request has that connection, so none is made in vain. No decision hangs on either.

Ruled out: headers in the digest (they differ between attempts; a caller may come by any node, so the service beside which it arrived differs as well).

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -63,9 +64,14 @@
 		return &failure{outcome: NoEvidence, detail: "no answer within the deadline"}
 	}
 	if sent != nil {
-		return &failure{outcome: Broken, detail: "send: " + sent.Error()}
+		return &failure{outcome: Broken, detail: "send: " + sent.Error(), cut: true}
 	}
-	return &failure{outcome: Broken, detail: err.Error()}
+	return &failure{outcome: Broken, detail: err.Error(), cut: cut(err)}
+}
+
+// cut tells whether an error says that the other side ended the connection.
+func cut(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // read takes one final answer from the connection, whole.
@@ -95,4 +101,7 @@
 	outcome Outcome
 	reason  link.Reason // Set when the request has not run for certain.
 	detail  string
+	cut     bool // The upstream ended the connection.
+	// processEnded says that the upstream's process was gone when the attempt had broken.
+	processEnded bool
 }
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -8,6 +8,7 @@
 
 	"eiderfold/link"
 	"eiderfold/port"
+	"eiderfold/quarantine"
 	"eiderfold/switches"
 )
 
@@ -25,6 +26,13 @@
 	repeat   bool               // The run repeats another.
 }
 
+// print names the request, whatever its attempts are called.
+func (c *call) print() quarantine.Print { return printOf(c.offer.Content, c.offer.Account) }
+
+func printOf(r *link.Content, account string) quarantine.Print {
+	return quarantine.PrintOf(r.Method, r.Host, r.Target, account, r.Body)
+}
+
 // start runs an offer in the background, with the lock held.
 func (g *Gate) start(k link.Key) {
 	c := g.calls[k]
@@ -43,6 +51,9 @@
 	terms := port.OutgoingTerms{Left: c.deadline.Sub(began), Upstream: upstream, CallerService: c.offer.CallerService, Account: c.offer.Account}
 	a, f := g.client.do(ctx, c.offer.Content, terms, !c.offer.Retryable)
 	took := time.Since(began)
+	if f != nil && f.cut {
+		f.processEnded = g.client.processEnded(ctx)
+	}
 	frame, outcome := g.result(c, a, f)
 	if outcome == Erred && g.switches.On(switches.OwnCalls) && g.excused(began, time.Now()) {
 		outcome = CallFailed
@@ -62,7 +73,10 @@
 	fields := []zap.Field{zap.String("attempt", c.offer.Attempt), zap.Stringer("key", c.offer.Key), zap.String("upstream", upstream),
 		zap.String("outcome", o.String()), zap.Duration("took", took), zap.Duration("left", time.Until(c.deadline))}
 	if f != nil {
-		fields = append(fields, zap.String("detail", f.detail))
+		fields = append(fields, zap.String("detail", f.detail), zap.Bool("process_ended", f.processEnded))
+	}
+	if c.offer.Content != nil {
+		fields = append(fields, zap.Stringer("request", c.print()))
 	}
 	if a != nil {
 		fields = append(fields, zap.Int("status", a.status))
--- a/gate/connection.go
+++ b/gate/connection.go
@@ -8,6 +8,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,9 @@
 const (
 	// connectTimeout bounds a connection to the same instance, which takes 1 ms.
 	connectTimeout = 1 * time.Second
+	// endCheckTime bounds the look whether a process still listens: a port without one
+	// refuses within a millisecond, and an answer waits for the look.
+	endCheckTime = 50 * time.Millisecond
 	// keptTime is how long an idle connection is used again for a retryable
 	// request, unless the upstream says less.
 	keptTime = 4 * time.Second
@@ -44,6 +48,7 @@
 	reader    *bufio.Reader
 	idleUntil time.Time // By the upstream's word or keptTime.
 	idleSince time.Time
+	unused    bool // Nothing was sent on it yet.
 }
 
 // connection takes an idle connection that is quiet, or makes one.
@@ -60,18 +65,36 @@
 		}
 		_ = conn.Close()
 	}
-	d := net.Dialer{Timeout: connectTimeout}
+	return c.dial(ctx, connectTimeout)
+}
+
+// dial makes a connection.
+func (c *client) dial(ctx context.Context, within time.Duration) (*upstreamConn, error) {
+	d := net.Dialer{Timeout: within}
 	raw, err := d.DialContext(ctx, "tcp4", c.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
 	c.dialed()
-	return &upstreamConn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+	return &upstreamConn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes), unused: true}, nil
+}
+
+// processEnded tells whether the upstream's process has ended, after a connection to it
+// broke. If it lives, the next request gets the connection that showed so.
+func (c *client) processEnded(ctx context.Context) bool {
+	conn, err := c.dial(ctx, endCheckTime)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.idleUntil = time.Now().Add(keptTime)
+	c.keep(conn)
+	return false
 }
 
-// rested returns how long the connection was idle before this use; 0 for a new one.
+// rested returns how long the connection was idle before this use; 0 for one that was
+// never used, which says nothing of how long others may rest.
 func (c *upstreamConn) rested() time.Duration {
-	if c.idleSince.IsZero() {
+	if c.unused {
 		return 0
 	}
 	return time.Since(c.idleSince)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -47,6 +47,8 @@
 type worker interface {
 	// do sends a request once and returns the whole answer.
 	do(ctx context.Context, r *link.Content, t port.OutgoingTerms, once bool) (*answer, *failure)
+	// processEnded tells whether the upstream's process is gone.
+	processEnded(ctx context.Context) bool
 	// checkHealth returns the incarnation that says it is well.
 	checkHealth(ctx context.Context, path string) (string, error)
 	// drop closes idle connections, all or those past their time.
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -124,6 +124,8 @@
 	return &answer{status: http.StatusOK, header: http.Header{}}, nil
 }
 
+func (modelUpstream) processEnded(context.Context) bool { return false }
+
 func (modelUpstream) checkHealth(context.Context, string) (string, error) {
 	return "", errors.New("none")
 }
--- a/gate/owncalls_test.go
+++ b/gate/owncalls_test.go
@@ -22,6 +22,8 @@
 	return &answer{status: 500}, nil
 }
 
+func (erringUpstream) processEnded(context.Context) bool { return false }
+
 func (erringUpstream) checkHealth(context.Context, string) (string, error) { return "", nil }
 func (erringUpstream) drop(bool)                                           {}
 
--- a/gate/parent_test.go
+++ b/gate/parent_test.go
@@ -21,6 +21,8 @@
 	return nil, &failure{outcome: NoEvidence}
 }
 
+func (stuckWorker) processEnded(context.Context) bool { return false }
+
 func (stuckWorker) checkHealth(context.Context, string) (string, error) { return "", nil }
 
 func (stuckWorker) drop(bool) {}
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -52,6 +52,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	rested := conn.rested()
 	a, reusable, f := c.exchange(conn, r, t)
+	conn.unused = false
 	c.learn(rested, f)
 	open := stop()
 	if !open && f != nil {
