--- a/mesh/bed_test.go
+++ b/mesh/bed_test.go
@@ -105,7 +105,8 @@
 	u := &testUpstream{id: "i-" + name, service: service, runs: map[string]int{}, callers: map[string]string{}, headers: map[string]http.Header{}}
 	u.healthy.Store(true)
 	u.Server = httptest.NewServer(u)
-	b.t.Cleanup(u.Close)
+	u.address = u.Listener.Addr().String()
+	b.t.Cleanup(u.close)
 	callers, links, reports, ready := freeAddresses(b.t, nextHost())
 	yaml := fmt.Sprintf(`
 node: %s
@@ -114,7 +115,7 @@
 listen: {callers: %q, links: %q, reports: %q, ready: %q}
 store: "127.0.0.1:1"
 stop: {grace: 2s}
-`, name, u.Listener.Addr(), service, callers, links, reports, ready)
+`, name, u.address, service, callers, links, reports, ready)
 	n := &testNode{bed: b, upstream: u, yaml: yaml, store: &nodeStore{Directory: b.store}}
 	b.nodes = append(b.nodes, n)
 	b.t.Cleanup(func() { n.stopNode() })
@@ -170,18 +171,26 @@
 // report sends the upstream's word about itself and returns the answer's status.
 func (n *testNode) report(sequence int, leaving bool) int {
 	n.bed.t.Helper()
+	status, err := n.sendReport(sequence, leaving)
+	require.NoError(n.bed.t, err)
+	return status
+}
+
+// sendReport is report for goroutines that may not end the test.
+func (n *testNode) sendReport(sequence int, leaving bool) (int, error) {
 	state := "ready"
 	if leaving {
 		state = "draining"
 	}
 	u := n.upstream
 	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":2,"state":%q,"coldLeftMs":0,"callSeq":%d}`,
-		u.service, u.Listener.Addr(), state, sequence)
-	url := fmt.Sprintf("http://%s/-/rpc?call=instances.heartbeat&of=%s", n.settings.Load().Reports(), u.id)
+		u.service, u.address, state, sequence)
+	url := fmt.Sprintf("http://%s/-/rpc?call=instances.heartbeat&of=%s", n.settings.Load().Reports(), u.identity())
 	r, err := http.Post(url, "application/json", strings.NewReader(body))
-	require.NoError(n.bed.t, err)
-	_ = r.Body.Close()
-	return r.StatusCode
+	if err != nil {
+		return 0, err
+	}
+	return r.StatusCode, r.Body.Close()
 }
 
 // meet waits until every node has every other's gate open.
--- a/mesh/upstream_test.go
+++ b/mesh/upstream_test.go
@@ -3,19 +3,24 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // testUpstream answers requests by a function and counts the runs of each attempt.
 type testUpstream struct {
 	*httptest.Server
-	id      string
+	address string // IP:port, the same in every life.
 	service string
 	healthy atomic.Bool
 	mu      sync.Mutex
+	id      string // Of this life.
+	life    int
 	runs    map[string]int
 	callers map[string]string
 	headers map[string]http.Header
@@ -23,15 +28,16 @@
 }
 
 func (u *testUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := u.identity()
 	if r.URL.Path == "/health" {
-		w.Header().Set("Instance-Id", u.id)
+		w.Header().Set("Instance-Id", id)
 		if !u.healthy.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.id {
-		w.Header().Set("Instance-Id", u.id)
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != id {
+		w.Header().Set("Instance-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -47,8 +53,48 @@
 		work(r)
 	}
 	w.Header().Set("Attempt-Id", attempt)
-	w.Header().Set("Response-Stamp", "stamp-of-"+u.id)
-	_, _ = fmt.Fprintf(w, "%s by %s: %s", r.RequestURI, u.id, body)
+	w.Header().Set("Response-Stamp", "stamp-of-"+id)
+	_, _ = fmt.Fprintf(w, "%s by %s: %s", r.RequestURI, id, body)
+}
+
+// identity returns the incarnation's id.
+func (u *testUpstream) identity() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.id
+}
+
+// end ends the process with all that it has in hand, as a crash does. After a pause it
+// is back at its address as another incarnation.
+func (u *testUpstream) end(pause time.Duration) error {
+	u.mu.Lock()
+	server := u.Server
+	u.mu.Unlock()
+	if err := server.Listener.Close(); err != nil {
+		return err
+	}
+	server.CloseClientConnections()
+	time.Sleep(pause)
+	l, err := net.Listen("tcp4", u.address)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.life++
+	u.id = fmt.Sprintf("%s-%d", strings.TrimSuffix(u.id, fmt.Sprintf("-%d", u.life-1)), u.life)
+	u.Server = &httptest.Server{Listener: l, Config: &http.Server{Handler: u, ReadHeaderTimeout: time.Minute}}
+	u.Start()
+	return nil
+}
+
+// close ends the upstream for good.
+func (u *testUpstream) close() {
+	u.mu.Lock()
+	server := u.Server
+	u.mu.Unlock()
+	server.CloseClientConnections()
+	server.Close()
 }
 
 func (u *testUpstream) setWork(f func(r *http.Request)) {
