A request under which upstreams end is held back from the others

Cause: whatever began the request ended, with all that it had in hand. Its gate took that for a broken attempt, the ingress repeated it at another gate, and only names of attempts were remembered, so that its next sending, at any node, began anew. The class: what an attempt taught was kept with the attempt, and judged the upstream alone.

Change: package quarantine, without input and output. A gate that sees its upstream's process gone after an attempt broke records the end under the request's print. Ends are told to linked nodes at once, from the second one on every node passes them on; a node that starts hears from those that it meets; what is held is in the store for a fleet of which all processes are killed, and an operator lifts it by removing it there. A good answer clears a request that only was in hand beside the one that ends upstreams.

Counting ends alone, without the order: what many callers ask for would be held when instances lose power at one moment (TestWaveOfEndsHoldsNothing). Names of attempts or headers as identity: they change with each send.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -55,6 +55,7 @@
 		f.processEnded = g.client.processEnded(ctx)
 	}
 	frame, outcome := g.result(c, a, f)
+	g.learn(c, frame, outcome, upstream, began, f)
 	if outcome == Erred && g.switches.On(switches.OwnCalls) && g.excused(began, time.Now()) {
 		outcome = CallFailed
 	}
@@ -68,6 +69,19 @@
 	g.update(Ended{At: time.Now(), Key: c.offer.Key, Outcome: outcome, Took: took})
 }
 
+// learn takes note of what the attempt says of its request, whatever it says of the
+// upstream: one that ends each upstream would otherwise do so whenever it is sent again.
+func (g *Gate) learn(c *call, frame *link.Frame, outcome Outcome, upstream string, began time.Time, f *failure) {
+	switch {
+	case outcome == Good:
+		g.book.Answered(time.Now(), c.print)
+	case f != nil && f.processEnded && frame.Failed != nil:
+		g.count("upstream_ended_under_attempt")
+		record := g.book.Ended(time.Now(), c.print(), upstream, began)
+		frame.Failed.Record = &record
+	}
+}
+
 // explain logs why an attempt brought no good answer.
 func (g *Gate) explain(c *call, f *failure, upstream string, o Outcome, took time.Duration, a *answer) {
 	fields := []zap.Field{zap.String("attempt", c.offer.Attempt), zap.Stringer("key", c.offer.Key), zap.String("upstream", upstream),
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -10,6 +10,7 @@
 	"eiderfold/budget"
 	"eiderfold/link"
 	"eiderfold/port"
+	"eiderfold/quarantine"
 	"eiderfold/switches"
 )
 
@@ -69,6 +70,7 @@
 	calls     map[link.Key]*call
 	ended     map[link.Key]ended
 	failures  []callFailure
+	book      *quarantine.Book
 	switches  switches.Set
 	done      chan struct{}
 }
@@ -83,6 +85,10 @@
 // it, it starts none.
 func WithBudget(b *budget.Budget) Option { return func(g *Gate) { g.budget = b } }
 
+// WithQuarantine names where it is kept which requests end upstreams; without it, the
+// gate knows of its own upstream's ends alone.
+func WithQuarantine(b *quarantine.Book) Option { return func(g *Gate) { g.book = b } }
+
 // WithSwitches says which mechanisms are on; without it, all are.
 func WithSwitches(s switches.Set) Option { return func(g *Gate) { g.switches = s } }
 
@@ -112,6 +118,9 @@
 	if g.budget == nil {
 		g.budget = budget.New(0, 0, time.Now())
 	}
+	if g.book == nil {
+		g.book = quarantine.NewBook(func([]quarantine.Command) {})
+	}
 	g.admission = NewAdmission(u.Service, g.budget)
 	g.admission.SetSwitches(g.switches)
 	g.client = &client{address: u.Address, dialect: dialect, dialed: func() { g.count("upstream_connections") }}
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -30,10 +30,16 @@
 		g.mu.Unlock()
 		return // A repeated message; the first one stands.
 	}
+	if o.Record != nil {
+		g.book.Heard(now, *o.Record)
+	}
 	c := &call{offer: o, sink: from, deadline: now.Add(o.Left), repeat: o.Claim != budget.First}
 	c.aim = g.admission.AimOf(now, c.deadline, o.Aim)
 	g.calls[o.Key] = c
 	g.mu.Unlock()
+	if o.Content != nil && g.holdBack(now, c) {
+		return
+	}
 	g.update(Offered{
 		At:        now,
 		Key:       o.Key,
@@ -82,7 +88,22 @@
 		from.Send(&link.Frame{Refused: &link.Refused{Key: m.Key, Reason: link.ReasonNeverSeen}})
 		return
 	}
-	g.update(Committed{At: now, Key: m.Key})
+	if !g.holdBack(now, c) {
+		g.update(Committed{At: now, Key: m.Key})
+	}
+}
+
+// holdBack refuses a request under which upstreams end, and tells whether it did. Here it
+// is looked up last before it starts, as its ingress may not know of it yet.
+func (g *Gate) holdBack(now time.Time, c *call) bool {
+	left := g.book.Held(now, c.print)
+	if left == 0 {
+		return false
+	}
+	g.count("gate_refused_" + link.ReasonQuarantined.String())
+	c.sink.Send(&link.Frame{Refused: &link.Refused{Key: c.offer.Key, Reason: link.ReasonQuarantined, After: left}})
+	g.withdraw(now, c.offer.Key)
+	return true
 }
 
 // withdraw forgets an offer that does not run; what runs is kept until it ends.
--- a/ingress/deadline.go
+++ b/ingress/deadline.go
@@ -49,11 +49,11 @@
 		f.forwarder.log.Info("gate silent", zap.String("attempt", f.attempt), zap.String("node", o.target.member.Name), zap.Bool("may_run", o.direct))
 		if !o.direct {
 			o.target.send(&link.Frame{Withdraw: &link.Withdraw{Key: o.key}})
-			return f.refused(o, link.ReasonNotConnected, now)
+			return f.refused(o, notConnected, now)
 		}
 		f.hedge(now)
 	case o.state == doubtful && !now.Before(o.rejoin):
-		return f.failed(o, "the link to "+o.target.member.Name+" did not come back", now)
+		return f.failed(o, &link.Failed{Detail: "the link to " + o.target.member.Name + " did not come back"}, now)
 	case (o.state == running || o.direct) && !o.hedge.IsZero() && !now.Before(o.hedge):
 		o.hedge = time.Time{}
 		f.hedge(now)
--- a/ingress/explain.go
+++ b/ingress/explain.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"eiderfold/link"
-	"eiderfold/quarantine"
 )
 
 // explain logs what became of a request and why. An answer that came in time is
@@ -65,11 +64,6 @@
 	}
 }
 
-// print names the request, whatever its attempts are called.
-func (f *flight) print() quarantine.Print {
-	return quarantine.PrintOf(f.content.Method, f.content.Host, f.content.Target, f.accountName(), f.content.Body)
-}
-
 // story is what decided about the request, for its log line.
 func (f *flight) story() []zap.Field {
 	fields := []zap.Field{zap.String("route", f.route.Name), zap.String("service", f.service), zap.Int("offers", f.made),
@@ -84,7 +78,10 @@
 		fields = append(fields, zap.Stringer("refused", f.last))
 	}
 	if f.doubt != "" {
-		fields = append(fields, zap.String("doubt", f.doubt), zap.Stringer("request", f.print()))
+		fields = append(fields, zap.String("doubt", f.doubt))
+	}
+	if f.doubt != "" || f.held > 0 {
+		fields = append(fields, zap.Stringer("request", f.print()))
 	}
 	return fields
 }
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -7,6 +7,7 @@
 	"eiderfold/core"
 	"eiderfold/link"
 	"eiderfold/overload"
+	"eiderfold/quarantine"
 	"eiderfold/route"
 	"eiderfold/switches"
 )
@@ -36,22 +37,24 @@
 	events    chan event
 	offers    []*offer
 	tried     []*Target
-	made      int           // Offers made, in all rounds.
-	runs      int           // Commits that may have run.
-	arrivals  int           // Times it reached an upstream, refused ones too.
-	ofRepeat  bool          // It is the call of a run that repeats another.
-	denied    int           // Gates that had no budget for the repeat that is wanted now.
-	far       bool          // It was offered to another data centre for waiting too long.
-	round     time.Time     // When a new round of offers may begin.
-	pause     time.Duration // Before the latest round.
-	last      link.Reason   // Of the latest refusal.
-	soonest   time.Duration // The shortest wait that a gate told which refused it, 0 for none.
-	fallback  *Response     // What is answered unless a repeat does better.
-	ended     *Response     // The final answer, where sending brought it about.
-	gates     []string      // Where it was committed, for the log.
-	committed time.Time     // When it first was.
-	cause     string        // Why it would be sent again.
-	doubt     string        // Why an attempt's outcome is unknown.
+	made      int                // Offers made, in all rounds.
+	runs      int                // Commits that may have run.
+	arrivals  int                // Times it reached an upstream, refused ones too.
+	ofRepeat  bool               // It is the call of a run that repeats another.
+	denied    int                // Gates that had no budget for the repeat that is wanted now.
+	far       bool               // It was offered to another data centre for waiting too long.
+	round     time.Time          // When a new round of offers may begin.
+	pause     time.Duration      // Before the latest round.
+	last      link.Reason        // Of the latest refusal.
+	soonest   time.Duration      // The shortest wait that a gate told which refused it, 0 for none.
+	fallback  *Response          // What is answered unless a repeat does better.
+	ended     *Response          // The final answer, where sending brought it about.
+	gates     []string           // Where it was committed, for the log.
+	committed time.Time          // When it first was.
+	cause     string             // Why it would be sent again.
+	doubt     string             // Why an attempt's outcome is unknown.
+	record    *quarantine.Record // What is known of it, if an upstream ended under it.
+	held      time.Duration      // How much longer it is kept from upstreams, 0 if it is not.
 }
 
 // run sees the request to its answer; nil if the caller has left.
@@ -126,13 +129,13 @@
 		f.noteBudget(now)
 		f.noteWait(e.frame.Refused.After)
 		o.target.refuse(e.frame.Refused, f.terms.Priority(), now)
-		return f.refused(o, e.frame.Refused.Reason, now)
+		return f.refused(o, e.frame.Refused, now)
 	case e.frame.Answer != nil:
 		return f.answered(o, e.frame.Answer, now)
 	case e.frame.Silent != nil:
 		f.silent(o, now)
 	case e.frame.Failed != nil:
-		return f.failed(o, e.frame.Failed.Detail, now)
+		return f.failed(o, e.frame.Failed, now)
 	}
 	return nil
 }
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -14,6 +14,7 @@
 	"eiderfold/link"
 	"eiderfold/overload"
 	"eiderfold/port"
+	"eiderfold/quarantine"
 	"eiderfold/result"
 	"eiderfold/route"
 	"eiderfold/switches"
@@ -45,6 +46,7 @@
 	parents  func(attempt string) (overload.Parent, bool) // The attempts that run on the upstream beside this node.
 	failed   func(arrived time.Time)                      // Is told of requests that failed.
 	limits   Limits
+	book     *quarantine.Book // Of requests that end upstreams.
 	table    atomic.Pointer[route.Table]
 	origin   uint64 // Of this process's offers; differs after a restart.
 	number   atomic.Uint64
@@ -84,6 +86,7 @@
 		parents:  func(string) (overload.Parent, bool) { return overload.Parent{}, false },
 		failed:   func(time.Time) {},
 		limits:   noLimits{},
+		book:     quarantine.NewBook(func([]quarantine.Command) {}),
 		origin:   rand.Uint64(),
 		flights:  map[uint64]*flight{},
 	}
@@ -106,6 +109,10 @@
 		f.explain(r, nil, refused)
 		return refused
 	}
+	if refused := f.holdBack(fl); refused != nil {
+		f.explain(r, fl, refused)
+		return refused
+	}
 	if refused := f.admit(ctx, fl); refused != nil {
 		f.explain(r, fl, refused)
 		return refused
--- a/ingress/lost.go
+++ b/ingress/lost.go
@@ -16,9 +16,9 @@
 	case o.state == doubtful:
 		return nil // It is asked for when the next way is there.
 	case o.state != running && !o.direct:
-		return f.refused(o, link.ReasonNotConnected, now)
+		return f.refused(o, notConnected, now)
 	case f.route.Retryable:
-		return f.failed(o, "the link to "+o.target.member.Name+" broke", now)
+		return f.failed(o, &link.Failed{Detail: "the link to " + o.target.member.Name + " broke"}, now)
 	default:
 		o.state = doubtful
 		o.rejoin = now.Add(rejoinTime)
@@ -50,7 +50,7 @@
 		return nil
 	}
 	if w.process != o.process {
-		return f.failed(o, o.target.member.Name+" has been restarted", now)
+		return f.failed(o, &link.Failed{Detail: o.target.member.Name + " has been restarted"}, now)
 	}
 	w.sink.Send(&link.Frame{Ask: &link.Ask{Key: o.key}})
 	return nil
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -60,7 +60,7 @@
 	c.target.inFlight.Add(1)
 	f.forwarder.register(o.key, f)
 	if !w.sink.Send(&link.Frame{Offer: message}) {
-		f.end(f.refused(o, link.ReasonNotConnected, now))
+		f.end(f.refused(o, notConnected, now))
 	}
 }
 
@@ -80,6 +80,7 @@
 		Kind:          f.route.Kind(),
 		Claim:         f.claim(),
 		Account:       f.accountName(),
+		Record:        f.record,
 	}
 }
 
--- a/ingress/outcome.go
+++ b/ingress/outcome.go
@@ -8,12 +8,18 @@
 	"eiderfold/result"
 )
 
+// notConnected stands for the refusal of a gate that was not reached.
+var notConnected = &link.Refused{Reason: link.ReasonNotConnected}
+
 // refused takes an offer out that has not run.
-func (f *flight) refused(o *offer, reason link.Reason, now time.Time) *Response {
+func (f *flight) refused(o *offer, m *link.Refused, now time.Time) *Response {
 	if o.state == running || o.direct || o.state == doubtful {
-		f.uncount(o, reason == link.ReasonShed || reason == link.ReasonMisdirected)
+		f.uncount(o, m.Reason == link.ReasonShed || m.Reason == link.ReasonMisdirected)
 	}
 	f.forget(o)
+	if m.Reason == link.ReasonQuarantined {
+		return f.heldBack(m, now)
+	}
 	if len(f.offers) > 0 {
 		f.hedgeOn(now)
 		return nil
@@ -47,11 +53,11 @@
 }
 
 // failed repeats what may have run, if it may run again.
-func (f *flight) failed(o *offer, detail string, now time.Time) *Response {
+func (f *flight) failed(o *offer, m *link.Failed, now time.Time) *Response {
 	f.forget(o)
-	f.doubt = detail
+	f.doubt = m.Detail
 	f.cause = causeFailure
-	if !f.mayRepeat(now) {
+	if f.noteEnd(m.Record, now) || !f.mayRepeat(now) {
 		return f.onlyIfAlone(f.final(now))
 	}
 	return f.again(now)
@@ -78,6 +84,8 @@
 		return refusal(result.New(result.AnswerLate, f.doubt))
 	case f.runs > 0:
 		return refusal(result.New(result.OutcomeUnknown, f.doubt))
+	case f.held > 0:
+		return f.quarantined()
 	case len(f.forwarder.targets.Of(f.service)) == 0:
 		return refusal(result.New(result.NoUpstream, f.service).WithRetryAfter(f.comeBack()))
 	case f.last == link.ReasonShed:
--- a/link/message.go
+++ b/link/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"eiderfold/budget"
+	"eiderfold/quarantine"
 )
 
 // Key names one offer of one request: the process that made it and its number.
@@ -41,6 +42,8 @@
 	Claim         budget.Claim  `cbor:"12,keyasint,omitempty"` // By what right it starts, if it repeats another.
 	Kind          uint32        `cbor:"13,keyasint,omitempty"` // Requests of one kind take about the same time.
 	Account       string        `cbor:"14,keyasint,omitempty"` // The client account for which it is made.
+	// Record is what is known of the request, if an upstream has ended under it.
+	Record *quarantine.Record `cbor:"15,keyasint,omitempty"`
 }
 
 // Granted says that a slot is held for the offer. The gate waits for the commit,
@@ -70,9 +73,10 @@
 	ReasonNeverSeen           // Asked for, and not known: it did not start and never will.
 	ReasonExpired             // The deadline passed before it started.
 	ReasonBudget              // It repeats another, and the fleet has no repeats left here.
+	ReasonQuarantined         // Upstreams end under it.
 )
 
-var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget"}
+var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget", "quarantined"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
@@ -115,6 +119,8 @@
 type Failed struct {
 	Key    Key    `cbor:"1,keyasint"`
 	Detail string `cbor:"2,keyasint"`
+	// Record is what is known of the request, if its upstream ended under it.
+	Record *quarantine.Record `cbor:"3,keyasint,omitempty"`
 }
 
 // Silent says that a started attempt is far later than answers of its kind are: a
@@ -247,4 +253,6 @@
 	LimitProbe    *LimitProbe    `cbor:"19,keyasint,omitempty"`
 	LimitReached  *LimitReached  `cbor:"20,keyasint,omitempty"`
 	LimitClaim    *LimitClaim    `cbor:"21,keyasint,omitempty"`
+	// Quarantine is what is known of requests that end upstreams.
+	Quarantine []quarantine.Record `cbor:"22,keyasint,omitempty"`
 }
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -124,6 +124,7 @@
 	}
 	d.registered = false
 	var left []string
+	var held []port.Entry
 	for _, e := range entries {
 		switch {
 		case e.Key == d.ownKey():
@@ -132,8 +133,11 @@
 			d.learn(e)
 		case strings.HasPrefix(e.Key, d.leavingPrefix()):
 			left = append(left, strings.TrimPrefix(e.Key, d.leavingPrefix()))
+		case strings.HasPrefix(e.Key, quarantinePrefix):
+			held = append(held, e)
 		}
 	}
+	d.node.ends.read(held, time.Now())
 	d.noteRead(ctx, left, time.Now())
 	d.wasRead.Store(true)
 	return d.register(ctx)
--- /dev/null
+++ b/mesh/ends.go
@@ -0,0 +1,266 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"eiderfold/link"
+	"eiderfold/port"
+	"eiderfold/quarantine"
+)
+
+const (
+	// quarantinePrefix is where the store keeps which requests are held, by their print.
+	quarantinePrefix = recordsPrefix + "quarantine/"
+	// endsGather is how long news is gathered before it is sent: all that an upstream had
+	// in hand ends with it, in the same millisecond.
+	endsGather = 2 * time.Millisecond
+	// endsTick is the pace at which records past their time are looked for.
+	endsTick = 1 * time.Minute
+)
+
+// ends is what this node knows of requests that end upstreams: it carries out what the
+// book wants done. Held requests are in the store as well, for a fleet of which all
+// processes are killed.
+type ends struct {
+	node   *Node
+	book   *quarantine.Book
+	mu     sync.Mutex
+	tell   []quarantine.Record // For all nodes that there is a link to.
+	pass   []quarantine.Record // For some.
+	writes []func(ctx context.Context) error
+	stored map[quarantine.Print]bool // Held, and seen in the store.
+	woken  chan struct{}             // There is news to send.
+	due    chan struct{}             // There is something to write.
+}
+
+func newEnds(n *Node) *ends {
+	e := &ends{node: n, stored: map[quarantine.Print]bool{}, woken: make(chan struct{}, 1), due: make(chan struct{}, 1)}
+	e.book = quarantine.NewBook(e.do)
+	return e
+}
+
+// do takes what the book wants done; run does it.
+func (e *ends) do(commands []quarantine.Command) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range commands {
+		switch c := c.(type) {
+		case quarantine.Tell:
+			e.tell = append(e.tell, c.Record)
+		case quarantine.Pass:
+			e.pass = append(e.pass, c.Record)
+		case quarantine.Hold:
+			e.hold(c)
+		case quarantine.Release:
+			e.release(c)
+		}
+	}
+	wake(e.woken)
+}
+
+// wake lets a goroutine look for work, which it has yet to do if the channel is full.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// enqueue adds something that the store is to be told, with the lock held.
+func (e *ends) enqueue(write func(ctx context.Context) error) {
+	e.writes = append(e.writes, write)
+	wake(e.due)
+}
+
+// hold logs that a request is held, and keeps it in the store if upstreams beside this
+// node ended under it.
+func (e *ends) hold(c quarantine.Hold) {
+	e.node.log.Warn("request held", zap.Stringer("request", c.Record.Print), zap.Strings("ended", c.Record.Ended),
+		zap.Duration("left", c.Record.Left), zap.Bool("own", c.Own))
+	if c.Own {
+		expires := time.Now().Add(c.Record.Left)
+		e.enqueue(func(ctx context.Context) error { return e.keep(ctx, c.Record, expires) })
+	}
+}
+
+// release logs that a request is no longer held, and removes it from the store if this
+// node found so.
+func (e *ends) release(c quarantine.Release) {
+	e.node.log.Info("request released", zap.Stringer("request", c.Print), zap.String("cause", c.Cause))
+	delete(e.stored, c.Print)
+	if c.Own {
+		e.enqueue(func(ctx context.Context) error { return e.remove(ctx, c.Print) })
+	}
+}
+
+// run sends news and writes to the store until ctx ends.
+func (e *ends) run(ctx context.Context) {
+	go e.write(ctx)
+	t := time.NewTicker(endsTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			e.book.Tick(now)
+		case <-e.woken:
+			time.Sleep(endsGather)
+			e.send()
+		}
+	}
+}
+
+// send tells all linked nodes of what was seen here, and passes on to some what others
+// said: so many that all hear of it.
+func (e *ends) send() {
+	e.mu.Lock()
+	tell, pass := e.tell, e.pass
+	e.tell, e.pass = nil, nil
+	e.mu.Unlock()
+	if len(tell) > 0 {
+		for _, to := range e.node.links.everyone() {
+			to.Send(&link.Frame{Quarantine: tell})
+		}
+	}
+	if len(pass) > 0 {
+		for _, to := range e.node.links.some(e.node.links.audience(), "") {
+			to.Send(&link.Frame{Quarantine: pass})
+		}
+	}
+}
+
+// greet tells a node that is met of what all are to know.
+func (e *ends) greet(to *link.Link) {
+	if records := e.book.Grave(time.Now()); len(records) > 0 {
+		to.Send(&link.Frame{Quarantine: records})
+	}
+}
+
+// hear takes what another node says.
+func (e *ends) hear(records []quarantine.Record) { e.book.Heard(time.Now(), records...) }
+
+// write brings the store up to date until ctx ends.
+func (e *ends) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.due:
+			e.flush(ctx)
+		}
+	}
+}
+
+// flush does what the store is to be told, one after the other and each until it succeeds:
+// while the store is out the nodes know of it, and they are all that does.
+func (e *ends) flush(ctx context.Context) {
+	pause := backoff{least: storeRetry, most: storeRetryMost}
+	for next := e.nextWrite(); next != nil && ctx.Err() == nil; next = e.nextWrite() {
+		if err := next(ctx); err != nil {
+			e.node.log.Info("held request not written", zap.Error(err))
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause.next()):
+			}
+			continue
+		}
+		pause.reset()
+		e.mu.Lock()
+		e.writes = e.writes[1:]
+		e.mu.Unlock()
+	}
+}
+
+// nextWrite returns what the store is to be told next, nil if there is nothing.
+func (e *ends) nextWrite() func(context.Context) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.writes) == 0 {
+		return nil
+	}
+	return e.writes[0]
+}
+
+// heldRecord is a held request in the store.
+type heldRecord struct {
+	Ended   []string  `json:"ended"`
+	Cleared uint32    `json:"cleared,omitempty"`
+	Expires time.Time `json:"expires"`
+}
+
+// keep writes a held request to the store.
+func (e *ends) keep(ctx context.Context, r quarantine.Record, expires time.Time) error {
+	value, err := json.Marshal(heldRecord{Ended: r.Ended, Cleared: r.Cleared, Expires: expires.UTC()})
+	if err != nil {
+		return errors.Wrap(err, "held request")
+	}
+	return e.node.platform.Store.Put(ctx, quarantinePrefix+r.Print.String(), value)
+}
+
+// remove takes a request that is no longer held out of the store.
+func (e *ends) remove(ctx context.Context, p quarantine.Print) error {
+	return e.node.platform.Store.Remove(ctx, quarantinePrefix+p.String())
+}
+
+// read takes what the store holds. What it held at an earlier reading and is no longer
+// there was removed by an operator who wants the request served again.
+func (e *ends) read(entries []port.Entry, now time.Time) {
+	there := map[quarantine.Print]bool{}
+	for _, entry := range entries {
+		r, err := parseHeld(entry, now)
+		if err != nil {
+			e.node.log.Warn("held request cannot be read", zap.String("key", entry.Key), zap.Error(err))
+			continue
+		}
+		there[r.Print] = true
+		e.book.Heard(now, r)
+		if r.Left <= 0 && e.node.links.standing().before < removers {
+			e.forget(r.Print)
+		}
+	}
+	for _, p := range e.noteStored(there) {
+		e.book.Lift(now, p)
+	}
+}
+
+// forget has a record removed that is past its time.
+func (e *ends) forget(p quarantine.Print) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.enqueue(func(ctx context.Context) error { return e.remove(ctx, p) })
+}
+
+// noteStored takes note of what the store holds, and returns what it no longer does.
+func (e *ends) noteStored(there map[quarantine.Print]bool) []quarantine.Print {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var gone []quarantine.Print
+	for p := range e.stored {
+		if !there[p] {
+			gone = append(gone, p)
+		}
+	}
+	e.stored = there
+	return gone
+}
+
+// parseHeld reads a held request from the store.
+func parseHeld(entry port.Entry, now time.Time) (quarantine.Record, error) {
+	p, ok := quarantine.ParsePrint(strings.TrimPrefix(entry.Key, quarantinePrefix))
+	if !ok {
+		return quarantine.Record{}, errors.New("the key names no request")
+	}
+	var h heldRecord
+	if err := json.Unmarshal(entry.Value, &h); err != nil {
+		return quarantine.Record{}, errors.Wrap(err, "held request")
+	}
+	return quarantine.Record{Print: p, Ended: h.Ended, Repeated: true, Cleared: h.Cleared, Left: h.Expires.Sub(now)}, nil
+}
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -35,9 +35,10 @@
 
 // inbound is what is known of a node that dialed.
 type inbound struct {
-	near bool      // It is in the own data centre.
-	owed bool      // It has not been told of the last status.
-	next time.Time // When it may be told.
+	address string    // Of the node; "" until it has said so.
+	near    bool      // It is in the own data centre.
+	owed    bool      // It has not been told of the last status.
+	next    time.Time // When it may be told.
 }
 
 // announce tells everybody of the own gate's status: at once where it closes or
@@ -74,6 +75,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if from := l.inbound[in]; from != nil {
+		from.address = m.Address
 		from.near = m.DataCentre == l.node.self.DataCentre
 		l.measure(in, from.near)
 	}
@@ -111,6 +113,7 @@
 		l.hear(f.Hello.Member)
 		l.locate(in, f.Hello.Member)
 		l.node.limits.joined(f.Hello.Member.Address, in)
+		l.node.ends.greet(in)
 		l.node.config.handle(&link.Configuration{Version: f.Hello.Version}, in)
 	case f.Configuration != nil:
 		l.node.config.handle(f.Configuration, in)
@@ -122,6 +125,8 @@
 		l.node.limits.claimed(f.LimitClaim)
 	case f.LimitProbe != nil:
 		go l.node.limits.probe(in, f.LimitProbe)
+	case len(f.Quarantine) > 0:
+		l.node.ends.hear(f.Quarantine)
 	case len(f.LimitReports) > 0:
 		l.node.limits.reported(f.LimitReports)
 	default:
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -91,6 +91,27 @@
 	return out
 }
 
+// everyone returns a link to each node that there is one to, dialed or dialing.
+func (l *links) everyone() []*link.Link {
+	var out []*link.Link
+	linked := map[string]bool{"": true} // One that has not said who it is will be greeted.
+	for _, p := range l.all() {
+		if way := p.way(); way != nil {
+			out = append(out, way)
+			linked[p.address] = true
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for in, from := range l.inbound {
+		if !linked[from.address] {
+			out = append(out, in)
+			linked[from.address] = true
+		}
+	}
+	return out
+}
+
 // check pings links that are silent and ends those that stay so.
 func (l *links) check(now time.Time) {
 	for _, p := range l.all() {
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -60,22 +60,26 @@
 	}
 }
 
-// spread passes news on to some nodes drawn by chance. To so many that all hear of it:
-// with ln(n) + c of them, e^-c nodes of the whole fleet are left out.
+// spread passes news on to some nodes drawn by chance.
 func (l *links) spread() {
 	l.mu.Lock()
 	news := l.news
 	l.news = nil
-	count := int(math.Ceil(math.Log(float64(len(l.known)+2)))) + newsMargin
 	l.mu.Unlock()
 	if len(news) == 0 {
 		return
 	}
-	for _, to := range l.some(count, "") {
+	for _, to := range l.some(l.audience(), "") {
 		to.Send(&link.Frame{Members: news})
 	}
 }
 
+// audience is to how many nodes, drawn by chance, news is passed on so that all hear of it:
+// with ln(n) + c of them, e^-c nodes of the whole fleet are left out.
+func (l *links) audience() int {
+	return int(math.Ceil(math.Log(float64(l.fleetSize()+1)))) + newsMargin
+}
+
 // gates counts the known gates of this node's service, its own among them, with the
 // lock held.
 func (l *links) gates() int {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -41,6 +41,7 @@
 	config    *configuration
 	directory *directory
 	limits    *limits
+	ends      *ends
 	settled   time.Time // When it takes its place among the others at the latest.
 	stopping  atomic.Bool
 }
@@ -60,10 +61,12 @@
 	n.settings.Store(s)
 	n.targets.SetSwitches(s.Switches())
 	n.limits = newLimits(n, s.AccountLimits())
+	n.ends = newEnds(n)
 	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, p.Dialect, log, metrics,
 		ingress.WithParents(func(attempt string) (overload.Parent, bool) { return n.gate.Parent(attempt) }),
 		ingress.WithCrowd(func() bool { return n.gate.Crowded() }),
 		ingress.WithLimits(n.limits),
+		ingress.WithQuarantine(n.ends.book),
 		ingress.WithFailures(func(arrived time.Time) { n.gate.NoteFailure(arrived) }))
 	n.server = ingress.NewServer(n.forwarder.Serve, n.callerLimits)
 	n.directory = newDirectory(n)
@@ -71,7 +74,7 @@
 	n.links = newLinks(n)
 	n.limits.homes = quota.NewHomes(fleetView{n.links})
 	n.gate = gate.New(gate.Upstream{Address: s.Upstream(), Service: s.Service()}, p.Dialect, log,
-		gate.WithBudget(n.budget), gate.WithSwitches(s.Switches()), gate.WithRecords(n.directory), gate.WithCounters(metrics), gate.WithAnnounce(n.links.announce), gate.WithHealthPath(n.healthPath))
+		gate.WithBudget(n.budget), gate.WithSwitches(s.Switches()), gate.WithQuarantine(n.ends.book), gate.WithRecords(n.directory), gate.WithCounters(metrics), gate.WithAnnounce(n.links.announce), gate.WithHealthPath(n.healthPath))
 	n.links.addLocal()
 	return n
 }
@@ -124,7 +127,7 @@
 	defer cancel()
 	n.settled = time.Now().Add(meetTime)
 	var background sync.WaitGroup
-	for _, f := range []func(context.Context){n.gate.Run, n.config.run, n.directory.run, n.links.run, n.limits.run, n.summarize} {
+	for _, f := range []func(context.Context){n.gate.Run, n.config.run, n.directory.run, n.links.run, n.limits.run, n.ends.run, n.summarize} {
 		background.Go(func() { f(running) })
 	}
 	n.serve(listeners)
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -97,6 +97,8 @@
 		n.limits.answered(f.LimitAnswer)
 	case f.LimitReached != nil:
 		n.limits.reached(p.address, f.LimitReached)
+	case len(f.Quarantine) > 0:
+		n.ends.hear(f.Quarantine)
 	case f.Configuration != nil:
 		p.know(f.Configuration.Version)
 		n.config.handle(f.Configuration, l)
@@ -126,6 +128,7 @@
 	n.forwarder.Connected(target, l, h.Process)
 	p.links.reached.Add(1)
 	n.limits.homeBack(p.address)
+	n.ends.greet(l)
 	p.know(h.Version)
 	n.config.handle(&link.Configuration{Version: h.Version}, l)
 	n.log.Info("link up", zap.String("node", h.Member.Name), zap.String("service", h.Member.Service), zap.Stringer("mode", h.Status.Mode))
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -4,12 +4,17 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"eiderfold/quarantine"
+	"eiderfold/result"
 )
 
 const (
@@ -23,14 +28,15 @@
 
 // endingRequest makes every upstream of a bed end that begins a request for its path.
 type endingRequest struct {
-	bed  *bed
-	path string
-	sent atomic.Int32 // How often it reached an upstream.
+	bed    *bed
+	method string
+	path   string
+	sent   atomic.Int32 // How often it reached an upstream.
 }
 
-// plant lets the upstreams of all nodes end under the path.
-func (b *bed) plant(path string) *endingRequest {
-	e := &endingRequest{bed: b, path: path}
+// plant lets the upstreams of all nodes end under the request.
+func (b *bed) plant(method, path string) *endingRequest {
+	e := &endingRequest{bed: b, method: method, path: path}
 	for _, n := range b.nodes {
 		n.upstream.setWork(func(r *http.Request) {
 			if r.URL.Path != path {
@@ -54,9 +60,9 @@
 }
 
 // ask sends the request at a node, under a new attempt's name, and returns the answer.
-func (e *endingRequest) ask(n *testNode, method string, number int) *http.Response {
+func (e *endingRequest) ask(n *testNode, number int) *http.Response {
 	e.bed.t.Helper()
-	r, _, err := n.ask(context.Background(), method, e.path, fmt.Sprintf("ending-%d", number))
+	r, _, err := n.ask(context.Background(), e.method, e.path, fmt.Sprintf("ending-%d", number))
 	require.NoError(e.bed.t, err)
 	return r
 }
@@ -81,9 +87,9 @@
 			b := newBed(t)
 			b.addBirths(6)
 			b.meet()
-			e := b.plant(c.path)
+			e := b.plant(c.method, c.path)
 			for i := range 24 {
-				e.ask(b.nodes[i%len(b.nodes)], c.method, i)
+				e.ask(b.nodes[i%len(b.nodes)], i)
 				time.Sleep(awayTime / 2) // Or all upstreams would be away.
 			}
 			assert.LessOrEqual(t, int(e.sent.Load()), endsUnder+sendsAfter, "upstreams that it reached")
@@ -92,3 +98,136 @@
 		})
 	}
 }
+
+// holdOnAll sends the request until all nodes hold it.
+func (e *endingRequest) holdOnAll() {
+	e.bed.t.Helper()
+	for i := 0; !e.heldOnAll(); i++ {
+		require.Less(e.bed.t, i, 200, "sends until the request is held")
+		e.ask(e.bed.nodes[i%len(e.bed.nodes)], i)
+		time.Sleep(awayTime / 2)
+	}
+}
+
+// heldOnAll tells whether every node knows that the request is held.
+func (e *endingRequest) heldOnAll() bool {
+	for _, n := range e.bed.nodes {
+		if n.ends.book.Held(time.Now(), e.print) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// print names the request as nodes do.
+func (e *endingRequest) print() quarantine.Print {
+	return quarantine.PrintOf(e.method, "office.example", e.path, "", []byte("text"))
+}
+
+// A request that is held gets its answer at once: that it has not run, and when it may.
+func TestHeldRequestIsAnsweredAtOnce(t *testing.T) {
+	b := newBed(t)
+	b.addBirths(4)
+	b.meet()
+	e := b.plant(http.MethodGet, "/look/ending")
+	e.holdOnAll()
+	sent := e.sent.Load()
+	r := e.ask(b.nodes[1], 1000)
+	assert.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+	assert.Equal(t, "29", r.Header.Get(result.Header))
+	back, err := strconv.Atoi(r.Header.Get("Retry-After"))
+	require.NoError(t, err)
+	assert.InDelta(t, (24 * time.Hour).Seconds(), back, 60)
+	assert.Equal(t, sent, e.sent.Load())
+}
+
+// The store keeps what is held for a fleet of which all processes are killed, and gives it
+// up when an operator removes it there.
+func TestHeldRequestOutlivesAllProcesses(t *testing.T) {
+	b := newBed(t)
+	b.addBirths(3)
+	b.meet()
+	e := b.plant(http.MethodGet, "/look/ending")
+	e.holdOnAll()
+	key := quarantinePrefix + e.print().String()
+	require.Eventually(t, func() bool {
+		_, _, err := b.store.Get(context.Background(), key)
+		return err == nil
+	}, patient, time.Millisecond)
+	for _, n := range b.nodes {
+		n.stopNode()
+	}
+	for _, n := range b.nodes {
+		n.start()
+		n.report(1000, false)
+	}
+	require.Eventually(t, e.heldOnAll, patient, time.Millisecond)
+	require.NoError(t, b.store.Remove(context.Background(), key))
+	require.NoError(t, b.nodes[0].directory.read(context.Background()))
+	require.Eventually(t, func() bool {
+		for _, n := range b.nodes {
+			if n.ends.book.Held(time.Now(), e.print) > 0 {
+				return false
+			}
+		}
+		return true
+	}, patient, time.Millisecond)
+}
+
+// A node that is restarted while the store is out is told by those that it meets.
+func TestRestartedNodeIsToldWhatIsHeld(t *testing.T) {
+	b := newBed(t)
+	b.addBirths(3)
+	b.meet()
+	e := b.plant(http.MethodGet, "/look/ending")
+	e.holdOnAll()
+	n := b.nodes[0]
+	n.stopNode()
+	n.store.denied.Store(true)
+	n.start()
+	require.Eventually(t, e.heldOnAll, patient, time.Millisecond)
+}
+
+// Instances that lose power at one moment take with them what many callers ask for. None
+// of that is held, as no attempt of it began when an end of another one was known.
+func TestWaveOfEndsHoldsNothing(t *testing.T) {
+	b := newBed(t)
+	b.addBirths(5)
+	b.meet()
+	const requests = 3
+	started := make(chan *testNode, 2*requests)
+	for _, n := range b.nodes {
+		n.upstream.setWork(func(r *http.Request) {
+			started <- n
+			<-r.Context().Done()
+		})
+	}
+	var asked sync.WaitGroup
+	for i := range requests {
+		asked.Go(func() {
+			_, _, err := b.nodes[i].ask(context.Background(), http.MethodGet, "/look/often", fmt.Sprintf("often-%d", i))
+			assert.NoError(t, err)
+		})
+	}
+	ending := map[*testNode]bool{}
+	for range requests {
+		ending[<-started] = true
+	}
+	for _, n := range b.nodes {
+		n.upstream.setWork(nil)
+	}
+	for n := range ending {
+		asked.Go(func() {
+			assert.NoError(t, n.upstream.end(awayTime))
+			_, err := n.sendReport(1, false)
+			assert.NoError(t, err)
+		})
+	}
+	asked.Wait()
+	b.meet()
+	e := &endingRequest{bed: b, method: http.MethodGet, path: "/look/often"}
+	for i, n := range b.nodes {
+		assert.Zero(t, n.ends.book.Held(time.Now(), e.print))
+		assert.Equal(t, http.StatusOK, n.status(http.MethodGet, "/look/often", fmt.Sprintf("again-%d", i)))
+	}
+}
--- a/result/result.go
+++ b/result/result.go
@@ -51,6 +51,7 @@
 	HeaderTooLarge     Code = 26
 	UnknownKey         Code = 27
 	OverLimit          Code = 28
+	Quarantined        Code = 29
 	NoConfiguration    Code = 30
 	Overloaded         Code = 31
 	Stopping           Code = 32
@@ -97,6 +98,7 @@
 	HeaderTooLarge:     {"header-too-large", http.StatusRequestHeaderFieldsTooLarge, NotRun, "the header is over the limit of the configuration"},
 	UnknownKey:         {"unknown-key", http.StatusUnauthorized, NotRun, "the request shows no key of a client account"},
 	OverLimit:          {"over-limit", http.StatusTooManyRequests, NotRun, "the client account is over its limit"},
+	Quarantined:        {"quarantined", http.StatusServiceUnavailable, NotRun, "upstreams ended under this request; it is not sent to further ones"},
 	KeyReused:          {"key-reused", http.StatusUnprocessableEntity, NotRun, "the Idempotency-Key names an operation with another body"},
 	NoConfiguration:    {"no-configuration", http.StatusServiceUnavailable, NotRun, "the node holds no configuration yet"},
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, NotRun, "no slot comes free within the deadline"},
