Soak: requests under which upstreams end, while nodes are killed, all at once too, and cut off

A lookup and an order come again and again at nodes drawn by chance; each upstream that begins one ends with all that it has in hand and is back 0.3 to 1.5 s later as another incarnation. Checked: no more than three arrivals by nodes in touch later than 3 s after the third end.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -35,6 +35,7 @@
 	length := c.Flags().Duration("for", 20*time.Second, "how long faults are injected")
 	nodes := c.Flags().Int("nodes", 6, "how many nodes")
 	accounts := c.Flags().Bool("accounts", false, "callers show keys of client accounts, one of them over its limit")
+	ending := c.Flags().Bool("ending", false, "requests come under which upstreams end")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		dir, err := os.MkdirTemp("", "eiderfold-soak")
 		if err != nil {
@@ -46,7 +47,7 @@
 		}
 		failed := 0
 		for seed := *from; seed < *from+*seeds; seed++ {
-			bad, err := play(c, soak.Options{Program: program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts})
+			bad, err := play(c, soak.Options{Program: program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending})
 			if err != nil {
 				return err
 			}
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -10,23 +10,66 @@
 	"eiderfold/bench/standin"
 )
 
+// scope says for whom a fault breaks contact.
+type scope uint8
+
+const (
+	nobody scope = iota
+	struck
+	everybody
+)
+
+// kind is a fault that may be drawn.
+type kind struct {
+	play  func(ctx context.Context, n *node) string
+	scope scope
+}
+
+// kinds are the faults of a run.
+func (s *soak) kinds() []kind {
+	kinds := []kind{
+		{s.stopNode, struck}, {s.killNode, struck}, {s.pauseNode, struck}, {s.holdLinks, struck}, {s.cutOneWay, struck},
+		{s.resetLinks, struck}, {s.delayLinks, struck}, {s.troubleStore, everybody}, {s.compactStore, everybody},
+		{s.leaveUpstream, nobody}, {s.breakUpstream, nobody}, {s.changeConfiguration, nobody}, {s.reloadNode, nobody},
+	}
+	if s.options.Ending {
+		kinds = append(kinds, kind{s.killAll, everybody})
+	}
+	return kinds
+}
+
 // injectFaults draws one fault after the other; they overlap.
 func (s *soak) injectFaults(ctx context.Context) {
-	kinds := []func(ctx context.Context, n *node) string{
-		s.stopNode, s.killNode, s.pauseNode, s.holdLinks, s.cutOneWay, s.resetLinks, s.delayLinks,
-		s.troubleStore, s.compactStore, s.leaveUpstream, s.breakUpstream, s.changeConfiguration, s.reloadNode,
-	}
+	kinds := s.kinds()
 	var running sync.WaitGroup
 	for until := time.Now().Add(s.options.For); time.Now().Before(until) && ctx.Err() == nil; {
 		n := s.nodes[s.random.IntN(len(s.nodes))]
-		kind := kinds[s.random.IntN(len(kinds))]
+		k := kinds[s.random.IntN(len(kinds))]
 		pause := time.Duration(200+s.random.IntN(600)) * time.Millisecond
-		running.Go(func() { s.note(kind(ctx, n)) })
+		running.Go(func() {
+			defer s.strike(k.scope, n)()
+			s.note(k.play(ctx, n))
+		})
 		time.Sleep(pause)
 	}
 	running.Wait()
 }
 
+// strike takes note of who loses contact, until what it returns is called.
+func (s *soak) strike(by scope, n *node) (end func()) {
+	var ends []func()
+	for _, o := range s.nodes {
+		if by == everybody || by == struck && o == n {
+			ends = append(ends, o.contact.begin())
+		}
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
 func (s *soak) note(fault string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -50,6 +93,16 @@
 	return "SIGKILL " + n.name
 }
 
+// killAll kills the processes of all nodes at one moment: nobody remembers anything.
+func (s *soak) killAll(context.Context, *node) string {
+	var killed sync.WaitGroup
+	for _, n := range s.nodes {
+		killed.Go(func() { n.restart(syscall.SIGKILL) })
+	}
+	killed.Wait()
+	return "SIGKILL to all"
+}
+
 func (s *soak) pauseNode(_ context.Context, n *node) string {
 	d := s.draw(3 * time.Second)
 	n.pause(d)
--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -36,6 +36,7 @@
 	process                                   *fleet.Process
 	lives                                     atomic.Int64 // How often it was started.
 	harmed                                    atomic.Int64 // UnixNano of the last kill or pause.
+	contact                                   contact
 }
 
 // newNode starts an upstream and the node beside it.
@@ -68,6 +69,7 @@
 	if n.upstream, err = startUpstream(ctx, n.ip, reports, s.ledger); err != nil {
 		return err
 	}
+	n.upstream.endings, n.upstream.inTouch = s.endings, n.contact.kept
 	n.callers = callers
 	n.settings = filepath.Join(s.options.Dir, n.name+".yaml")
 	text := fmt.Sprintf("node: %s\ndata_centre: d%d\nupstream: {address: %q, service: a}\nlisten: {callers: %q, links: %q, advertise: %q, reports: %q, ready: %q}\nstore: %q\nstop: {grace: %v}\naccount_limits: {window: %v, over: %v, slack: %v}\n",
@@ -133,6 +135,7 @@
 		n.mu.Lock()
 		if !n.process.Running() && ctx.Err() == nil {
 			n.harmed.Store(time.Now().UnixNano())
+			n.contact.begin()()
 			_ = n.start() // The next look tries again.
 		}
 		n.mu.Unlock()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -49,6 +49,8 @@
 	Nodes   int
 	// Accounts lets callers show keys of client accounts, one of which is far over its limit.
 	Accounts bool
+	// Ending lets requests come under which upstreams end.
+	Ending bool
 }
 
 // Report is what a run found.
@@ -74,6 +76,7 @@
 	mu      sync.Mutex
 	rules   []standin.Rule
 	faults  []string
+	endings map[string]*ending
 	version int
 }
 
@@ -82,6 +85,9 @@
 	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: standin.NewMetadata(), cutter: standin.NewCutter(), ledger: newLedger()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if o.Ending {
+		s.endings = newEndings()
+	}
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
@@ -93,6 +99,9 @@
 		clients.Go(func() { s.call(callers, s.nodes[i%o.Nodes], i) })
 	}
 	time.Sleep(settleTime)
+	for _, e := range s.endings {
+		clients.Go(func() { s.sendEnding(callers, e) })
+	}
 	s.injectFaults(ctx)
 	s.heal()
 	time.Sleep(recoverTime)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -25,6 +25,12 @@
 	playSeed(t, Options{Seed: 7, Nodes: 4, For: 8 * time.Second, Accounts: true})
 }
 
+// TestEnding lets two requests come again and again under which upstreams end, while nodes
+// are killed, all of them too, and cut off.
+func TestEnding(t *testing.T) {
+	playSeed(t, Options{Seed: 11, Nodes: 5, For: 10 * time.Second, Ending: true})
+}
+
 // playSeed plays a seed. The nodes' logs stay when it breaks a promise, since
 // another play may not.
 func playSeed(t *testing.T, o Options) {
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -44,7 +44,10 @@
 	number  int
 	state   string
 	seq     int
-	left    time.Time // When it was acknowledged as leaving; zero if it was not.
+	left    time.Time          // When it was acknowledged as leaving; zero if it was not.
+	server  *http.Server       // nil while the process is away.
+	endings map[string]*ending // Requests under which it ends, by path.
+	inTouch func() bool        // The node beside it is.
 }
 
 func startUpstream(ctx context.Context, ip, reports string, l *ledger) (*upstream, error) {
@@ -54,13 +57,21 @@
 	}
 	u := &upstream{address: listener.Addr().String(), reports: reports, ledger: l, state: "ready"}
 	u.renew()
-	server := &http.Server{Handler: u, ReadHeaderTimeout: time.Minute}
-	go server.Serve(listener) //nolint:errcheck // It ends with the run.
-	context.AfterFunc(ctx, func() { _ = server.Close() })
+	u.serve(ctx, listener)
 	go u.report(ctx)
 	return u, nil
 }
 
+// serve runs the upstream's process until it is closed or ctx ends.
+func (u *upstream) serve(ctx context.Context, listener net.Listener) {
+	server := &http.Server{Handler: u, ReadHeaderTimeout: time.Minute, BaseContext: func(net.Listener) context.Context { return ctx }}
+	go server.Serve(listener) //nolint:errcheck // It ends with the run.
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.server = server
+}
+
 // renew begins another incarnation.
 func (u *upstream) renew() {
 	u.mu.Lock()
@@ -102,8 +113,18 @@
 	if r.Header.Get("Authorization") != "" {
 		u.ledger.violate("SECRET: %s was shown the key of %s", id, attempt)
 	}
+	e := u.endings[r.URL.Path]
+	if e != nil {
+		e.arrived(u.inTouch(), u.ledger)
+	}
 	u.ledger.ran(attempt, r.Method+" "+r.RequestURI+" "+string(body), r.Header.Get("Tenant"))
 	time.Sleep(workLeast + rand.N(workMost-workLeast))
+	if e != nil {
+		e.ended()
+		go u.end(context.WithoutCancel(r.Context()))
+		<-r.Context().Done()
+		return
+	}
 	if broken {
 		panic(http.ErrAbortHandler)
 	}
@@ -132,6 +153,10 @@
 // beat reports once, and reports whether it was acknowledged within a second.
 func (u *upstream) beat(ctx context.Context) bool {
 	u.mu.Lock()
+	if u.server == nil {
+		u.mu.Unlock()
+		return false
+	}
 	u.seq++
 	id, state := u.id, u.state
 	body := fmt.Sprintf(`{"service":"a","address":%q,"zone":"d","version":"v1","slots":%d,"state":%q,"coldLeftMs":0,"callSeq":%d}`, u.address, slots, state, u.seq)
