An upstream may start again under the id that it had

The gate told incarnations apart by id alone: one that had left and started again under its id stayed closed until the gate's process ended, in the store's records even longer; its new count of reports was taken for old ones; and two ends of one id under one request counted once.

Change: an incarnation is an id and the moment of its start (born, as the upstream says), compared as one value everywhere: in reports, records of what leaves, outcomes of attempts, and ends under a request. A report of an earlier start that was held up counts for nothing; a last report that does not say when its sender started speaks of the one that is there. The wire between nodes and to the upstream keeps the id. What another writer may send is refused whole: fields that are missing or of another type, an unknown state, bytes that cannot be read; a report for another service or address, and a record of a node under a foreign key, are logged and change nothing.

Ruled out: a leaving word without a start that binds every start of its id (the restarted one would stay closed).

--- a/bench/cmd/detect/main.go
+++ b/bench/cmd/detect/main.go
@@ -69,8 +69,8 @@
 
 func newOurs(now time.Time) policy {
 	a := gate.NewAdmission(service, budget.New(0, 0, now))
-	a.Update(gate.Reported{At: now, Report: port.Report{Upstream: "i-1", Service: service, Slots: slots, Sequence: 1}})
-	a.Update(gate.Confirmed{At: now, Upstream: "i-1"})
+	a.Update(gate.Reported{At: now, Report: port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: service, Slots: slots, Sequence: 1}})
+	a.Update(gate.Confirmed{At: now, Upstream: port.Incarnation{ID: "i-1"}})
 	return &ours{a: a}
 }
 
--- a/bench/soak/ending.go
+++ b/bench/soak/ending.go
@@ -97,7 +97,7 @@
 }
 
 // end ends the upstream's process with all that it has in hand; after a pause it is back
-// at its address as another incarnation.
+// at its address as another incarnation, half of the time under the id that it had.
 func (u *upstream) end(ctx context.Context) {
 	u.mu.Lock()
 	server := u.server
@@ -117,6 +117,6 @@
 		u.ledger.violate("harness: upstream not back: %v", err)
 		return
 	}
-	u.renew()
+	u.renew(rand.IntN(2) == 0)
 	u.serve(ctx, listener)
 }
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -42,6 +42,7 @@
 	mu      sync.Mutex
 	id      string
 	number  int
+	born    int64 // Unix milliseconds.
 	state   string
 	seq     int
 	left    time.Time          // When it was acknowledged as leaving; zero if it was not.
@@ -56,7 +57,7 @@
 		return nil, errors.Wrap(err, "upstream")
 	}
 	u := &upstream{address: listener.Addr().String(), reports: reports, ledger: l, state: "ready"}
-	u.renew()
+	u.renew(false)
 	u.serve(ctx, listener)
 	go u.report(ctx)
 	return u, nil
@@ -72,12 +73,15 @@
 	u.server = server
 }
 
-// renew begins another incarnation.
-func (u *upstream) renew() {
+// renew begins another incarnation, which may have the id of the one before.
+func (u *upstream) renew(sameID bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.number++
+	if !sameID {
+		u.number++
+	}
 	u.id = "i-" + u.address + "-" + strconv.Itoa(u.number)
+	u.born = time.Now().UnixMilli()
 	u.state, u.seq, u.left = "ready", 0, time.Time{}
 }
 
@@ -159,7 +163,7 @@
 	}
 	u.seq++
 	id, state := u.id, u.state
-	body := fmt.Sprintf(`{"service":"a","address":%q,"zone":"d","version":"v1","slots":%d,"state":%q,"coldLeftMs":0,"callSeq":%d}`, u.address, slots, state, u.seq)
+	body := fmt.Sprintf(`{"service":"a","address":%q,"zone":"d","version":"v1","slots":%d,"state":%q,"coldLeftMs":0,"callSeq":%d,"born":%d}`, u.address, slots, state, u.seq, u.born)
 	u.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
@@ -193,5 +197,5 @@
 	u.mu.Unlock()
 	u.beat(ctx)
 	time.Sleep(leaveTime)
-	u.renew()
+	u.renew(false)
 }
--- a/gate/admission.go
+++ b/gate/admission.go
@@ -7,6 +7,7 @@
 	"eiderfold/budget"
 	"eiderfold/link"
 	"eiderfold/overload"
+	"eiderfold/port"
 	"eiderfold/switches"
 )
 
@@ -31,11 +32,11 @@
 	until    time.Time      // When a grant lapses, or the wait in the queue ends.
 	admitted time.Time      // When it was given its slot.
 	started  time.Time
-	upstream string    // The incarnation that runs it.
-	sample   *sample   // What it says of the upstream, once it runs.
-	taken    time.Time // When the budget counted it as a repeat.
-	hung     bool      // Counted as a failed try already.
-	warned   bool      // Told to be silent already.
+	upstream port.Incarnation // That runs it.
+	sample   *sample          // What it says of the upstream, once it runs.
+	taken    time.Time        // When the budget counted it as a repeat.
+	hung     bool             // Counted as a failed try already.
+	warned   bool             // Told to be silent already.
 }
 
 // Admission decides what the upstream is given. It is not safe for concurrent use.
@@ -43,7 +44,7 @@
 	health
 	budget   *budget.Budget
 	service  string
-	upstream string // The incarnation that is believed to be there; "" for none.
+	upstream port.Incarnation // That is believed to be there, if any is.
 	slots    int
 	sequence uint64
 	mode     link.Mode // As last announced.
@@ -51,8 +52,8 @@
 	// acknowledged as leaving by an earlier process.
 	unconfirmed bool
 	stopping    bool
-	left        []string // Incarnations that leave or have left.
-	past        []string // Incarnations that were replaced.
+	left        []port.Incarnation // That leave or have left.
+	past        []port.Incarnation // That were replaced.
 	entries     map[link.Key]*entry
 	queue       []*entry
 }
@@ -92,7 +93,7 @@
 // Mode returns how the gate takes work now.
 func (a *Admission) Mode() link.Mode {
 	switch {
-	case a.upstream == "" || a.unconfirmed || a.stopping || slices.Contains(a.left, a.upstream):
+	case a.upstream.ID == "" || a.unconfirmed || a.stopping || slices.Contains(a.left, a.upstream):
 		return link.ModeClosed
 	case a.trial:
 		return link.ModeTrial
@@ -103,7 +104,7 @@
 
 // Status returns what other nodes are told.
 func (a *Admission) Status() link.Status {
-	return link.Status{Mode: a.Mode(), Upstream: a.upstream, Slots: a.slots, Usual: a.usual, Suspect: a.suspicion}
+	return link.Status{Mode: a.Mode(), Upstream: a.upstream.ID, Slots: a.slots, Usual: a.usual, Suspect: a.suspicion}
 }
 
 // offered grants a slot, queues the offer, or refuses it when the queue would make
@@ -154,7 +155,7 @@
 // objection returns why an offer is not taken at all, whatever is free.
 func (a *Admission) objection(m Offered) link.Reason {
 	switch mode := a.Mode(); {
-	case m.Service != a.service || (m.Upstream != "" && a.upstream != "" && m.Upstream != a.upstream):
+	case m.Service != a.service || (m.Upstream != "" && a.upstream.ID != "" && m.Upstream != a.upstream.ID):
 		return link.ReasonMisdirected
 	case mode == link.ModeClosed:
 		return link.ReasonClosed
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -45,10 +45,10 @@
 }
 
 // run sends the request to the upstream and reports how it ended.
-func (g *Gate) run(ctx context.Context, c *call, upstream string) {
+func (g *Gate) run(ctx context.Context, c *call, upstream port.Incarnation) {
 	defer c.cancel()
 	began := time.Now()
-	terms := port.OutgoingTerms{Left: c.deadline.Sub(began), Upstream: upstream, CallerService: c.offer.CallerService, Account: c.offer.Account}
+	terms := port.OutgoingTerms{Left: c.deadline.Sub(began), Upstream: upstream.ID, CallerService: c.offer.CallerService, Account: c.offer.Account}
 	a, f := g.client.do(ctx, c.offer.Content, terms, !c.offer.Retryable)
 	took := time.Since(began)
 	if f != nil && f.cut {
@@ -59,7 +59,7 @@
 	if outcome == Erred && g.switches.On(switches.OwnCalls) && g.excused(began, time.Now()) {
 		outcome = CallFailed
 	}
-	g.log.Debug("attempt ended", zap.String("attempt", c.offer.Attempt), zap.String("upstream", upstream),
+	g.log.Debug("attempt ended", zap.String("attempt", c.offer.Attempt), zap.Stringer("upstream", upstream),
 		zap.String("outcome", outcome.String()), zap.Duration("took", took))
 	if outcome != Good {
 		g.explain(c, f, upstream, outcome, took, a)
@@ -71,20 +71,20 @@
 
 // learn takes note of what the attempt says of its request, whatever it says of the
 // upstream: one that ends each upstream would otherwise do so whenever it is sent again.
-func (g *Gate) learn(c *call, frame *link.Frame, outcome Outcome, upstream string, began time.Time, f *failure) {
+func (g *Gate) learn(c *call, frame *link.Frame, outcome Outcome, upstream port.Incarnation, began time.Time, f *failure) {
 	switch {
 	case outcome == Good:
 		g.book.Answered(time.Now(), c.print)
 	case f != nil && f.processEnded && frame.Failed != nil:
 		g.count("upstream_ended_under_attempt")
-		record := g.book.Ended(time.Now(), c.print(), upstream, began)
+		record := g.book.Ended(time.Now(), c.print(), upstream.String(), began)
 		frame.Failed.Record = &record
 	}
 }
 
 // explain logs why an attempt brought no good answer.
-func (g *Gate) explain(c *call, f *failure, upstream string, o Outcome, took time.Duration, a *answer) {
-	fields := []zap.Field{zap.String("attempt", c.offer.Attempt), zap.Stringer("key", c.offer.Key), zap.String("upstream", upstream),
+func (g *Gate) explain(c *call, f *failure, upstream port.Incarnation, o Outcome, took time.Duration, a *answer) {
+	fields := []zap.Field{zap.String("attempt", c.offer.Attempt), zap.Stringer("key", c.offer.Key), zap.Stringer("upstream", upstream),
 		zap.String("outcome", o.String()), zap.Duration("took", took), zap.Duration("left", time.Until(c.deadline))}
 	if f != nil {
 		fields = append(fields, zap.String("detail", f.detail), zap.Bool("process_ended", f.processEnded))
--- a/gate/confirm.go
+++ b/gate/confirm.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"eiderfold/port"
 )
 
 // confirmPause is the pause between two tries to find out whether an upstream leaves.
@@ -13,20 +15,20 @@
 // Records remembers, beyond this process, which incarnations leave.
 type Records interface {
 	// Leaving tells whether an incarnation was recorded as leaving.
-	Leaving(ctx context.Context, upstream string) (bool, error)
+	Leaving(ctx context.Context, upstream port.Incarnation) (bool, error)
 }
 
 // confirm finds out whether an incarnation leaves: from the records, and while
 // those cannot be read, from the upstream itself.
-func (g *Gate) confirm(upstream string) {
+func (g *Gate) confirm(upstream port.Incarnation) {
 	for {
 		leaving, source, err := g.leaves(upstream)
 		if err == nil {
-			g.log.Info("upstream confirmed", zap.String("upstream", upstream), zap.Bool("leaving", leaving), zap.String("source", source))
+			g.log.Info("upstream confirmed", zap.Stringer("upstream", upstream), zap.Bool("leaving", leaving), zap.String("source", source))
 			g.update(Confirmed{At: time.Now(), Upstream: upstream, Leaving: leaving})
 			return
 		}
-		g.log.Info("upstream not confirmed", zap.String("upstream", upstream), zap.Error(err))
+		g.log.Info("upstream not confirmed", zap.Stringer("upstream", upstream), zap.Error(err))
 		select {
 		case <-g.done:
 			return
@@ -36,7 +38,7 @@
 }
 
 // leaves asks once, and says who answered.
-func (g *Gate) leaves(upstream string) (leaving bool, source string, err error) {
+func (g *Gate) leaves(upstream port.Incarnation) (leaving bool, source string, err error) {
 	if g.records == nil {
 		return false, "no records", nil
 	}
@@ -56,5 +58,5 @@
 	if checked != nil {
 		return false, "", checked
 	}
-	return who != upstream, "health check", nil
+	return who != upstream.ID, "health check", nil
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -165,8 +165,21 @@
 	return len(g.calls)
 }
 
-// Report takes an upstream's word about itself.
-func (g *Gate) Report(r port.Report) { g.update(Reported{At: time.Now(), Report: r}) }
+// Report takes an upstream's word about itself, and returns which incarnation it is about.
+func (g *Gate) Report(r port.Report) port.Incarnation {
+	g.mu.Lock()
+	r = g.admission.understood(r)
+	g.mu.Unlock()
+	g.update(Reported{At: time.Now(), Report: r})
+	return r.Incarnation
+}
+
+// Upstream returns the incarnation that is believed to be there.
+func (g *Gate) Upstream() port.Incarnation {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.upstream
+}
 
 // Stop closes the gate for new work; what runs goes on.
 func (g *Gate) Stop() { g.update(Stopping{At: time.Now()}) }
--- a/gate/message.go
+++ b/gate/message.go
@@ -81,7 +81,7 @@
 // Confirmed says whether an incarnation has been acknowledged as leaving earlier.
 type Confirmed struct {
 	At       time.Time
-	Upstream string
+	Upstream port.Incarnation
 	Leaving  bool
 }
 
@@ -130,7 +130,7 @@
 
 // Confirm asks whether an incarnation was acknowledged as leaving before this
 // process began.
-type Confirm struct{ Upstream string }
+type Confirm struct{ Upstream port.Incarnation }
 
 func (Grant) command()    {}
 func (Start) command()    {}
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -204,7 +204,7 @@
 		gate.Run(ctx)
 		close(done)
 	}(g.gate, g.done)
-	g.gate.Report(port.Report{Upstream: "i-" + g.name, Service: scriptService, Slots: 2, Sequence: 1})
+	g.gate.Report(port.Report{Incarnation: port.Incarnation{ID: "i-" + g.name}, Service: scriptService, Slots: 2, Sequence: 1})
 	synctest.Wait()
 }
 
--- a/gate/owncalls_test.go
+++ b/gate/owncalls_test.go
@@ -45,7 +45,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
 				g.client = erringUpstream{work: work}
-				g.Report(port.Report{Upstream: "i-1", Service: "a", Slots: 4, Sequence: 1})
+				g.Report(port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: "a", Slots: 4, Sequence: 1})
 				synctest.Wait()
 				for i := range uint64(3) {
 					began := time.Now()
--- a/gate/parent_test.go
+++ b/gate/parent_test.go
@@ -38,7 +38,7 @@
 	g := New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
 	w := stuckWorker{end: make(chan struct{})}
 	g.client = w
-	g.Report(port.Report{Upstream: "i-1", Service: "a", Slots: 4, Sequence: 1})
+	g.Report(port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: "a", Slots: 4, Sequence: 1})
 	assert.Eventually(t, func() bool { return g.Status().Mode == link.ModeOpen }, 10*time.Second, time.Millisecond)
 	first, repeat := link.Key{Origin: 1, Number: 1}, link.Key{Origin: 1, Number: 2}
 	g.Handle(deafSink{}, &link.Frame{Offer: &link.Offer{Key: first, Attempt: "a1", Service: "a", Left: time.Second, Retryable: true, Content: &link.Content{}}})
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -57,6 +57,7 @@
 
 type reportStep struct {
 	Upstream string `yaml:"upstream"`
+	Born     int64  `yaml:"born"`
 	Slots    int    `yaml:"slots"`
 	Sequence uint64 `yaml:"sequence"`
 	Leaving  bool   `yaml:"leaving"`
@@ -65,6 +66,7 @@
 
 type confirmStep struct {
 	Upstream string `yaml:"upstream"`
+	Born     int64  `yaml:"born"`
 	Leaving  bool   `yaml:"leaving"`
 }
 
@@ -118,9 +120,9 @@
 		if service == "" {
 			service = scriptService
 		}
-		return Reported{At: now, Report: port.Report{Upstream: r.Upstream, Service: service, Slots: r.Slots, Sequence: r.Sequence, Leaving: r.Leaving}}
+		return Reported{At: now, Report: port.Report{Incarnation: port.Incarnation{ID: r.Upstream, Born: r.Born}, Service: service, Slots: r.Slots, Sequence: r.Sequence, Leaving: r.Leaving}}
 	case s.Confirm != nil:
-		return Confirmed{At: now, Upstream: s.Confirm.Upstream, Leaving: s.Confirm.Leaving}
+		return Confirmed{At: now, Upstream: port.Incarnation{ID: s.Confirm.Upstream, Born: s.Confirm.Born}, Leaving: s.Confirm.Leaving}
 	case s.Stop:
 		return Stopping{At: now}
 	default:
@@ -164,7 +166,7 @@
 	case Announce:
 		return "announce " + c.Why
 	case Confirm:
-		return "confirm " + c.Upstream
+		return "confirm " + c.Upstream.String()
 	default:
 		return fmt.Sprintf("%T", c)
 	}
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -40,8 +40,8 @@
 	g := &replayGate{replay: p, service: service, centre: p.load.centres()[i%p.load.Centres], slots: s.Slots, index: i, runs: map[link.Key]*replayRun{}}
 	g.admission = gate.NewAdmission(service, b)
 	g.admission.SetSwitches(set)
-	g.update(gate.Reported{At: p.now, Report: port.Report{Upstream: "i-" + g.name(), Service: service, Slots: s.Slots, Sequence: 1}})
-	g.update(gate.Confirmed{At: p.now, Upstream: "i-" + g.name()})
+	g.update(gate.Reported{At: p.now, Report: port.Report{Incarnation: port.Incarnation{ID: "i-" + g.name()}, Service: service, Slots: s.Slots, Sequence: 1}})
+	g.update(gate.Confirmed{At: p.now, Upstream: port.Incarnation{ID: "i-" + g.name()}})
 	p.after(replayTick, g.tick)
 	return g
 }
--- a/mesh/bed_test.go
+++ b/mesh/bed_test.go
@@ -183,9 +183,14 @@
 		state = "draining"
 	}
 	u := n.upstream
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":2,"state":%q,"coldLeftMs":0,"callSeq":%d}`,
-		u.service, u.address, state, sequence)
-	url := fmt.Sprintf("http://%s/-/rpc?call=instances.heartbeat&of=%s", n.settings.Load().Reports(), u.identity())
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":2,"state":%q,"coldLeftMs":0,"callSeq":%d%s}`,
+		u.service, u.address, state, sequence, u.bornField())
+	return n.post(u.identity(), body)
+}
+
+// post sends a report's body as it is, and returns the answer's status.
+func (n *testNode) post(id, body string) (int, error) {
+	url := fmt.Sprintf("http://%s/-/rpc?call=instances.heartbeat&of=%s", n.settings.Load().Reports(), id)
 	r, err := http.Post(url, "application/json", strings.NewReader(body))
 	if err != nil {
 		return 0, err
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -146,7 +146,7 @@
 // learn takes another node's record.
 func (d *directory) learn(e port.Entry) {
 	var m link.Member
-	if err := json.Unmarshal(e.Value, &m); err != nil || m.Address == "" {
+	if err := json.Unmarshal(e.Value, &m); err != nil || nodesPrefix+m.Address != e.Key || m.Name == "" || m.Service == "" || m.DataCentre == "" {
 		d.node.log.Warn("directory record cannot be read", zap.String("key", e.Key), zap.Error(err))
 		return
 	}
--- /dev/null
+++ b/mesh/incarnation_test.go
@@ -0,0 +1,59 @@
+package mesh
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"eiderfold/link"
+)
+
+// An upstream that has left starts again under the id that it had. The record of its
+// leaving is that of the earlier start, in this process and for one that replaces it.
+func TestUpstreamStartsAgainUnderItsID(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	n := b.add("one", "births")
+	b.meet()
+	n.upstream.sameID = true
+	require.Equal(t, http.StatusOK, n.report(9, true))
+	require.Equal(t, link.ModeClosed, n.gateMode())
+	require.NoError(t, n.upstream.end(awayTime))
+	require.Equal(t, http.StatusOK, n.report(1, false))
+	b.meet()
+	assert.Equal(t, http.StatusOK, n.status(http.MethodGet, "/look/x", "x1"))
+	n.stopNode()
+	n.start()
+	require.Equal(t, http.StatusOK, n.report(2, false))
+	b.meet()
+	assert.Equal(t, http.StatusOK, n.status(http.MethodGet, "/look/x", "x2"))
+	require.Equal(t, http.StatusOK, n.report(3, true))
+	n.stopNode()
+	n.start()
+	require.Equal(t, http.StatusOK, n.report(3, false), "held up from before it left")
+	assert.Equal(t, http.StatusServiceUnavailable, n.status(http.MethodGet, "/look/x", "x3"))
+	assert.Equal(t, link.ModeClosed, n.gateMode())
+}
+
+// What another writer sends names no upstream: the one that is there goes on.
+func TestReportsOfOthersChangeNothing(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	n := b.add("one", "births")
+	b.meet()
+	u := n.upstream
+	for _, body := range []string{
+		"", "\xff", "[]", `{"state":"ready"}`,
+		`{"service":"births","address":"` + u.address + `","slots":2,"state":"resting","callSeq":5}`,
+		`{"service":"births","address":"` + u.address + `","slots":"2","state":"ready","callSeq":5}`,
+		`{"service":"births","address":"127.0.0.1:1","slots":2,"state":"ready","callSeq":5}`,
+		`{"service":"other","address":"` + u.address + `","slots":2,"state":"ready","callSeq":5}`,
+	} {
+		n.post("i-other", body)
+		assert.Equal(t, link.ModeOpen, n.gateMode(), body)
+		assert.Equal(t, "i-one", n.gate.Status().Upstream, body)
+	}
+	assert.Equal(t, http.StatusOK, n.status(http.MethodGet, "/look/x", "x1"))
+}
--- a/mesh/leaving.go
+++ b/mesh/leaving.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"eiderfold/port"
 )
 
 const (
@@ -22,7 +24,7 @@
 // Leaving tells whether an incarnation was recorded as leaving. Only earlier processes of
 // this node can have done so, and this one itself, so the first reading of the directory
 // tells all that the store knows.
-func (d *directory) Leaving(ctx context.Context, upstream string) (bool, error) {
+func (d *directory) Leaving(ctx context.Context, upstream port.Incarnation) (bool, error) {
 	for !d.wasRead.Load() {
 		if d.lost.Load() {
 			return false, errNotRead
@@ -37,7 +39,7 @@
 }
 
 // hasLeft tells whether an incarnation is known to be recorded as leaving.
-func (d *directory) hasLeft(upstream string) bool {
+func (d *directory) hasLeft(upstream port.Incarnation) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.left[keyPart(upstream)]
@@ -54,7 +56,7 @@
 // the first time leftKept ago, and is not beside this node now, has ended: its record is
 // removed. Readings may follow one another at once while the store fails now and then.
 func (d *directory) noteRead(ctx context.Context, left []string, now time.Time) {
-	current := keyPart(d.node.gate.Status().Upstream)
+	current := keyPart(d.node.gate.Upstream())
 	for _, part := range left {
 		d.noteLeft(part)
 		first, ok := d.firstRead[part]
@@ -72,7 +74,7 @@
 }
 
 // recordLeaving writes that an incarnation leaves, trying until ctx ends.
-func (d *directory) recordLeaving(ctx context.Context, upstream string) error {
+func (d *directory) recordLeaving(ctx context.Context, upstream port.Incarnation) error {
 	if d.hasLeft(upstream) {
 		return nil
 	}
@@ -96,12 +98,16 @@
 }
 
 // leavingKey is where an incarnation is recorded.
-func (d *directory) leavingKey(upstream string) string { return d.leavingPrefix() + keyPart(upstream) }
+func (d *directory) leavingKey(upstream port.Incarnation) string {
+	return d.leavingPrefix() + keyPart(upstream)
+}
 
-// keyPart is an incarnation's name as part of a key.
-func keyPart(upstream string) string {
-	if len(upstream) > maxUpstreamName {
-		upstream = upstream[:maxUpstreamName]
+// keyPart is an incarnation's name as part of a key. Of a long one the beginning is left
+// out, so that what tells the incarnations of one id apart stays.
+func keyPart(upstream port.Incarnation) string {
+	name := upstream.String()
+	if len(name) > maxUpstreamName {
+		name = name[len(name)-maxUpstreamName:]
 	}
-	return strings.ReplaceAll(upstream, "/", "_")
+	return strings.ReplaceAll(name, "/", "_")
 }
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -156,7 +156,7 @@
 				last <- *f.Status
 			}
 		})
-		go n.gate.Report(port.Report{Upstream: "i-1", Service: "s0", Slots: 2, Sequence: 1})
+		go n.gate.Report(port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: "s0", Slots: 2, Sequence: 1})
 		require.Eventually(t, func() bool { return n.gate.Status().Mode == link.ModeOpen }, patient, time.Millisecond)
 		heard := link.Status{}
 		require.Eventually(t, func() bool {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -79,7 +79,7 @@
 	assert.Equal(t, link.ModeClosed, one.gateMode())
 	b.store.SetFaults(memory.Faults{})
 	assert.Equal(t, 200, one.report(3, true))
-	_, _, err := b.store.Get(context.Background(), one.directory.leavingKey("i-one"))
+	_, _, err := b.store.Get(context.Background(), one.directory.leavingKey(port.Incarnation{ID: "i-one"}))
 	assert.NoError(t, err)
 }
 
@@ -277,8 +277,8 @@
 	b.meet()
 	ctx := context.Background()
 	d := one.directory
-	require.NoError(t, d.recordLeaving(ctx, "i-old/1"))
-	require.NoError(t, d.recordLeaving(ctx, "i-one"))
+	require.NoError(t, d.recordLeaving(ctx, port.Incarnation{ID: "i-old/1"}))
+	require.NoError(t, d.recordLeaving(ctx, port.Incarnation{ID: "i-one"}))
 	records := func() []port.Entry {
 		require.NoError(t, d.read(ctx))
 		entries, err := b.store.Range(ctx, d.leavingPrefix())
@@ -293,8 +293,8 @@
 	}
 	entries := records()
 	require.Len(t, entries, 1)
-	assert.Equal(t, d.leavingKey("i-one"), entries[0].Key, "it is beside the node still")
-	left, err := d.Leaving(ctx, "i-old/1")
+	assert.Equal(t, d.leavingKey(port.Incarnation{ID: "i-one"}), entries[0].Key, "it is beside the node still")
+	left, err := d.Leaving(ctx, port.Incarnation{ID: "i-old/1"})
 	require.NoError(t, err)
 	assert.True(t, left, "this process has not forgotten it")
 }
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -79,14 +79,22 @@
 // and 22 upstreams ended in 11 seconds, all of the one service, with three attempts in
 // hand at 19 of them, while the budget for repeats was hardly touched.
 func TestRequestThatEndsUpstreams(t *testing.T) {
-	for _, c := range []struct{ name, method, path string }{
-		{"retryable", http.MethodGet, "/look/ending"},
-		{"order", http.MethodPost, "/write/ending"},
+	for _, c := range []struct {
+		name, method, path string
+		sameID             bool // The upstreams start again under the id that they had.
+	}{
+		{"retryable", http.MethodGet, "/look/ending", false},
+		{"order", http.MethodPost, "/write/ending", false},
+		{"back under the same id", http.MethodGet, "/look/ending", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			b := newBed(t)
 			b.addBirths(6)
 			b.meet()
+			for _, n := range b.nodes {
+				n.upstream.sameID = c.sameID
+			}
 			e := b.plant(c.method, c.path)
 			for i := range 24 {
 				e.ask(b.nodes[i%len(b.nodes)], i)
@@ -126,6 +134,7 @@
 
 // A request that is held gets its answer at once: that it has not run, and when it may.
 func TestHeldRequestIsAnsweredAtOnce(t *testing.T) {
+	t.Parallel()
 	b := newBed(t)
 	b.addBirths(4)
 	b.meet()
@@ -144,6 +153,7 @@
 // The store keeps what is held for a fleet of which all processes are killed, and gives it
 // up when an operator removes it there.
 func TestHeldRequestOutlivesAllProcesses(t *testing.T) {
+	t.Parallel()
 	b := newBed(t)
 	b.addBirths(3)
 	b.meet()
@@ -176,6 +186,7 @@
 
 // A node that is restarted while the store is out is told by those that it meets.
 func TestRestartedNodeIsToldWhatIsHeld(t *testing.T) {
+	t.Parallel()
 	b := newBed(t)
 	b.addBirths(3)
 	b.meet()
@@ -191,6 +202,7 @@
 // Instances that lose power at one moment take with them what many callers ask for. None
 // of that is held, as no attempt of it began when an end of another one was known.
 func TestWaveOfEndsHoldsNothing(t *testing.T) {
+	t.Parallel()
 	b := newBed(t)
 	b.addBirths(5)
 	b.meet()
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -51,7 +51,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	n.gate.Report(report)
+	if foreign := !report.Final && (report.Service != n.self.Service || report.Address != n.settings.Load().Upstream()); foreign {
+		n.log.Warn("report of an upstream that is not beside this node", zap.Stringer("upstream", report.Incarnation),
+			zap.String("service", report.Service), zap.String("address", report.Address))
+		n.platform.AcknowledgeReport(w)
+		return
+	}
+	report.Incarnation = n.gate.Report(report)
 	n.directory.ended.Store(report.Final)
 	if report.Leaving && !n.recordLeaving(r.Context(), report) {
 		http.Error(w, "not recorded yet", http.StatusServiceUnavailable)
@@ -64,7 +70,7 @@
 func (n *Node) recordLeaving(ctx context.Context, r port.Report) bool {
 	ctx, cancel := context.WithTimeout(ctx, min(answerWithin, n.settings.Load().Acknowledge()))
 	defer cancel()
-	err := n.directory.recordLeaving(ctx, r.Upstream)
-	n.log.Info("upstream leaves", zap.String("upstream", r.Upstream), zap.Bool("final", r.Final), zap.Bool("recorded", err == nil), zap.NamedError("cause", err))
+	err := n.directory.recordLeaving(ctx, r.Incarnation)
+	n.log.Info("upstream leaves", zap.Stringer("upstream", r.Incarnation), zap.Bool("final", r.Final), zap.Bool("recorded", err == nil), zap.NamedError("cause", err))
 	return err == nil
 }
--- a/mesh/upstream_test.go
+++ b/mesh/upstream_test.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	id      string // Of this life.
 	life    int
+	sameID  bool  // Later lives have the id of the first.
+	born    int64 // Of this life, if it says so.
 	runs    map[string]int
 	callers map[string]string
 	headers map[string]http.Header
@@ -64,6 +66,16 @@
 	return u.id
 }
 
+// bornField is what a report says of this life's start, "" if it says nothing.
+func (u *testUpstream) bornField() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.born == 0 {
+		return ""
+	}
+	return fmt.Sprintf(`,"born":%d`, u.born)
+}
+
 // end ends the process with all that it has in hand, as a crash does. After a pause it
 // is back at its address as another incarnation.
 func (u *testUpstream) end(pause time.Duration) error {
@@ -82,7 +94,10 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.life++
-	u.id = fmt.Sprintf("%s-%d", strings.TrimSuffix(u.id, fmt.Sprintf("-%d", u.life-1)), u.life)
+	u.born = time.Now().UnixMilli()
+	if !u.sameID {
+		u.id = fmt.Sprintf("%s-%d", strings.TrimSuffix(u.id, fmt.Sprintf("-%d", u.life-1)), u.life)
+	}
 	u.Server = &httptest.Server{Listener: l, Config: &http.Server{Handler: u, ReadHeaderTimeout: time.Minute}}
 	u.Start()
 	return nil
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -96,9 +97,29 @@
 	Answer(status int, h http.Header) AnswerTerms
 }
 
+// Incarnation is one start of an upstream. A later start may have the same id; what it
+// holds and what it counts begin anew.
+type Incarnation struct {
+	ID   string // "" for none.
+	Born int64  // Unix milliseconds of the start, by the upstream's clock; 0 if it does not say.
+}
+
+// String returns a name that no other incarnation has, for logs and keys.
+func (i Incarnation) String() string {
+	if i.Born == 0 {
+		return i.ID
+	}
+	return i.ID + "@" + strconv.FormatInt(i.Born, 10)
+}
+
+// Before tells whether the incarnation is known to have started before another one.
+func (i Incarnation) Before(o Incarnation) bool {
+	return i.Born != 0 && o.Born != 0 && i.Born < o.Born
+}
+
 // Report is an upstream's word about itself.
 type Report struct {
-	Upstream string // The incarnation.
+	Incarnation
 	Service  string
 	Address  string
 	Slots    int
