An attempt that was broken off is not forgotten when its upstream ends

Cause, found in reading: an upstream may go on with what its caller gave up. Where nothing else was in hand no connection broke with it, and where something was, that was suspected in its place; a request whose callers leave early would never be held.

Change: a gate remembers the last 64 attempts that it broke off. When the upstream is found gone, or is back as another incarnation without having said that it leaves, those of its last second of life count as ends.

Ruled out: looking for the process after each attempt that is broken off (a connection for every hedge that lost).

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -74,11 +74,19 @@
 func (g *Gate) learn(c *call, frame *link.Frame, outcome Outcome, upstream port.Incarnation, began time.Time, f *failure) {
 	switch {
 	case outcome == Good:
+		g.noteAlive()
 		g.book.Answered(time.Now(), c.print)
-	case f != nil && f.processEnded && frame.Failed != nil:
-		g.count("upstream_ended_under_attempt")
-		record := g.book.Ended(time.Now(), c.print(), upstream.String(), began)
-		frame.Failed.Record = &record
+	case outcome == Replaced:
+		g.blameAbandoned(upstream)
+	case f != nil && f.processEnded:
+		g.blameAbandoned(upstream)
+		if frame.Failed != nil {
+			g.count("upstream_ended_under_attempt")
+			record := g.book.Ended(time.Now(), c.print(), upstream.String(), began)
+			frame.Failed.Record = &record
+		}
+	case outcome == NoEvidence && frame.Failed != nil:
+		g.abandoned.note(abandoned{print: c.print(), upstream: upstream, began: began, at: time.Now()})
 	}
 }
 
--- a/gate/connection.go
+++ b/gate/connection.go
@@ -84,13 +84,16 @@
 func (c *client) processEnded(ctx context.Context) bool {
 	conn, err := c.dial(ctx, endCheckTime)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return refusedConnection(err)
 	}
 	conn.idleUntil = time.Now().Add(keptTime)
 	c.keep(conn)
 	return false
 }
 
+// refusedConnection tells whether a connection was refused: nobody listens.
+func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // rested returns how long the connection was idle before this use; 0 for one that was
 // never used, which says nothing of how long others may rest.
 func (c *upstreamConn) rested() time.Duration {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +72,8 @@
 	ended     map[link.Key]ended
 	failures  []callFailure
 	book      *quarantine.Book
+	abandoned abandonedList
+	alive     time.Time // When the upstream last gave a sign of life.
 	switches  switches.Set
 	done      chan struct{}
 }
@@ -169,8 +172,16 @@
 func (g *Gate) Report(r port.Report) port.Incarnation {
 	g.mu.Lock()
 	r = g.admission.understood(r)
+	before := g.admission.upstream
+	planned := slices.Contains(g.admission.left, before)
 	g.mu.Unlock()
 	g.update(Reported{At: time.Now(), Report: r})
+	if now := g.Upstream(); before.ID != "" && now != before && !planned {
+		g.blameAbandoned(before)
+	}
+	if r.Incarnation == g.Upstream() {
+		g.noteAlive()
+	}
 	return r.Incarnation
 }
 
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -47,7 +47,7 @@
 		if ctx.Err() != nil {
 			return nil, &failure{outcome: NoEvidence, reason: link.ReasonExpired, detail: "given up before a connection came about"}
 		}
-		return nil, &failure{outcome: Unreached, reason: link.ReasonNotConnected, detail: err.Error()}
+		return nil, &failure{outcome: Unreached, reason: link.ReasonNotConnected, detail: err.Error(), processEnded: refusedConnection(err)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	rested := conn.rested()
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -243,3 +243,38 @@
 		assert.Equal(t, http.StatusOK, n.status(http.MethodGet, "/look/often", fmt.Sprintf("again-%d", i)))
 	}
 }
+
+// A caller that leaves before the upstream has ended leaves nothing in hand that would break
+// with it; the request that it sent is known all the same.
+func TestEndIsSeenAfterTheCallerLeft(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.addBirths(4)
+	b.meet()
+	e := &endingRequest{bed: b, method: http.MethodGet, path: "/look/leaves"}
+	begun, left := make(chan *testNode, 1), make(chan struct{})
+	for _, n := range b.nodes {
+		n.upstream.setWork(func(r *http.Request) {
+			if r.URL.Path == e.path {
+				begun <- n
+				<-left
+			}
+		})
+	}
+	for i := range endsUnder {
+		ctx, leave := context.WithCancel(context.Background())
+		go b.nodes[i].ask(ctx, e.method, e.path, fmt.Sprintf("leaves-%d", i)) //nolint:errcheck // The caller leaves.
+		n := <-begun
+		leave()
+		require.Eventually(t, func() bool { return n.gate.Busy() == 0 }, patient, time.Millisecond)
+		ended := make(chan error, 1)
+		go func() { ended <- n.upstream.end(awayTime) }()
+		left <- struct{}{}
+		require.NoError(t, <-ended)
+		_, err := n.sendReport(1, false)
+		require.NoError(t, err)
+		assert.Len(t, n.ends.book.Ends(e.print()), i+1)
+		b.meet()
+	}
+	require.Eventually(t, e.heldOnAll, patient, time.Millisecond)
+}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,16 @@
 	return Record{Print: p}
 }
 
+// Ends returns the incarnations that are known to have ended under a request.
+func (b *Book) Ends(p Print) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.register.entries[p]; e != nil {
+		return slices.Clone(e.Ended)
+	}
+	return nil
+}
+
 // Answered takes note of a good answer.
 func (b *Book) Answered(at time.Time, print func() Print) {
 	if b.known.Load() == 0 {
