A gate that has forgotten how an order ended does not say that it never saw it

Change: for each process that offers, the gate keeps the highest number of an order whose end it has forgotten, 16 bytes. A question about that one or an earlier one is answered with 'failed', which its caller hears as unknown.

Ruled out: a bound by the time of day (it steps) or CLOCK_BOOTTIME at the asking node (the order of the question and of the expiry would still hang on two clocks); keeping ends for longer (a suspension has no bound).

--- a/cmd/eiderctl/losses.go
+++ b/cmd/eiderctl/losses.go
@@ -26,6 +26,7 @@
 	noConfiguration cause = "no configuration"
 	overLimit       cause = "over the account's limit"
 	unconfirmed     cause = "limit unconfirmed"
+	endsUpstreams   cause = "upstreams end under it"
 	lateByQueue     cause = "late by queue"
 	lateByWork      cause = "late by work"
 	callerLeft      cause = "caller left"
@@ -138,6 +139,8 @@
 		return overLimit
 	case "limit-unconfirmed":
 		return unconfirmed
+	case "quarantined":
+		return endsUpstreams
 	}
 	switch r.text("refused") {
 	case "trial":
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -70,6 +70,7 @@
 	admission *Admission
 	calls     map[link.Key]*call
 	ended     map[link.Key]ended
+	forgotten map[uint64]uint64 // By origin, the highest number of an order whose end is no longer kept.
 	failures  []callFailure
 	book      *quarantine.Book
 	abandoned abandonedList
@@ -108,12 +109,13 @@
 // New returns a gate that is closed until its upstream reports.
 func New(u Upstream, dialect port.Dialect, log *zap.Logger, options ...Option) *Gate {
 	g := &Gate{
-		log:      log,
-		announce: func() {},
-		path:     func() string { return "" },
-		calls:    map[link.Key]*call{},
-		ended:    map[link.Key]ended{},
-		done:     make(chan struct{}),
+		log:       log,
+		announce:  func() {},
+		path:      func() string { return "" },
+		calls:     map[link.Key]*call{},
+		ended:     map[link.Key]ended{},
+		forgotten: map[uint64]uint64{},
+		done:      make(chan struct{}),
 	}
 	for _, o := range options {
 		o(g)
@@ -202,6 +204,7 @@
 	for k, e := range g.ended {
 		if now.After(e.expires) {
 			delete(g.ended, k)
+			g.forgotten[k.Origin] = max(g.forgotten[k.Origin], k.Number)
 		}
 	}
 	g.client.drop(false)
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -129,6 +129,12 @@
 		from.Send(e.frame)
 		return
 	}
+	if g.calls[k] == nil && k.Number <= g.forgotten[k.Origin] {
+		// It may be one of those that ended long ago: the one that asks may have been
+		// suspended, and its clock with it, so that no bound on its question helps.
+		from.Send(&link.Frame{Failed: &link.Failed{Key: k, Detail: "its end is no longer kept"}})
+		return
+	}
 	delete(g.calls, k) // Should it be granted still, its commit will find nothing.
 	from.Send(&link.Frame{Refused: &link.Refused{Key: k, Reason: link.ReasonNeverSeen}})
 }
