A hold lasts ten minutes at first, and six times as long after each further end

Change: a record counts its holds. The first lasts 10 min; the next answer clears the request, the next end holds it for 1 h, 6 h, 36 h. The store keeps count and time of the hold, records live 48 h past the last end.

Ruled out: a single request let through at once as a trial (each costs an upstream, and the users grant three after the third end); holding by ends that lie apart in time (the failing service's do too).

--- a/mesh/ends.go
+++ b/mesh/ends.go
@@ -83,10 +83,10 @@
 // node ended under it.
 func (e *ends) hold(c quarantine.Hold) {
 	e.node.log.Warn("request held", zap.Stringer("request", c.Record.Print), zap.Strings("ended", c.Record.Ended),
-		zap.Duration("left", c.Record.Left), zap.Bool("own", c.Own))
+		zap.Uint32("holds", c.Record.Holds), zap.Duration("hold", c.Record.Hold), zap.Bool("own", c.Own))
 	if c.Own {
-		expires := time.Now().Add(c.Record.Left)
-		e.enqueue(func(ctx context.Context) error { return e.keep(ctx, c.Record, expires) })
+		kept := newHeldRecord(c.Record, time.Now())
+		e.enqueue(func(ctx context.Context) error { return e.keep(ctx, c.Record.Print, kept) })
 	}
 }
 
@@ -191,18 +191,24 @@
 
 // heldRecord is a held request in the store.
 type heldRecord struct {
-	Ended   []string  `json:"ended"`
-	Cleared uint32    `json:"cleared,omitempty"`
-	Expires time.Time `json:"expires"`
+	Ended     []string  `json:"ended"`
+	Cleared   uint32    `json:"cleared,omitempty"`
+	Holds     uint32    `json:"holds"`
+	HeldUntil time.Time `json:"held_until"`
+	Expires   time.Time `json:"expires"`
+}
+
+func newHeldRecord(r quarantine.Record, now time.Time) heldRecord {
+	return heldRecord{Ended: r.Ended, Cleared: r.Cleared, Holds: r.Holds, HeldUntil: now.Add(r.Hold).UTC(), Expires: now.Add(r.Left).UTC()}
 }
 
 // keep writes a held request to the store.
-func (e *ends) keep(ctx context.Context, r quarantine.Record, expires time.Time) error {
-	value, err := json.Marshal(heldRecord{Ended: r.Ended, Cleared: r.Cleared, Expires: expires.UTC()})
+func (e *ends) keep(ctx context.Context, p quarantine.Print, r heldRecord) error {
+	value, err := json.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "held request")
 	}
-	return e.node.platform.Store.Put(ctx, quarantinePrefix+r.Print.String(), value)
+	return e.node.platform.Store.Put(ctx, quarantinePrefix+p.String(), value)
 }
 
 // remove takes a request that is no longer held out of the store.
@@ -262,5 +268,6 @@
 	if err := json.Unmarshal(entry.Value, &h); err != nil {
 		return quarantine.Record{}, errors.Wrap(err, "held request")
 	}
-	return quarantine.Record{Print: p, Ended: h.Ended, Repeated: true, Cleared: h.Cleared, Left: h.Expires.Sub(now)}, nil
+	return quarantine.Record{Print: p, Ended: h.Ended, Repeated: true, Cleared: h.Cleared, Left: h.Expires.Sub(now),
+		Holds: h.Holds, Hold: h.HeldUntil.Sub(now)}, nil
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -13,6 +13,10 @@
 // suspected as well, and cleared by the next good answer to them, which one that ends
 // every upstream never has.
 //
+// For how long. Ten minutes at first, and six times as long after each further end: a whole
+// service may fail under what many callers ask for, which is not to be held for a day.
+// When a hold is over the next answer clears the request, the next end holds it again.
+//
 // Who knows. A gate tells its nodes' links of each end, and from the second one on every
 // node passes on what is news to it; a node that starts is told by those that it meets.
 // What is held is kept in the platform's store, where a fleet finds it of which all
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// recordsKept bounds the records of a node, some 150 bytes each. Where there are more, those
+// recordsKept bounds the records of a node, some 170 bytes each. Where there are more, those
 // with the fewest ends go first, and of these the oldest.
 const recordsKept = 4096
 
@@ -24,7 +24,9 @@
 	Record
 	heard   time.Time // When this node first knew of an end.
 	expires time.Time
-	own     bool // An end was seen here.
+	until   time.Time // When its hold ends; zero if it was never held.
+	held    bool      // As the last command said.
+	own     bool      // An end was seen here.
 }
 
 // Register is what a node knows of requests under which upstreams ended. It is not safe
@@ -48,29 +50,36 @@
 	case Heard:
 		return r.heard(m)
 	case Ticked:
-		return r.expire(m.At)
+		return r.tick(m.At)
 	default:
 		return nil
 	}
 }
 
-// ended adds an upstream to those that ended under a request.
+// ended adds an upstream to those that ended under a request. Under one whose hold was over
+// when the attempt began, it is held again.
 func (r *Register) ended(m Ended) []Command {
 	e := r.entries[m.Print]
 	if e == nil {
 		e = r.add(Record{Print: m.Print}, m.At)
 	}
-	known := len(e.Ended) > 0 && !e.heard.After(m.Began)
 	before := e.Record
-	if len(e.Ended) == 0 {
+	known := len(before.Ended) > 0 && !e.heard.After(m.Began)
+	if len(before.Ended) == 0 {
 		e.heard = m.At
 	}
 	more, news := before.merged(Record{Ended: []string{m.Upstream}, Repeated: known, Cleared: e.Cleared})
 	e.Record, e.own, e.expires = more, true, m.At.Add(recordTime)
+	if e.guilty() && (e.Holds == 0 || m.Began.After(e.until)) {
+		e.Holds++
+		e.until = m.At.Add(holdTime(e.Holds))
+		e.held = false // It is told of each hold.
+		news = true
+	}
 	if !news {
 		return nil
 	}
-	return append([]Command{Tell{Record: e.told(m.At)}}, e.changed(m.At, before, causeNode)...)
+	return append([]Command{Tell{Record: e.told(m.At)}}, e.changed(m.At, causeNode)...)
 }
 
 // clear takes back what was held against a request.
@@ -79,14 +88,15 @@
 	if e == nil || len(e.Ended) == 0 {
 		return nil
 	}
-	before := e.Record
-	if !before.grave() {
+	if !e.grave() {
 		delete(r.entries, p) // Others have heard of one end only, which holds nothing.
 		return nil
 	}
-	e.Record = Record{Print: p, Cleared: before.Cleared + 1}
+	stored := e.Holds > 0
+	e.Record = Record{Print: p, Cleared: e.Cleared + 1}
+	e.until, e.held = time.Time{}, false
 	out := []Command{Tell{Record: e.told(at)}}
-	if before.Held() {
+	if stored {
 		out = append(out, Release{Print: p, Own: true, Cause: cause})
 	}
 	return out
@@ -123,54 +133,78 @@
 		e.heard = at
 	}
 	e.Record = more
-	e.Left = 0 // Only expires counts here.
+	e.takeHold(at, before, record)
 	var out []Command
 	if more.grave() {
 		out = append(out, Pass{Record: e.told(at)})
 	}
-	return append(out, e.changed(at, before, causeNode)...)
+	return append(out, e.changed(at, causeNode)...)
 }
 
-// changed tells whether a change of the record holds or releases the request.
-func (e *entry) changed(at time.Time, before Record, cause string) []Command {
+// takeHold follows a hold that another node knows of, or begins one that follows from both
+// records.
+func (e *entry) takeHold(at time.Time, before, heard Record) {
 	switch {
-	case e.Held() && !before.Held():
-		return []Command{Hold{Record: e.told(at), Own: e.own}}
-	case !e.Held() && before.Held():
-		return []Command{Release{Print: e.Print, Cause: cause}}
-	default:
+	case e.Cleared > before.Cleared && e.Holds == 0:
+		e.until = time.Time{}
+	case heard.Holds > before.Holds || e.Cleared > before.Cleared:
+		e.until = at.Add(min(heard.Hold, holdTime(e.Holds)))
+		e.held = false
+	case e.guilty() && e.Holds == 0:
+		e.Holds = 1
+		e.until = at.Add(holdTime(1))
+	}
+}
+
+// changed tells whether the request is held since, or no longer.
+func (e *entry) changed(at time.Time, cause string) []Command {
+	held := at.Before(e.until)
+	if held == e.held {
 		return nil
 	}
+	e.held = held
+	if held {
+		return []Command{Hold{Record: e.told(at), Own: e.own}}
+	}
+	return []Command{Release{Print: e.Print, Cause: cause}}
 }
 
 // told is the entry's record as others are told it.
 func (e *entry) told(at time.Time) Record {
 	out := e.Record
 	out.Left = e.expires.Sub(at)
+	out.Hold = max(e.until.Sub(at), 0)
 	return out
 }
 
-// expire forgets what is past its time.
-func (r *Register) expire(at time.Time) []Command {
+// tick ends holds and forgets records that are past their time.
+func (r *Register) tick(at time.Time) []Command {
 	var out []Command
 	for p, e := range r.entries {
-		if at.Before(e.expires) {
-			continue
-		}
-		delete(r.entries, p)
-		if e.Held() {
-			out = append(out, Release{Print: p, Own: e.own, Cause: causeTime})
+		out = append(out, e.changed(at, causeTime)...)
+		if !at.Before(e.expires) {
+			delete(r.entries, p)
+			out = append(out, e.forgotten()...)
 		}
 	}
 	return out
 }
 
-// add makes an entry, in place of the least one if there are too many.
+// forgotten has the record of one that was held removed from the store.
+func (e *entry) forgotten() []Command {
+	if e.Holds == 0 || !e.own {
+		return nil
+	}
+	return []Command{Release{Print: e.Print, Own: true, Cause: causeTime}}
+}
+
+// add makes an entry that the caller gives its time, in place of the least one if there
+// are too many.
 func (r *Register) add(record Record, at time.Time) *entry {
 	if len(r.entries) >= recordsKept {
 		delete(r.entries, r.least())
 	}
-	e := &entry{Record: record, heard: at, expires: at.Add(recordTime)}
+	e := &entry{Record: record, heard: at}
 	r.entries[record.Print] = e
 	return e
 }
@@ -194,12 +228,12 @@
 	return out
 }
 
-// held returns until when each request is held.
+// held returns until when each request is held that was ever held.
 func (r *Register) held() map[Print]time.Time {
 	out := map[Print]time.Time{}
 	for p, e := range r.entries {
-		if e.Held() {
-			out[p] = e.expires
+		if e.Holds > 0 {
+			out[p] = e.until
 		}
 	}
 	return out
