--- a/cmd/eiderctl/losses_test.go
+++ b/cmd/eiderctl/losses_test.go
@@ -10,9 +10,10 @@
 )
 
 // TestLosses attributes one request to each cause, whichever node's line comes first; in
-// accounts.log, what was refused for its account, and what is no loss.
+// accounts.log, what was refused for its account, and what is no loss; in held.log, what was
+// held because upstreams end under it.
 func TestLosses(t *testing.T) {
-	for _, name := range []string{"losses", "accounts"} {
+	for _, name := range []string{"losses", "accounts", "held"} {
 		var out bytes.Buffer
 		command := lossesCommand()
 		command.SetArgs([]string{"testdata/" + name + ".log"})
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -27,10 +27,9 @@
 }
 
 // print names the request, whatever its attempts are called.
-func (c *call) print() quarantine.Print { return printOf(c.offer.Content, c.offer.Account) }
-
-func printOf(r *link.Content, account string) quarantine.Print {
-	return quarantine.PrintOf(r.Method, r.Host, r.Target, account, r.Body)
+func (c *call) print() quarantine.Print {
+	r := c.offer.Content
+	return quarantine.PrintOf(r.Method, r.Host, r.Target, c.offer.Account, r.Body)
 }
 
 // start runs an offer in the background, with the lock held.
@@ -55,7 +54,7 @@
 		f.processEnded = g.client.processEnded(ctx)
 	}
 	frame, outcome := g.result(c, a, f)
-	g.learn(c, frame, outcome, upstream, began, f)
+	g.noteRequest(c, frame, outcome, upstream, began, f)
 	if outcome == Erred && g.switches.On(switches.OwnCalls) && g.excused(began, time.Now()) {
 		outcome = CallFailed
 	}
@@ -69,9 +68,9 @@
 	g.update(Ended{At: time.Now(), Key: c.offer.Key, Outcome: outcome, Took: took})
 }
 
-// learn takes note of what the attempt says of its request, whatever it says of the
+// noteRequest takes note of what the attempt says of its request, whatever it says of the
 // upstream: one that ends each upstream would otherwise do so whenever it is sent again.
-func (g *Gate) learn(c *call, frame *link.Frame, outcome Outcome, upstream port.Incarnation, began time.Time, f *failure) {
+func (g *Gate) noteRequest(c *call, frame *link.Frame, outcome Outcome, upstream port.Incarnation, began time.Time, f *failure) {
 	switch {
 	case outcome == Good:
 		g.noteAlive()
