An upstream that comes back under its id and leaves at once gets no work

That start was noted as leaving, and the gate stayed open for the earlier one; as both have one id, the new one took what was meant for the dead one.

Change: word of a later start of the same id that it leaves replaces the one that was there; the gate is closed.

Ruled out: the soak's own check (its acknowledgement was of the new start: the gate's log names its moment).

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -31,6 +31,12 @@
 	playSeed(t, Options{Seed: 11, Nodes: 5, For: 10 * time.Second, Ending: true})
 }
 
+// TestSeed120 found an upstream that had ended, started again under its id and said first
+// that it leaves: its gate was open still for the earlier start, and it got work 2.5 s on.
+func TestSeed120(t *testing.T) {
+	playSeed(t, Options{Seed: 120, Nodes: 5, For: 8 * time.Second, Ending: true})
+}
+
 // playSeed plays a seed. The nodes' logs stay when it breaks a promise, since
 // another play may not.
 func playSeed(t *testing.T, o Options) {
--- a/gate/connection.go
+++ b/gate/connection.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return refusedConnection(err)
 	}
-	conn.idleUntil = time.Now().Add(keptTime)
+	conn.idleUntil = time.Now().Add(keptOnceTime) // No longer: nothing shows yet how long it may rest.
 	c.keep(conn)
 	return false
 }
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -46,6 +46,12 @@
 	r := a.understood(m.Report)
 	if r.Leaving {
 		a.left = remember(a.left, r.Incarnation)
+		if r.ID == a.upstream.ID && a.upstream.Before(r.Incarnation) {
+			// The one that was there is gone, and what was meant for it would reach this
+			// one, which leaves, under the same id.
+			a.retire()
+			a.upstream = r.Incarnation
+		}
 		return nil
 	}
 	if slices.Contains(a.past, r.Incarnation) || slices.Contains(a.left, r.Incarnation) || r.Service != a.service {
