--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -132,14 +132,21 @@
 	return quarantine.PrintOf(e.method, "office.example", e.path, "", []byte("text"))
 }
 
-// A request that is held gets its answer at once: that it has not run, and when it may.
-func TestHeldRequestIsAnsweredAtOnce(t *testing.T) {
-	t.Parallel()
+// newBedThatHolds returns so many nodes, all of which hold a request.
+func newBedThatHolds(t *testing.T, nodes int) (*bed, *endingRequest) {
+	t.Helper()
 	b := newBed(t)
-	b.addBirths(4)
+	b.addBirths(nodes)
 	b.meet()
 	e := b.plant(http.MethodGet, "/look/ending")
 	e.holdOnAll()
+	return b, e
+}
+
+// A request that is held gets its answer at once: that it has not run, and when it may.
+func TestHeldRequestIsAnsweredAtOnce(t *testing.T) {
+	t.Parallel()
+	b, e := newBedThatHolds(t, 4)
 	sent := e.sent.Load()
 	r := e.ask(b.nodes[1], 1000)
 	assert.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
@@ -154,11 +161,7 @@
 // up when an operator removes it there.
 func TestHeldRequestOutlivesAllProcesses(t *testing.T) {
 	t.Parallel()
-	b := newBed(t)
-	b.addBirths(3)
-	b.meet()
-	e := b.plant(http.MethodGet, "/look/ending")
-	e.holdOnAll()
+	b, e := newBedThatHolds(t, 3)
 	key := quarantinePrefix + e.print().String()
 	require.Eventually(t, func() bool {
 		_, _, err := b.store.Get(context.Background(), key)
@@ -187,11 +190,7 @@
 // A node that is restarted while the store is out is told by those that it meets.
 func TestRestartedNodeIsToldWhatIsHeld(t *testing.T) {
 	t.Parallel()
-	b := newBed(t)
-	b.addBirths(3)
-	b.meet()
-	e := b.plant(http.MethodGet, "/look/ending")
-	e.holdOnAll()
+	b, e := newBedThatHolds(t, 3)
 	n := b.nodes[0]
 	n.stopNode()
 	n.store.denied.Store(true)
