--- a/ingress/flight_test.go
+++ b/ingress/flight_test.go
@@ -29,11 +29,17 @@
 func (noCounts) Count(string)                  {}
 func (noCounts) Observe(string, time.Duration) {}
 
+// newTestForwarder returns a forwarder of a node in the data centre "near" that knows no
+// gates.
+func newTestForwarder() *Forwarder {
+	return NewForwarder("caller", NewTargets("near", 0.7), platform.Headers{}, zap.NewNop(), noCounts{})
+}
+
 // orderInFlight commits an order to the first of some gates and returns it.
 func orderInFlight(t *testing.T, now time.Time, gates int) (*flight, []*Target, []*sentFrames) {
 	t.Helper()
-	targets := NewTargets("near", 0.7)
-	f := NewForwarder("caller", targets, platform.Headers{}, zap.NewNop(), noCounts{})
+	f := newTestForwarder()
+	targets := f.targets
 	var all []*Target
 	var ways []*sentFrames
 	for range gates {
