A gate that does not answer is pinged, and takes no caller's request until it replies

Cause: a gate that did not answer an offer within 120 ms was avoided for one second. Nothing asked it for a sign of life meanwhile: a link is pinged only where an offer happens to be out when it is looked at, 15 s of idleness aside, and an offer to a silent gate is withdrawn after 120 ms. So the next caller's request found out again, and requests that all other gates had refused waited for the silent ones each time.

Change: silence at an offer sends a ping. Until it is replied to the gate stays avoided, and once the reply is overdue it is asked for no request while any other gate of the service answers; it does not count as open where the floor is judged. The link's check takes that ping for its own, so that a link to a node that stands still ends 2.5 s after it.

--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -79,6 +79,10 @@
 
 func (l *modelLink) Send(f *link.Frame) bool { return push(l.to, f, l.closed) }
 
+// Ponged returns the present: a process that is there replies to pings, and one that is
+// not has no link.
+func (l *modelLink) Ponged() time.Time { return time.Now() }
+
 // returning is the gate's side of a link.
 type returning struct{ *modelLink }
 
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -47,6 +47,8 @@
 	open     []*Target
 	trial    []*Target
 	doubtful []*Target // Silent lately.
+	silent   []*Target // Asked for a sign of life in vain.
+	answers  bool      // Some gate of the service is not silent.
 	below    bool      // Too few of the service's gates are open.
 }
 
@@ -60,13 +62,17 @@
 			continue
 		}
 		live++
-		if mode == link.ModeOpen {
+		silent := n.silent(now)
+		c.answers = c.answers || !silent
+		if mode == link.ModeOpen && !silent {
 			open++
 		}
 		if slices.Contains(w.tried, n) || n.full(w.priority, now) {
 			continue
 		}
 		switch {
+		case silent:
+			c.silent = append(c.silent, n)
 		case n.suspected(now):
 			c.doubtful = append(c.doubtful, n)
 		case mode == link.ModeOpen:
@@ -96,6 +102,9 @@
 		return choice{target: leastSuspect(c.trial), force: c.below}
 	case len(c.doubtful) > 0:
 		return choice{target: t.oneOf(c.doubtful), force: c.below}
+	case len(c.silent) > 0 && !c.answers && !w.nearOnly:
+		// Nobody else can serve it, and it may be this node that does not hear.
+		return choice{target: t.oneOf(c.silent), force: c.below}
 	default:
 		return choice{}
 	}
--- a/ingress/flight_test.go
+++ b/ingress/flight_test.go
@@ -24,6 +24,9 @@
 	return true
 }
 
+// Ponged returns the zero time: no ping is replied to.
+func (s *sentFrames) Ponged() time.Time { return time.Time{} }
+
 type noCounts struct{}
 
 func (noCounts) Count(string)                  {}
@@ -112,6 +115,7 @@
 type deadWay struct{}
 
 func (deadWay) Send(*link.Frame) bool { return false }
+func (deadWay) Ponged() time.Time     { return time.Time{} }
 
 // TestFailedSendEndsAtOnce commits a retryable request, without a further attempt
 // left, to a gate whose link dies under the commit: the answer is there at once.
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -72,6 +72,9 @@
 	return true
 }
 
+// Ponged returns the present: no node of a replay stands still.
+func (w replayWay) Ponged() time.Time { return w.node.replay.now }
+
 func (w replayWay) delay() time.Duration {
 	if w.node.centre == w.gate.centre {
 		return replayDelay
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -11,16 +11,15 @@
 	"eiderfold/switches"
 )
 
-const (
-	// suspicionTime is how long a gate is avoided that did not answer an offer in time.
-	suspicionTime = 1 * time.Second
-	// refusalMost is how long a gate's refusal is taken at its word.
-	refusalMost = 250 * time.Millisecond
-)
-
-// Sink is a way to a gate. Package gate has one of the same shape for the way
-// back; each belongs to the package that sends, so that neither needs the other.
-type Sink interface{ Send(f *link.Frame) bool }
+// refusalMost is how long a gate's refusal is taken at its word.
+const refusalMost = 250 * time.Millisecond
+
+// Sink is a way to a gate.
+type Sink interface {
+	Send(f *link.Frame) bool
+	// Ponged returns when a ping was last replied to.
+	Ponged() time.Time
+}
 
 // way is a live connection to a gate's process.
 type way struct {
@@ -34,6 +33,7 @@
 	way      atomic.Pointer[way]
 	status   atomic.Pointer[link.Status]
 	suspects atomic.Int64 // UnixNano until which it is avoided.
+	asked    atomic.Int64 // UnixNano since which it is asked for a sign of life, 0 if it is not.
 	pace     pace
 	inFlight atomic.Int32
 	trialAt  atomic.Int64 // UnixNano before which a try on trial is refused.
@@ -85,10 +85,6 @@
 	return w != nil && w.sink.Send(f)
 }
 
-func (t *Target) suspect(now time.Time) { t.suspects.Store(now.Add(suspicionTime).UnixNano()) }
-
-func (t *Target) suspected(now time.Time) bool { return now.UnixNano() < t.suspects.Load() }
-
 // Targets are all gates that this node knows, by service.
 type Targets struct {
 	dataCentre string
--- a/ingress/target_test.go
+++ b/ingress/target_test.go
@@ -12,6 +12,7 @@
 type deadSink struct{}
 
 func (deadSink) Send(*link.Frame) bool { return true }
+func (deadSink) Ponged() time.Time     { return time.Time{} }
 
 // gates makes reachable targets of one service: a letter each for its mode, open,
 // trial or closed, in the own data centre if it is a capital.
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"time"
+
 	"eiderfold/ingress"
 	"eiderfold/link"
 )
@@ -22,6 +24,9 @@
 	return true
 }
 
+// Ponged returns the present: the own gate lives as long as this node.
+func (localSink) Ponged() time.Time { return time.Now() }
+
 // localReturn takes the gate's messages back to the ingress.
 type localReturn struct{ node *Node }
 
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -181,9 +181,13 @@
 	if p.target.Busy() {
 		bound = busyPing
 	}
+	asked := p.pinged
+	if at := p.target.AskedAt(); asked.Before(at) {
+		asked = at // Its gate did not answer an offer: it was asked then, however lively the link was before.
+	}
 	switch {
-	case p.pinged.After(received):
-		if now.Sub(p.pinged) > deadAfter {
+	case asked.After(received):
+		if now.Sub(asked) > deadAfter {
 			p.link.Close()
 		}
 	case silent > bound:
