Limits: whoever stands in for a home hears of it, and hands over what it gave

Cause: a home and the node that stands in for it did not hear of each other.

Change: the word goes to the nodes that rank behind, up to the first that has replied since it was told last, four at the most, and four times a second while nodes come and go. A node that has stood in tells the home that is back how many tokens are gone. Package mesh told one node too, and nobody without a link to it: the same mend.

--- a/mesh/limitpeers.go
+++ b/mesh/limitpeers.go
@@ -45,15 +45,16 @@
 	l.homes.Trust(address)
 }
 
-// claim tells the node that may have stood in for this one that it is an account's home, if
-// there is a way to it; one that is dialed now hears of this node by its greeting.
-func (l *limits) claim(account string) {
-	next := l.homes.Next(account)
-	if way := l.node.links.wayTo(next); way != nil {
-		way.Send(&link.Frame{LimitClaim: &link.LimitClaim{Member: l.node.self}})
-		return
+// claim tells the nodes that may have stood in for this one that it is an account's home,
+// where there is a way to them; one that is dialed now hears of this node by its greeting.
+func (l *limits) claim(account string, now time.Time) {
+	for _, heir := range l.homes.Heirs(account, now) {
+		if way := l.node.links.wayTo(heir); way != nil {
+			way.Send(&link.Frame{LimitClaim: &link.LimitClaim{Member: l.node.self}})
+			continue
+		}
+		fleetView{l.node.links}.Dial(heir)
 	}
-	fleetView{l.node.links}.Dial(next)
 }
 
 // claimed takes another node's word that it is the home of an account.
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -92,6 +92,7 @@
 	l.mu.Lock()
 	l.spender.SetNodes(nodes)
 	l.notice(now)
+	l.resign(now)
 	if l.home.Short(now) {
 		count = nodes
 	}
@@ -106,6 +107,17 @@
 	l.mu.Unlock()
 }
 
+// resign hands over to homes that are back, with the lock held.
+func (l *limits) resign(now time.Time) {
+	for _, account := range l.home.StoodIn() {
+		place := l.homes.Of(account, now)
+		if place.Pending || place.Home == "" || place.Home == l.node.self.Address {
+			continue
+		}
+		l.do(l.home.Update(quota.Resigned{At: now, Account: account, To: place.Way}), now)
+	}
+}
+
 // notice tells the home of nodes that came or went, with the lock held.
 func (l *limits) notice(now time.Time) {
 	if at := l.node.links.reached.Load(); at != l.fleet {
@@ -131,7 +143,7 @@
 			l.node.log.Info("account over its limit", zap.String("account", c.Account), zap.Float64("rate", c.Limit.Rate), zap.Float64("burst", c.Limit.Burst),
 				zap.Float64("left", c.Left), zap.Float64("holds", c.Depth), zap.Int("refused", c.Refused))
 		case quota.Claim:
-			l.claim(c.Account)
+			l.claim(c.Account, now)
 		case quota.Answer:
 			l.tell(c.To, &link.LimitAnswer{Number: c.Number, Granted: c.Granted, After: c.After}, now)
 		}
--- a/quota/home.go
+++ b/quota/home.go
@@ -17,9 +17,11 @@
 	// actingTime is how long a node that stands in for a home may go without being asked
 	// and still know what was given out since.
 	actingTime = 1 * time.Second
-	// claimEvery is the pace at which the node that ranks next is told: a message of some 80
-	// bytes for each account that is in use.
-	claimEvery = 1 * time.Second
+	// claimEvery is the pace at which nodes are told that may stand in: a message of some 80
+	// bytes for each account that is in use. While nodes come and go one may stand in that
+	// has not heard of this home; until it has, the account has two.
+	claimEvery     = 1 * time.Second
+	claimUnsettled = 250 * time.Millisecond
 	// overEvery is the pace at which it is said that an account is over its limit.
 	overEvery = 1 * time.Second
 )
@@ -28,6 +30,8 @@
 type ledger struct {
 	bucket
 	limit   Limit
+	acting  bool      // This node stands in for the account's home.
+	given   float64   // Tokens that a bucket which was full at the beginning would lack.
 	backAt  time.Time // When the refused caller is to come back who comes last.
 	used    time.Time // When it was last asked for.
 	refused int       // Requests refused since it was last said that it is over its limit.
@@ -35,6 +39,29 @@
 	claimed time.Time // When the node that ranks next was last told of this one.
 }
 
+// moveTo lets the bucket fill until now.
+func (l *ledger) moveTo(now time.Time) {
+	if passed := now.Sub(l.at).Seconds(); passed > 0 {
+		l.given = max(l.given-passed*l.rate, 0)
+	}
+	l.bucket.moveTo(now)
+}
+
+// take takes a token and reports whether there was one.
+func (l *ledger) take() bool {
+	if !l.bucket.take() {
+		return false
+	}
+	l.given++
+	return true
+}
+
+// charge takes tokens that are spent already, or gives some back.
+func (l *ledger) charge(tokens float64) {
+	l.given = max(l.given+tokens, 0)
+	l.bucket.charge(tokens)
+}
+
 // Home holds the tokens of the accounts whose home is this node. It is not safe for
 // concurrent use.
 type Home struct {
@@ -70,6 +97,8 @@
 		return h.asked(m)
 	case Reported:
 		h.ledger(m.At, m.Account, m.Limit, m.Acting).charge(float64(m.Count))
+	case Resigned:
+		return h.resigned(m)
 	}
 	return nil
 }
@@ -85,6 +114,7 @@
 		h.accounts[account] = l
 	}
 	l.limit = limit
+	l.acting = acting
 	l.moveTo(now)
 	switch {
 	case begins && !acting && !now.Before(h.settled):
@@ -103,7 +133,7 @@
 func (h *Home) asked(m Asked) []Command {
 	l := h.ledger(m.At, m.Account, m.Limit, m.Acting)
 	l.charge(float64(m.Spent))
-	out := l.claims(m.At, m.Account)
+	out := h.claims(l, m.At, m.Account)
 	answer := Answer{To: m.From, Number: m.Number, Granted: l.take()}
 	if !answer.Granted {
 		answer.After = l.comeBack(m.At)
@@ -118,11 +148,44 @@
 	return append(out, l.over(m.At, m.Account)...)
 }
 
-// claims tells the node that may have stood in for this one, at once and then again from
-// time to time, since that one may have been away: until it knows, the account would have
-// two homes.
-func (l *ledger) claims(now time.Time, account string) []Command {
-	if now.Before(l.claimed.Add(claimEvery)) {
+// resigned tells the home how many tokens were given in its place, and forgets the account. A
+// home that is back from a cut has its whole bucket, and would give a burst for the second
+// time.
+func (h *Home) resigned(m Resigned) []Command {
+	l := h.accounts[m.Account]
+	if l == nil || !l.acting {
+		return nil
+	}
+	delete(h.accounts, m.Account)
+	l.moveTo(m.At)
+	given := int(min(l.given, l.depth))
+	if given == 0 {
+		return nil
+	}
+	return []Command{Report{To: m.To, Account: m.Account, Count: given}}
+}
+
+// StoodIn returns the accounts for which this node has stood in for their homes.
+func (h *Home) StoodIn() []string {
+	var out []string
+	for name, l := range h.accounts {
+		if l.acting {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// claims tells the nodes that may have stood in for this one, at once and then again from
+// time to time, since they may have been away: until they know, the account would have two
+// homes.
+func (h *Home) claims(l *ledger, now time.Time, account string) []Command {
+	pace := claimEvery
+	if now.Before(h.settled) {
+		pace = claimUnsettled
+	}
+	if now.Before(l.claimed.Add(pace)) {
 		return nil
 	}
 	l.claimed = now
--- a/quota/homes.go
+++ b/quota/homes.go
@@ -12,6 +12,12 @@
 	// claimTime is how long a node's own word counts that it is there: links are made again
 	// within a second.
 	claimTime = 1 * time.Second
+	// heirsMost bounds how many nodes are told that another one is an account's home. With a
+	// third of the fleet away the first four are away together once in 81 times.
+	heirsMost = 4
+	// lifeTime is how long a reply shows that a node is there: as long as links are idle
+	// between two claims.
+	lifeTime = claimEvery + claimUnsettled
 	// aloneAgain is the pause before a node asks again that nobody has answered.
 	aloneAgain = 250 * time.Millisecond
 )
@@ -69,11 +75,12 @@
 	at     uint64           // Of the fleet's changes, when found was begun.
 	found  map[string]Place // By account.
 	doubts map[string]*doubt
+	asked  map[string]time.Time // When a node was last asked for a sign of life by Heirs.
 }
 
 // NewHomes returns homes among the nodes of a fleet.
 func NewHomes(f Fleet) *Homes {
-	return &Homes{fleet: f, found: map[string]Place{}, doubts: map[string]*doubt{}}
+	return &Homes{fleet: f, found: map[string]Place{}, doubts: map[string]*doubt{}, asked: map[string]time.Time{}}
 }
 
 // Of returns where an account's tokens are.
@@ -198,9 +205,29 @@
 	}
 }
 
-// Next returns the node that would stand in for this one as an account's home.
-func (h *Homes) Next(account string) string {
-	return h.fleet.First(account, map[string]bool{h.fleet.Self(): true})
+// Heirs returns the nodes that may stand in for this one as an account's home, as they
+// rank, and asks them for a sign of life: up to the first that has replied since it was
+// asked last, and heirsMost at the most. Those before it may be away, and the node behind
+// them would not hear that its place is taken.
+func (h *Homes) Heirs(account string, now time.Time) []string {
+	var out []string
+	without := map[string]bool{h.fleet.Self(): true}
+	for len(out) < heirsMost {
+		node := h.fleet.First(account, without)
+		if without[node] {
+			break // There is no other.
+		}
+		without[node] = true
+		out = append(out, node)
+		linked, ponged := h.fleet.Linked(node)
+		asked := h.asked[node]
+		h.asked[node] = now
+		h.fleet.Ping(node)
+		if linked && !ponged.Before(asked) && now.Sub(ponged) < lifeTime {
+			break
+		}
+	}
+	return out
 }
 
 // Reached takes another node's word on whether it reaches one that was probed for.
--- a/quota/message.go
+++ b/quota/message.go
@@ -25,6 +25,12 @@
 		Count   int // Under 0 for tokens that come back.
 		Acting  bool
 	}
+	// Resigned says that the account's home is back, for which this node has stood in.
+	Resigned struct {
+		At      time.Time
+		Account string
+		To      string // The way to the home.
+	}
 )
 
 // Messages to Spender.
@@ -76,6 +82,7 @@
 
 func (m Asked) at() time.Time      { return m.At }
 func (m Reported) at() time.Time   { return m.At }
+func (m Resigned) at() time.Time   { return m.At }
 func (m Wanted) at() time.Time     { return m.At }
 func (m Answered) at() time.Time   { return m.At }
 func (m Unanswered) at() time.Time { return m.At }
@@ -105,6 +112,13 @@
 	}
 )
 
+// Report tells a home of tokens that were spent, or come back.
+type Report struct {
+	To      string
+	Account string
+	Count   int
+}
+
 // Commands of Spender.
 type (
 	// Admit lets a request go ahead.
@@ -122,12 +136,6 @@
 		Account string
 		Spent   int
 	}
-	// Report tells a home of tokens that were spent, or come back.
-	Report struct {
-		To      string
-		Account string
-		Count   int
-	}
 )
 
 func (Answer) command() {}
--- a/quota/modelnode_test.go
+++ b/quota/modelnode_test.go
@@ -139,6 +139,7 @@
 		return
 	}
 	n.after(modelLook, func() { n.look(life) })
+	n.resign()
 	if n.home.Idle() {
 		return
 	}
@@ -161,6 +162,17 @@
 	})
 }
 
+// resign hands over to a home that is back.
+func (n *modelNode) resign() {
+	for _, account := range n.home.StoodIn() {
+		place := n.homes.Of(account, n.time())
+		if place.Pending || place.Home == "" || place.Home == n.Self() {
+			continue
+		}
+		n.do(n.home.Update(Resigned{At: n.time(), Account: account, To: place.Way}))
+	}
+}
+
 // send carries a message, unless the link is cut or a process is gone. A link that
 // carries nothing in one direction is given up by both sides after some time.
 func (n *modelNode) send(to int, do func(*modelNode)) {
@@ -421,13 +433,18 @@
 	if n.plant == plantNoClaim {
 		return
 	}
-	n.send(idOf(n.homes.Next(account)), func(to *modelNode) {
-		if n.id == to.newcomer && !to.met {
-			to.met = true
-			to.change()
-		}
-		to.homes.Claimed(n.Self(), to.time())
-	})
+	for _, heir := range n.homes.Heirs(account, n.time()) {
+		n.send(idOf(heir), n.claimed)
+	}
+}
+
+// claimed takes another node's word that it is the home.
+func (n *modelNode) claimed(to *modelNode) {
+	if n.id == to.newcomer && !to.met {
+		to.met = true
+		to.change()
+	}
+	to.homes.Claimed(n.Self(), to.time())
 }
 
 func (n *modelNode) report(c Report) {
--- a/quota/script_test.go
+++ b/quota/script_test.go
@@ -44,6 +44,7 @@
 		Rate     float64       `yaml:"rate"` // Another limit than the usual.
 		Asked    int           `yaml:"asked"`
 		Reported int           `yaml:"reported"`
+		Resigned string        `yaml:"resigned"` // The home that is back.
 		Acting   bool          `yaml:"acting"`
 		Want     []string      `yaml:"want"`
 	} `yaml:"steps"`
@@ -157,6 +158,9 @@
 				if step.Reported != 0 {
 					commands = h.Update(Reported{At: at, Account: "office", Limit: limit, Count: step.Reported, Acting: step.Acting})
 				}
+				if step.Resigned != "" {
+					commands = h.Update(Resigned{At: at, Account: "office", To: step.Resigned})
+				}
 				assert.Equal(t, step.Want, told(commands), "step %d", i)
 			}
 		})
