Soak: a lookup that had no answer tells whether it had a connection, and whether its node closed its listener

By the logs the request took one second: the same caller's 95th request was at its node at 51.09 s and its 121st at 54.36, and the 100th lies between. Only a dial has a bound of one second, and 1 s before the violation n2 closed its listener (51.687, "gate mode", "node stops"). So the hop that saw it last is the kernel: no process had read it, and nothing of it had been sent.

Change: the message tells the time that was measured, whether there ever was a connection, whether the dial began while the listener may have been closing, and what the kernel's counters of dropped and repeated dials did. What is a violation is unchanged.

Ruled out: a node that holds the request (no log line in any of five, and no time for it); a full queue of the listener (two callers); a port that another socket held (refusals would be immediate).

Conclusion: suspected, stays listed; the next violation tells.

--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -33,7 +33,7 @@
 
 // call sends requests to one node until ctx ends, over connections that it keeps.
 func (s *soak) call(ctx context.Context, n *node, caller int) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	for i := 0; ctx.Err() == nil; i++ {
@@ -77,7 +77,7 @@
 	answer, err := client.Do(r)
 	if err != nil {
 		s.ledger.noteEnd(n.name + " without an answer")
-		s.unanswered(ctx, n, attempt, life, errors.Wrap(err, way.String()))
+		s.unanswered(ctx, n, attempt, life, way, errors.Wrap(err, way.String()))
 		return
 	}
 	s.ledger.noteEnd(fmt.Sprint(n.name, " ", answer.StatusCode, " ", answer.Header.Get(result.Header)))
@@ -104,14 +104,15 @@
 
 // unanswered looks at a connection that ended without an answer. A planned stop is
 // no excuse if an upstream has run the request.
-func (s *soak) unanswered(ctx context.Context, n *node, attempt string, life int64, err error) {
+func (s *soak) unanswered(ctx context.Context, n *node, attempt string, life int64, way *connectionStory, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	harmed := time.Since(time.Unix(0, n.harmed.Load())) < harmTime
 	var late net.Error
 	if errors.As(err, &late) && late.Timeout() && !harmed {
-		s.ledger.violate("LOST: %s by %s, life %d: no answer in %v: %v", attempt, n.name, life, callTimeout, err)
+		s.ledger.violate("LOST: %s by %s, life %d: no answer in %v (connected: %t, begun while the listener may have been closing: %t; kernel since the start: %s): %v",
+			attempt, n.name, life, time.Since(way.begun).Round(time.Millisecond), way.connected(), n.stops.met(way.begun), s.kernel.since(), err)
 		return
 	}
 	if !harmed && s.ledger.runs(attempt) > 0 {
--- a/bench/soak/connectionstory.go
+++ b/bench/soak/connectionstory.go
@@ -14,6 +14,7 @@
 	begun time.Time
 	mu    sync.Mutex
 	steps []string
+	has   bool // It was given a connection.
 }
 
 // note adds a step with its time in milliseconds.
@@ -23,6 +24,21 @@
 	c.steps = append(c.steps, fmt.Sprintf("%d ms ", time.Since(c.begun).Milliseconds())+fmt.Sprintf(format, args...))
 }
 
+// connect takes note that the request has a connection.
+func (c *connectionStory) connect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.has = true
+}
+
+// connected tells whether the request ever had a connection, so that some of it may have
+// been sent.
+func (c *connectionStory) connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.has
+}
+
 // String returns the steps in their order.
 func (c *connectionStory) String() string {
 	c.mu.Lock()
@@ -34,6 +50,7 @@
 func (c *connectionStory) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
+			c.connect()
 			c.note("connection %s to %s, used before: %t, idle %v", i.Conn.LocalAddr(), i.Conn.RemoteAddr(), i.Reused, i.IdleTime)
 		},
 		ConnectDone:          func(_, address string, err error) { c.note("dialed %s: %v", address, err) },
--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -36,6 +36,7 @@
 	process                                   *fleet.Process
 	lives                                     atomic.Int64 // How often it was started.
 	harmed                                    atomic.Int64 // UnixNano of the last kill or pause.
+	stops                                     stops
 	contact                                   contact
 }
 
@@ -113,9 +114,11 @@
 		n.harmed.Store(time.Now().UnixNano())
 		n.process.Kill()
 	} else {
+		n.stops.begin(time.Now())
 		n.process.Stop()
 	}
 	_ = n.start() // The next restart tries again.
+	n.stops.end(time.Now())
 }
 
 func (n *node) pause(d time.Duration) {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -77,12 +77,13 @@
 	rules   []standin.Rule
 	faults  []string
 	endings map[string]*ending
+	kernel  kernelCounters // As the run began.
 	version int
 }
 
 // Run plays one seed.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: standin.NewMetadata(), cutter: standin.NewCutter(), ledger: newLedger()}
+	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: standin.NewMetadata(), cutter: standin.NewCutter(), ledger: newLedger(), kernel: readKernelCounters()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if o.Ending {
