--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -30,20 +30,19 @@
 
 // pings counts how often the gate was asked for a sign of life.
 func (s *answeringSink) pings() int {
-	n := 0
-	for _, f := range s.frames {
-		if f.Ping != nil {
-			n++
-		}
-	}
-	return n
+	return s.sent(func(f *link.Frame) bool { return f.Ping != nil })
 }
 
 // offers counts the offers that were sent to the gate.
 func (s *answeringSink) offers() int {
+	return s.sent(func(f *link.Frame) bool { return f.Offer != nil })
+}
+
+// sent counts the messages of a kind that were sent to the gate.
+func (s *answeringSink) sent(is func(*link.Frame) bool) int {
 	n := 0
 	for _, f := range s.frames {
-		if f.Offer != nil {
+		if is(f) {
 			n++
 		}
 	}
