Reading: nodes that may stand in for a home are its successors; what each mend of limits prevents, by the model's figures

A name of the field in place of one of our own; comments give the schedules that went over a limit without.

--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -17,7 +17,8 @@
 // suspect avoids a gate that did not answer an offer in time, and asks it for a sign of
 // life. Without that question only further requests would find out whether it is back: with
 // four of a service's twelve nodes standing still for eight seconds, 123 to 231 offers waited
-// for them, now 46 to 71, and 12 in 239 unserved requests more are served (24 replays).
+// for them, and with it 46 to 71; of 239 unserved requests 14 more are served (24 plays of one
+// such day).
 func (t *Target) suspect(now time.Time) {
 	t.suspects.Store(now.Add(suspicionTime).UnixNano())
 	w := t.way.Load()
--- a/mesh/limitpeers.go
+++ b/mesh/limitpeers.go
@@ -48,12 +48,12 @@
 // claim tells the nodes that may have stood in for this one that it is an account's home,
 // where there is a way to them; one that is dialed now hears of this node by its greeting.
 func (l *limits) claim(account string, now time.Time) {
-	for _, heir := range l.homes.Heirs(account, now) {
-		if way := l.node.links.wayTo(heir); way != nil {
+	for _, successor := range l.homes.Successors(account, now) {
+		if way := l.node.links.wayTo(successor); way != nil {
 			way.Send(&link.Frame{LimitClaim: &link.LimitClaim{Member: l.node.self}})
 			continue
 		}
-		fleetView{l.node.links}.Dial(heir)
+		fleetView{l.node.links}.Dial(successor)
 	}
 }
 
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -12,7 +12,7 @@
 //
 // A home behind a cut is asked through another node; one that nobody reaches is stood in
 // for by the next. A home tells those that may stand in for it that it is there (Claim,
-// Homes.Heirs), and one that has stood in tells the home that is back what it gave
+// Homes.Successors), and one that has stood in tells the home that is back what it gave
 // (Resigned). A node that reaches nobody has half of its own part of the rate, which
 // homes leave to those that they do not reach (Home.SetShare).
 //
--- a/quota/home.go
+++ b/quota/home.go
@@ -150,7 +150,7 @@
 
 // resigned tells the home how many tokens were given in its place, and forgets the account. A
 // home that is back from a cut has its whole bucket, and would give a burst for the second
-// time.
+// time: one of 100,000 schedules of the model went over a limit so.
 func (h *Home) resigned(m Resigned) []Command {
 	l := h.accounts[m.Account]
 	if l == nil || !l.acting {
--- a/quota/homes.go
+++ b/quota/homes.go
@@ -15,9 +15,9 @@
 	// claimTime is how long a node's own word counts that it is there: links are made again
 	// within a second.
 	claimTime = 1 * time.Second
-	// heirsMost bounds how many nodes are told that another one is an account's home. With a
+	// mostSuccessors bounds how many nodes are told that another one is an account's home. With a
 	// third of the fleet away the first four are away together once in 81 times.
-	heirsMost = 4
+	mostSuccessors = 4
 	// lifeTime is how long a reply shows that a node is there: as long as links are idle
 	// between two claims.
 	lifeTime = claimEvery + claimUnsettled
@@ -80,7 +80,7 @@
 	at     uint64           // Of the fleet's changes, when found was begun.
 	found  map[string]Place // By account.
 	doubts map[string]*doubt
-	asked  map[string]time.Time // When Heirs last asked a node for a sign of life.
+	asked  map[string]time.Time // When Successors last asked a node for a sign of life.
 }
 
 // NewHomes returns homes among the nodes of a fleet.
@@ -211,14 +211,14 @@
 	}
 }
 
-// Heirs returns the nodes that may stand in for this one as an account's home, as they
+// Successors returns the nodes that may stand in for this one as an account's home, as they
 // rank, and asks them for a sign of life: up to the first that is there by its replies, and
-// heirsMost at the most. Those before it may be away, and the node behind them would not
+// mostSuccessors at the most. Those before it may be away, and the node behind them would not
 // hear that its place is taken: six of 100,000 schedules of the model went over a limit so.
-func (h *Homes) Heirs(account string, now time.Time) []string {
+func (h *Homes) Successors(account string, now time.Time) []string {
 	var out []string
 	without := map[string]bool{h.fleet.Self(): true}
-	for len(out) < heirsMost {
+	for len(out) < mostSuccessors {
 		node := h.fleet.First(account, without)
 		if without[node] {
 			break // There is no other.
@@ -233,7 +233,7 @@
 }
 
 // replies tells whether a node is there by its latest reply to a ping, and pings it again
-// unless a reply is still on its way, as when many accounts have the same heir.
+// unless a reply is still on its way, as when many accounts have the same successor.
 func (h *Homes) replies(node string, now time.Time) bool {
 	linked, ponged := h.fleet.Linked(node)
 	asked := h.asked[node]
--- a/quota/modelnode_test.go
+++ b/quota/modelnode_test.go
@@ -433,8 +433,8 @@
 	if n.plant == plantNoClaim {
 		return
 	}
-	for _, heir := range n.homes.Heirs(account, n.time()) {
-		n.send(idOf(heir), n.claimed)
+	for _, successor := range n.homes.Successors(account, n.time()) {
+		n.send(idOf(successor), n.claimed)
 	}
 }
 
--- a/quota/heirs_test.go
+++ b/quota/successors_test.go
@@ -47,27 +47,27 @@
 	f := &rankedFleet{nodes: []string{"home", "b", "c", "d", "e", "f"}, ponged: map[string]time.Time{}}
 	h := NewHomes(f)
 	now := scriptBegin
-	assert.Equal(t, []string{"b", "c", "d", "e"}, h.Heirs("office", now), "nobody has replied yet, and four are enough")
+	assert.Equal(t, []string{"b", "c", "d", "e"}, h.Successors("office", now), "nobody has replied yet, and four are enough")
 	assert.Equal(t, f.pings, []string{"b", "c", "d", "e"}, "each is asked for a sign of life")
 	f.reply(now.Add(5*time.Millisecond), "c", "d", "e")
 	now = now.Add(claimUnsettled)
-	assert.Equal(t, []string{"b", "c"}, h.Heirs("office", now), "b has not replied, c has")
+	assert.Equal(t, []string{"b", "c"}, h.Successors("office", now), "b has not replied, c has")
 	f.reply(now.Add(5*time.Millisecond), "b", "c")
 	now = now.Add(claimUnsettled)
-	assert.Equal(t, []string{"b"}, h.Heirs("office", now))
+	assert.Equal(t, []string{"b"}, h.Successors("office", now))
 	sent := len(f.pings)
-	assert.Equal(t, []string{"b"}, h.Heirs("other", now.Add(time.Millisecond)), "its reply is on its way")
+	assert.Equal(t, []string{"b"}, h.Successors("other", now.Add(time.Millisecond)), "its reply is on its way")
 	assert.Len(t, f.pings, sent, "one ping is enough")
 	now = now.Add(claimUnsettled)
-	assert.Equal(t, []string{"b", "c"}, h.Heirs("office", now), "b has gone silent since it was told, and c is asked again")
+	assert.Equal(t, []string{"b", "c"}, h.Successors("office", now), "b has gone silent since it was told, and c is asked again")
 	now = now.Add(claimUnsettled)
-	assert.Equal(t, []string{"b", "c", "d"}, h.Heirs("office", now), "c does not reply to that")
+	assert.Equal(t, []string{"b", "c", "d"}, h.Successors("office", now), "c does not reply to that")
 }
 
 // TestWordOfAHomeInASmallFleet ends with the nodes that there are.
 func TestWordOfAHomeInASmallFleet(t *testing.T) {
 	h := NewHomes(&rankedFleet{nodes: []string{"home", "b"}, ponged: map[string]time.Time{}})
-	assert.Equal(t, []string{"b"}, h.Heirs("office", scriptBegin))
+	assert.Equal(t, []string{"b"}, h.Successors("office", scriptBegin))
 	h = NewHomes(&rankedFleet{nodes: []string{"home"}, ponged: map[string]time.Time{}})
-	assert.Empty(t, h.Heirs("office", scriptBegin))
+	assert.Empty(t, h.Successors("office", scriptBegin))
 }
