Reading: package quota says when a home that was stood in for is back

Cause: the same three conditions stood in package mesh and in the model's driver, so that the model checked its own copy of a decision that belongs to package quota.

Change: Homes.Back holds it, and both call it. Behaviour is the same.

--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -110,11 +110,9 @@
 // resign hands over to homes that are back, with the lock held.
 func (l *limits) resign(now time.Time) {
 	for _, account := range l.home.StoodIn() {
-		place := l.homes.Of(account, now)
-		if place.Pending || place.Home == "" || place.Home == l.node.self.Address {
-			continue
+		if way, ok := l.homes.Back(account, now); ok {
+			l.do(l.home.Update(quota.Resigned{At: now, Account: account, To: way}), now)
 		}
-		l.do(l.home.Update(quota.Resigned{At: now, Account: account, To: place.Way}), now)
 	}
 }
 
--- a/quota/homes.go
+++ b/quota/homes.go
@@ -202,6 +202,14 @@
 	clear(h.found)
 }
 
+// Back returns the way to the home of an account for which this node has stood in, and
+// whether there is one: while it is not known who the home is, nothing is handed over.
+func (h *Homes) Back(account string, now time.Time) (way string, ok bool) {
+	p := h.Of(account, now)
+	ok = !p.Pending && p.Home != "" && p.Home != h.fleet.Self()
+	return p.Way, ok
+}
+
 // Claimed takes a node's own word that it is the home of accounts for which this one may
 // have stood in. Without a link to it yet, nothing is given in its place for a while.
 func (h *Homes) Claimed(node string, now time.Time) {
--- a/quota/modelnode_test.go
+++ b/quota/modelnode_test.go
@@ -165,11 +165,9 @@
 // resign hands over to a home that is back.
 func (n *modelNode) resign() {
 	for _, account := range n.home.StoodIn() {
-		place := n.homes.Of(account, n.time())
-		if place.Pending || place.Home == "" || place.Home == n.Self() {
-			continue
+		if way, ok := n.homes.Back(account, n.time()); ok {
+			n.do(n.home.Update(Resigned{At: n.time(), Account: account, To: way}))
 		}
-		n.do(n.home.Update(Resigned{At: n.time(), Account: account, To: place.Way}))
 	}
 }
 
