--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -62,9 +62,18 @@
 	c.node.links.offerVersion(table.Version())
 }
 
+	c.note(table)
 // check returns the table of a newer, valid text; nil without an error if it is old.
 func (c *configuration) check(text []byte) (*route.Table, error) {
 	document, err := c.node.platform.DecodeConfiguration(text)
+// note tells once of each version what was not understood of it.
+func (c *configuration) note(table *route.Table) {
+	for _, note := range table.Notes() {
+		c.node.metrics.Count("configuration_not_understood")
+		c.node.log.Warn("configuration not understood", zap.Uint64("version", table.Version()), zap.String("note", note))
+	}
+}
+
 	if document.Version != 0 && document.Version <= max(c.version, c.rejected) {
 		return nil, nil
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -74,6 +74,7 @@
 }
 
 // Table is a checked configuration.
+	Notes    []string  // What was not understood, and what is done about it.
 type Table struct {
 	version  uint64
 	limits   Limits
@@ -84,8 +85,9 @@
 }
 
 // New checks a document. Its error names every fault with its field.
+	notes    []string
 func New(d Document) (*Table, error) {
-	t := &Table{version: d.Version, limits: d.Limits, services: map[string]Service{}, hosts: map[string][]*Route{}}
+	t := &Table{version: d.Version, limits: d.Limits, services: map[string]Service{}, hosts: map[string][]*Route{}, notes: d.Notes}
 	var faults []string
 	t.accounts, faults = newAccounts(d.Accounts)
 	for _, s := range d.Services {
@@ -161,6 +163,9 @@
 	s, ok := t.services[name]
 	return s, ok
 }
+// Notes returns what was not understood of the configuration.
+func (t *Table) Notes() []string { return t.notes }
+
 
 // Priority returns the priority of a request: its account's goes before its route's.
 func (t *Table) Priority(r *Route, a *Account) int {
