Bodies: a bound on the bytes that a node holds, and an end to answers that nobody reads

Cause: a request's body was read whole before anything else, however many came at once: 200 of 360 KB held 72 MB on an instance of 184 MB. An answer was written without a deadline, so a caller that reads nothing kept it for as long as its connection lived. Change: bodies share a sixteenth of the instance's memory. Ruled out: reading a body only once a gate has granted its slot (a slow sender would keep the slot); taking room for the whole length at first (16 senders that stall filled it); a buffer of the whole length (untouched, but counted: 78 MB). Answers are held whole at the gate and its ingress, bounded by the slots that grant them.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -179,6 +179,7 @@
 
 // answer fills the request's place in the order of answers.
 func (c *serverConn) answer(ctx context.Context, p *slot, r *parsed) {
+	defer r.share.release()
 	p.response <- c.server.serve(ctx, &Request{
 		Method:     r.Method,
 		RequestURI: r.RequestURI,
@@ -192,7 +193,7 @@
 
 // write sends answers in the order of their requests.
 func (c *serverConn) write() {
-	out := bufio.NewWriterSize(c.Conn, bufferBytes)
+	out := bufio.NewWriterSize(pieceWriter{c.Conn}, bufferBytes)
 	failed := false
 	for p := range c.slots {
 		r := <-p.response
@@ -204,6 +205,7 @@
 		encode(out, r, p.method, last)
 		if len(c.slots) == 0 && out.Flush() != nil {
 			failed = true
+			_ = c.Conn.Close() // Its caller does not read; nothing is of use to it any more.
 		}
 		if last {
 			c.wakeReader()
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -1,11 +1,14 @@
 package ingress
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"eiderfold/result"
 	"eiderfold/route"
 )
@@ -24,6 +27,7 @@
 type parsed struct {
 	*http.Request
 	body    []byte
+	share   *share // Of the node's room for bodies, for as long as it is held.
 	arrived time.Time
 }
 
@@ -42,39 +46,65 @@
 	case !strings.HasPrefix(r.RequestURI, "/") || r.Host == "":
 		return nil, refusal(result.New(result.BadRequest, "no path or no host"))
 	}
-	body, fault := c.body(r, l)
-	return &parsed{Request: r, body: body, arrived: time.Now()}, fault
+	p := &parsed{Request: r, share: &share{room: c.server.room}}
+	fault := c.body(p, l)
+	if fault != nil {
+		p.share.release()
+	}
+	p.arrived = time.Now()
+	return p, fault
 }
 
 // body reads a request's body whole, or says what is wrong with it.
-func (c *serverConn) body(r *http.Request, l route.Limits) ([]byte, *Response) {
+func (c *serverConn) body(r *parsed, l route.Limits) *Response {
 	most := l.BodyBytes
 	if most == 0 {
 		most = standardBodyBytes
 	}
 	if r.ContentLength > most {
-		return nil, refusal(result.New(result.BodyTooLarge, ""))
+		return refusal(result.New(result.BodyTooLarge, ""))
 	}
 	if r.Body == http.NoBody {
-		return nil, nil
+		return nil
 	}
 	c.limit.N = most + most/8 + bufferBytes // The marks between chunks come on top.
 	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, refusal(result.New(result.SlowCaller, "the caller has left"))
+			return refusal(result.New(result.SlowCaller, "the caller has left"))
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	var err error
+	r.body, err = r.readBody(most)
 	switch {
-	case int64(len(body)) > most:
-		return nil, refusal(result.New(result.BodyTooLarge, ""))
+	case int64(len(r.body)) > most:
+		return refusal(result.New(result.BodyTooLarge, ""))
+	case errors.Is(err, errNoRoom):
+		return c.noRoom()
 	case timedOut(err):
-		return nil, refusal(result.New(result.SlowCaller, "the body did not come in time"))
+		return refusal(result.New(result.SlowCaller, "the body did not come in time"))
 	case err != nil:
-		return nil, refusal(result.New(result.BadRequest, "the body broke off"))
+		return refusal(result.New(result.BadRequest, "the body broke off"))
 	}
-	return body, nil
+	return nil
+}
+
+// readBody reads at most one byte more than most. Room is taken for what has come, so that
+// a slow sender keeps no more than it has sent from others.
+func (r *parsed) readBody(most int64) ([]byte, error) {
+	var body bytes.Buffer
+	if r.ContentLength > 0 {
+		body.Grow(int(min(r.ContentLength, roomStep)) + bytes.MinRead) // Most fit, and need no second copy.
+	}
+	from := &stepReader{from: r.Body, share: r.share}
+	_, err := body.ReadFrom(io.LimitReader(from, most+1))
+	return body.Bytes(), err
+}
+
+// noRoom refuses a request whose body finds no memory. Nothing was sent anywhere.
+func (c *serverConn) noRoom() *Response {
+	c.server.noRoom()
+	return refusal(result.New(result.Overloaded, "no room for the body").WithRetryAfter(backLater))
 }
 
 func orStandard(n, standard int) int {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -24,14 +24,35 @@
 type Server struct {
 	serve    Serve
 	limits   func() route.Limits
+	room     *room
+	noRoom   func() // Is told of each body for which there is no memory.
 	stopping atomic.Bool
 	mu       sync.Mutex
 	conns    map[*serverConn]bool
 }
 
+// standardRoom is how many bytes of bodies are held by a server that is told nothing else.
+const standardRoom = 64 << 20
+
+// ServerOption changes a server when it is made.
+type ServerOption func(*Server)
+
+// WithRoom bounds the bytes of requests' bodies that are held at a time, and names who is
+// told of a body for which there is no memory.
+func WithRoom(bytes int64, refused func()) ServerOption {
+	return func(s *Server) {
+		s.room = newRoom(bytes)
+		s.noRoom = refused
+	}
+}
+
 // NewServer returns a server; limits are asked for before every request.
-func NewServer(serve Serve, limits func() route.Limits) *Server {
-	return &Server{serve: serve, limits: limits, conns: map[*serverConn]bool{}}
+func NewServer(serve Serve, limits func() route.Limits, options ...ServerOption) *Server {
+	s := &Server{serve: serve, limits: limits, room: newRoom(standardRoom), noRoom: func() {}, conns: map[*serverConn]bool{}}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Serve accepts connections until the listener is closed.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -68,7 +68,8 @@
 		ingress.WithLimits(n.limits),
 		ingress.WithQuarantine(n.ends.book),
 		ingress.WithFailures(func(arrived time.Time) { n.gate.NoteFailure(arrived) }))
-	n.server = ingress.NewServer(n.forwarder.Serve, n.callerLimits)
+	n.server = ingress.NewServer(n.forwarder.Serve, n.callerLimits,
+		ingress.WithRoom(s.BodyMemory(), func() { metrics.Count("body_without_room") }))
 	n.directory = newDirectory(n)
 	n.config = newConfiguration(n)
 	n.links = newLinks(n)
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -20,8 +20,14 @@
 	standardFloorShare  = 0.7             // Of a service's gates.
 	standardAcknowledge = 4 * time.Second
 	standardLimitWindow = 5 * time.Second // Over which an account's requests are counted.
+	standardMemory      = 256             // Megabytes.
 )
 
+// bodyMemoryPart is one over the part of an instance's memory that requests' bodies take:
+// while one is sent there are up to three copies of it, and answers, links and tables need
+// the rest.
+const bodyMemoryPart = 16
+
 // leastMeshGrace leaves something of the time that a node keeps free before it is
 // killed (killMargin of package mesh).
 const leastMeshGrace = time.Second
@@ -40,6 +46,10 @@
 	Log        logFields     `yaml:"log"`
 	// Off names mechanisms to switch off, for measurements.
 	Off []string `yaml:"off"`
+	// Regions are those of the data centres; without them, no request can be bound to one.
+	Regions map[string]string `yaml:"regions"`
+	// Memory is the instance's, in megabytes, of which requests' bodies get a part.
+	Memory int64 `yaml:"memory_mb"`
 }
 
 type upstream struct {
@@ -166,6 +176,12 @@
 	return s
 }
 
+// Regions returns the regions of the data centres.
+func (m *Mesh) Regions() map[string]string { return m.file.Regions }
+
+// BodyMemory returns how many bytes of requests' bodies are held at a time.
+func (m *Mesh) BodyMemory() int64 { return m.file.Memory << 20 / bodyMemoryPart }
+
 // LogLevel returns the least level that is logged.
 func (m *Mesh) LogLevel() string { return m.file.Log.Level }
 
@@ -175,6 +191,9 @@
 	orDuration(&f.Stop.Grace, standardMeshGrace)
 	orDuration(&f.Fleet.Acknowledge, standardAcknowledge)
 	orDuration(&f.Limits.Window, standardLimitWindow)
+	if f.Memory == 0 {
+		f.Memory = standardMemory
+	}
 	orNumber(&f.Fleet.FloorShare, standardFloorShare)
 	orNumber(&f.Retries.Ratio, standardRetryRatio)
 	orNumber(&f.Retries.Slack, standardRetrySlack)
--- a/settings/meshcheck.go
+++ b/settings/meshcheck.go
@@ -73,6 +73,14 @@
 	if _, err := switches.Off(f.Off...); err != nil {
 		fault("off", "%v", err)
 	}
+	if f.Memory < 0 {
+		fault("memory_mb", "%v is under 0", f.Memory)
+	}
+	for dataCentre, region := range f.Regions {
+		if dataCentre == "" || region == "" {
+			fault("regions", "%q: %q names no data centre or no region", dataCentre, region)
+		}
+	}
 	if f.Stop.Grace < leastMeshGrace {
 		fault("stop.grace", "%v is under %v", f.Stop.Grace, leastMeshGrace)
 	}
--- a/settings/meshcheck_test.go
+++ b/settings/meshcheck_test.go
@@ -39,6 +39,8 @@
 stop: {grace: 500ms}
 log: {level: loud, format: console}
 off: [hedges, luck]
+regions: {a: ""}
+memory_mb: -1
 `))
 	assert.EqualError(t, err, `node.yaml: account_limits: window -5s, over -0.1 and slack 0 must not be under 0
 node.yaml: fleet.acknowledge: -1s is under 0
@@ -46,6 +48,7 @@
 node.yaml: listen.advertise: "a" is no IP:port
 node.yaml: log.format: "console": a mesh node logs json
 node.yaml: log.level: "loud" is none of debug, info, warn, error
+node.yaml: memory_mb: -1 is under 0
 node.yaml: node: is missing
 node.yaml: off: unknown mechanism luck; known are silence, hold, warnings, own-calls, kind-times, trials, forced, hedges, near, slow-last, priority, late-last, call-terms
 node.yaml: retries: ratio -1 and slack 20 must not be under 0
