Cold upstreams: their gate begins no more in a second than they bear

Cause: what a cold upstream bears (coldPerS) was decoded nowhere, and nothing bounded what all nodes together send to one: 40 offers at once to eight slots of short work began some 60 in its first second, where it bears 11. Change: the gate, which sees all that its upstream gets, counts the starts of the last second while the upstream says that it is cold; a grant counts as the start that it becomes. What is over that waits in the queue, whose estimate of a wait knows the pace. Ruled out: a share for each node that sends (they do not know of each other).

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -52,6 +52,8 @@
 	// acknowledged as leaving by an earlier process.
 	unconfirmed bool
 	stopping    bool
+	evacuated   bool // The data centre is to get no new work.
+	cold        cold
 	left        []port.Incarnation // That leave or have left.
 	past        []port.Incarnation // That were replaced.
 	entries     map[link.Key]*entry
@@ -82,6 +84,10 @@
 		out = a.reported(m)
 	case Confirmed:
 		a.confirmed(m)
+	case Evacuated:
+		a.evacuate(m)
+	case Bounded:
+		a.cold.setBound(m.Cold)
 	case Stopping:
 		a.stopping = true
 	case Ticked:
@@ -175,6 +181,26 @@
 // busy returns how many slots are granted or in use.
 func (a *Admission) busy() int { return len(a.entries) - len(a.queue) }
 
+// granted returns how many have a slot that wait for their commits.
+func (a *Admission) granted() int {
+	n := 0
+	for _, e := range a.entries {
+		if e.phase == granted {
+			n++
+		}
+	}
+	return n
+}
+
+// evacuate closes the gate, or opens it again. The upstream was idle meanwhile, and may
+// have turned cold.
+func (a *Admission) evacuate(m Evacuated) {
+	if a.evacuated && !m.On {
+		a.cold.suppose(m.At)
+	}
+	a.evacuated = m.On
+}
+
 // Crowded tells whether no slot is free: who has one keeps others out.
 func (a *Admission) Crowded() bool { return a.busy() >= a.slots }
 
@@ -183,6 +209,8 @@
 func (a *Admission) free(at time.Time, e *entry) bool {
 	busy := a.busy()
 	switch {
+	case !a.cold.room(at, a.granted()):
+		return false
 	case a.Mode() != link.ModeTrial:
 		return busy < a.slots && !a.holds(at, e)
 	case e.Force:
@@ -247,6 +275,7 @@
 	e.started = at
 	e.upstream = a.upstream
 	e.sample = a.begin(at, e.Kind, e.Aim)
+	a.cold.began(at)
 	a.earn(at, e.Claim)
 	return []Command{Start{Key: e.Key}}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -197,6 +197,12 @@
 // Stop closes the gate for new work; what runs goes on.
 func (g *Gate) Stop() { g.update(Stopping{At: time.Now()}) }
 
+// Evacuate says whether the upstream's data centre is to get no new work.
+func (g *Gate) Evacuate(on bool) { g.update(Evacuated{At: time.Now(), On: on}) }
+
+// SetCold says what the upstream bears while it is cold.
+func (g *Gate) SetCold(b ColdBound) { g.update(Bounded{At: time.Now(), Cold: b}) }
+
 // expire forgets ended answers and idle connections past their time.
 func (g *Gate) expire(now time.Time) {
 	g.mu.Lock()
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -61,6 +61,7 @@
 		if r.Sequence > a.sequence {
 			a.sequence = r.Sequence
 			a.slots = r.Slots
+			a.cold.reported(m.At, r.ColdLeft)
 		}
 		return nil
 	}
@@ -71,6 +72,7 @@
 	a.upstream = r.Incarnation
 	a.sequence = r.Sequence
 	a.slots = r.Slots
+	a.cold.reported(m.At, r.ColdLeft)
 	a.unconfirmed = true
 	return []Command{Confirm{Upstream: r.Incarnation}}
 }
--- a/gate/message.go
+++ b/gate/message.go
@@ -85,6 +85,18 @@
 	Leaving  bool
 }
 
+// Evacuated says whether the upstream's data centre is to be evacuated: no new work.
+type Evacuated struct {
+	At time.Time
+	On bool
+}
+
+// Bounded says what the upstream bears while it is cold.
+type Bounded struct {
+	At   time.Time
+	Cold ColdBound
+}
+
 // Stopping says that the node is about to end.
 type Stopping struct{ At time.Time }
 
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -39,7 +39,7 @@
 	slices.SortStableFunc(a.queue, order)
 	var out []Command
 	for i, e := range slices.Clone(a.queue) {
-		if wait := a.wait(i); !a.roomFor(e, wait) {
+		if wait := a.wait(at, i); !a.roomFor(e, wait) {
 			a.drop(e)
 			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonBusy, After: wait})
 		}
@@ -62,8 +62,9 @@
 }
 
 // wait estimates how long an offer takes with so many before it in the queue.
-func (a *Admission) wait(before int) time.Duration {
-	return a.answerTime() * time.Duration(before+1) / time.Duration(max(a.slots, 1))
+func (a *Admission) wait(at time.Time, before int) time.Duration {
+	slots := a.answerTime() * time.Duration(before+1) / time.Duration(max(a.slots, 1))
+	return max(slots, a.cold.wait(at, before))
 }
 
 // likely is the time that most answers of a kind of request take. Of a kind that was never
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -24,16 +24,19 @@
 
 // step is one message; exactly one of the first fields is set.
 type step struct {
-	Offer   *offerStep    `yaml:"offer"`
-	Commit  uint64        `yaml:"commit"`
-	Revoke  uint64        `yaml:"revoke"` // Withdrawn by the ingress.
-	End     *endStep      `yaml:"end"`
-	Report  *reportStep   `yaml:"report"`
-	Confirm *confirmStep  `yaml:"confirm"`
-	Stop    bool          `yaml:"stop"`
-	After   time.Duration `yaml:"after"` // Time passes, then a tick.
-	Want    []string      `yaml:"want"`  // Commands, in any order.
-	Mode    string        `yaml:"mode"`  // Checked if given.
+	Offer   *offerStep   `yaml:"offer"`
+	Commit  uint64       `yaml:"commit"`
+	Revoke  uint64       `yaml:"revoke"` // Withdrawn by the ingress.
+	End     *endStep     `yaml:"end"`
+	Report  *reportStep  `yaml:"report"`
+	Confirm *confirmStep `yaml:"confirm"`
+	Stop    bool         `yaml:"stop"`
+	// Evacuate says that the data centre is to get nothing, or, if false, that it may again.
+	Evacuate *bool         `yaml:"evacuate"`
+	Bound    *coldStep     `yaml:"bound"`
+	After    time.Duration `yaml:"after"` // Time passes, then a tick.
+	Want     []string      `yaml:"want"`  // Commands, in any order.
+	Mode     string        `yaml:"mode"`  // Checked if given.
 }
 
 type offerStep struct {
@@ -62,6 +65,14 @@
 	Sequence uint64 `yaml:"sequence"`
 	Leaving  bool   `yaml:"leaving"`
 	Service  string `yaml:"service"`
+	// Cold is how much longer the upstream is cold.
+	Cold time.Duration `yaml:"cold"`
+}
+
+// coldStep is what the upstream bears while it is cold.
+type coldStep struct {
+	Time time.Duration `yaml:"time"`
+	Rate float64       `yaml:"rate"`
 }
 
 type confirmStep struct {
@@ -120,9 +131,13 @@
 		if service == "" {
 			service = scriptService
 		}
-		return Reported{At: now, Report: port.Report{Incarnation: port.Incarnation{ID: r.Upstream, Born: r.Born}, Service: service, Slots: r.Slots, Sequence: r.Sequence, Leaving: r.Leaving}}
+		return Reported{At: now, Report: port.Report{Incarnation: port.Incarnation{ID: r.Upstream, Born: r.Born}, Service: service, Slots: r.Slots, Sequence: r.Sequence, Leaving: r.Leaving, ColdLeft: r.Cold}}
 	case s.Confirm != nil:
 		return Confirmed{At: now, Upstream: port.Incarnation{ID: s.Confirm.Upstream, Born: s.Confirm.Born}, Leaving: s.Confirm.Leaving}
+	case s.Evacuate != nil:
+		return Evacuated{At: now, On: *s.Evacuate}
+	case s.Bound != nil:
+		return Bounded{At: now, Cold: ColdBound{Time: s.Bound.Time, Rate: s.Bound.Rate}}
 	case s.Stop:
 		return Stopping{At: now}
 	default:
--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -58,6 +58,8 @@
 	c.packed = packed
 	c.node.forwarder.SetTable(table)
 	c.mu.Unlock()
+	own, _ := table.Service(c.node.self.Service)
+	c.node.gate.SetCold(gate.ColdBound{Time: own.ColdStart, Rate: own.ColdRate})
 	c.node.log.Info("configuration in force", zap.Uint64("version", table.Version()), zap.String("source", source))
 	c.node.links.offerVersion(table.Version())
 }
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -97,6 +97,7 @@
 	Answer(status int, h http.Header) AnswerTerms
 }
 
+	ColdLeft time.Duration // How much longer it is cold.
 // Incarnation is one start of an upstream. A later start may have the same id; what it
 // holds and what it counts begin anew.
 type Incarnation struct {
--- a/route/route.go
+++ b/route/route.go
@@ -55,6 +55,8 @@
 	HealthPath  string
 	Connections int
 }
+	ColdStart   time.Duration // How long an upstream is cold after a start.
+	ColdRate    float64       // Requests a second that a cold upstream bears; 0 for any number.
 
 // Limits bound what a caller may send.
 type Limits struct {
@@ -92,6 +94,9 @@
 	t.accounts, faults = newAccounts(d.Accounts)
 	for _, s := range d.Services {
 		t.services[s.Name] = s
+		if s.ColdStart < 0 || s.ColdRate < 0 {
+			faults = append(faults, "service "+s.Name+": cold start, cold rate: a value is under 0")
+		}
 	}
 	if d.Limits.HeaderBytes < 0 || d.Limits.BodyBytes < 0 || d.Limits.HeaderTimeout < 0 || d.Limits.IdleTimeout < 0 {
 		faults = append(faults, "limits: a value is under 0")
