Regions: a route or an account that names some is served in these only

Cause: allowedRegions was read nowhere. Change: decoded for routes and accounts, refused by field when faulty, both bind where both are given. A gate elsewhere is never offered the request, in choices, hedges, repeats and calls alike. A request that has none pays one comparison.

--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -35,6 +35,7 @@
 	nearOnly  bool      // Gates of other data centres are of no use yet.
 	tried     []*Target // Not to be asked again.
 }
+	regions   route.Regions
 
 // choice is a gate, and whether it shall take the offer though it is on trial.
 type choice struct {
@@ -56,7 +57,13 @@
 func (t *Targets) candidates(w want, now time.Time) candidates {
 	var c candidates
 	open, live := 0, 0
-	for _, n := range t.Of(w.service) {
+	all := t.Of(w.service)
+	c.nowhere = len(all) > 0
+	for _, n := range all {
+		if !t.eligible(n, w.regions) {
+			continue
+		}
+		c.nowhere = false
 		mode := n.Status().Mode
 		if mode == link.ModeClosed || !n.Reachable() {
 			continue
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -28,6 +28,7 @@
 	service   string
 	account   *route.Account // For which it is made; nil without one.
 	attempt   string
+	regions   route.Regions  // Where it may run.
 	content   *link.Content
 	usual     *core.Usual // How long the route's answers take.
 	began     time.Time
@@ -109,6 +110,7 @@
 // on takes an event and returns the final answer, if that is what it brings.
 func (f *flight) on(e event, now time.Time) *Response {
 	if e.finish {
+		regions:   f.regions,
 		return f.final(now)
 	}
 	if e.target != nil {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -168,6 +168,7 @@
 		route:     matched,
 		service:   matched.Pick(),
 		account:   account,
+		regions:   route.RegionsOf(matched, account),
 		attempt:   terms.Attempt,
 		usual:     f.usualOf(matched),
 		content:   &link.Content{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: r.Body},
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -92,8 +92,10 @@
 	mu         sync.Mutex // Held by writers of services.
 	switches   switches.Set
 	services   atomic.Pointer[map[string][]*Target]
-	spentUntil sync.Map       // UnixNano by service, until which its budget counts as spent.
-	draw       func() float64 // Evenly from [0, 1); tests bring their own.
+	evacuated  atomic.Pointer[[]string] // Data centres that are to get nothing.
+	regions    map[string]string        // Of data centres, as far as they are known.
+	spentUntil sync.Map                 // UnixNano by service, until which its budget counts as spent.
+	draw       func() float64           // Evenly from [0, 1); tests bring their own.
 }
 
 // noteSpent takes note that a gate of a service had no budget for a repeat.
@@ -121,6 +123,21 @@
 
 // SetFloorShare changes the part that must not be set aside.
 func (t *Targets) SetFloorShare(share float64) { t.floorShare.Store(&share) }
+// SetRegions says in which regions data centres are, before the first choice.
+func (t *Targets) SetRegions(ofDataCentres map[string]string) { t.regions = ofDataCentres }
+
+// SetEvacuated says which data centres are to get nothing.
+func (t *Targets) SetEvacuated(dataCentres []string) { t.evacuated.Store(&dataCentres) }
+
+// eligible tells whether a request may go where a target is.
+func (t *Targets) eligible(n *Target, regions route.Regions) bool {
+	dataCentre := n.member.DataCentre
+	if slices.Contains(*t.evacuated.Load(), dataCentre) {
+		return false
+	}
+	return !regions.Bound() || regions.Allow(t.regions[dataCentre])
+}
+
 
 // Add makes a target eligible.
 func (t *Targets) Add(n *Target) { t.edit(n, true) }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -61,6 +61,7 @@
 	n.settings.Store(s)
 	n.targets.SetSwitches(s.Switches())
 	n.limits = newLimits(n, s.AccountLimits())
+	n.targets.SetRegions(s.Regions())
 	n.ends = newEnds(n)
 	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, p.Dialect, log, metrics,
 		ingress.WithParents(func(attempt string) (overload.Parent, bool) { return n.gate.Parent(attempt) }),
--- a/route/account.go
+++ b/route/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"strconv"
 )
 
@@ -12,6 +13,7 @@
 	Priority int      // 0 goes first; it goes before the route's.
 	Rate     float64  // Requests a second over all nodes; 0 for no limit.
 	Burst    float64  // Requests above the rate that may come at once.
+	Regions  []string // In which its requests may run; none: in all.
 }
 
 // Limited tells whether the account has a limit.
@@ -56,6 +58,9 @@
 	if account.Rate < 0 || account.Burst < 0 || account.Priority < 0 {
 		faults = append(faults, "rate, burst, priority: a value is under 0")
 	}
+	if slices.Contains(account.Regions, "") {
+		faults = append(faults, "regions: one has no name")
+	}
 	a.byName[account.Name] = account
 	for i, key := range account.Keys {
 		if fault := a.addKey(account, key); fault != "" {
--- a/route/route.go
+++ b/route/route.go
@@ -41,6 +41,7 @@
 	Attempts  int           // At how many upstreams one request may run.
 	Open      bool          // Callers need no key.
 	Shares    []Share
+	Regions   []string       // In which it may run; none: in all.
 	turn      *atomic.Uint64 // How often a service was picked.
 	kind      uint32
 }
@@ -138,6 +139,8 @@
 		return "the prefix " + r.Prefix + " does not begin and end with a slash"
 	case r.Timeout < 0 || r.Target < 0 || r.Attempts < 0 || r.Priority < 0:
 		return "a value is under 0"
+	case slices.Contains(r.Regions, ""):
+		return "a region has no name"
 	case len(r.Shares) == 0:
 		return "names no service"
 	}
