Evacuation: a data centre that operators empty gets nothing, and the store's eras are told apart

Watches passed removals over, and a store that comes back from an older copy looked like one that had stood still. Change: the nodes that watch the configuration watch all that operators write, in the same call, so that evacuations cost no call of their own at any size. They tell the others, which tell each other; the latest moment of the store counts. The gates of the data centre close (what waits is turned back before it starts, what runs ends in its time), and nobody chooses them. A service that is nowhere else is refused at once with when to come back: the evacuation goes before the floor, as an operator can take it back and the floor cannot know why. When it is over an upstream counts as cold until it says otherwise. A moment of the store has its era before its revision; what was evacuated before a restore stays so for two seconds, in which operators write again what the copy lacks. Ruled out: a watch of its own on each node (a call waiting on each).

--- a/bench/standin/metadata_test.go
+++ b/bench/standin/metadata_test.go
@@ -29,7 +29,7 @@
 	m, s := metadata(t)
 	_, revision, err := s.Get(ctx, "a/1")
 	require.ErrorIs(t, err, port.ErrMissing)
-	assert.Positive(t, revision)
+	assert.Positive(t, revision.Revision)
 
 	for i := range 8 {
 		require.NoError(t, s.Put(ctx, fmt.Sprintf("a/%d", i), []byte{byte(i)}))
@@ -39,8 +39,8 @@
 	require.NoError(t, err)
 	p, _, err := s.Peek(ctx, "b")
 	require.NoError(t, err)
-	assert.Equal(t, e, p)
-	entries, err := s.Range(ctx, "a/")
+	assert.Equal(t, []port.Entry{e}, p)
+	entries, _, err := s.Range(ctx, "a/")
 	require.NoError(t, err)
 	require.Len(t, entries, 8, "over several pages")
 	assert.Equal(t, []byte{7}, entries[7].Value)
@@ -53,7 +53,11 @@
 	assert.Empty(t, found)
 
 	require.NoError(t, s.Remove(ctx, "a/0"))
-	entries, err = s.Range(ctx, "")
+	found, _, err = s.Watch(ctx, "a/", at, time.Second)
+	require.NoError(t, err)
+	require.Len(t, found, 1)
+	assert.True(t, found[0].Removed, "a removal is told")
+	entries, _, err = s.Range(ctx, "")
 	require.NoError(t, err)
 	require.Len(t, entries, 8)
 
--- a/bench/standin/metadatacalls.go
+++ b/bench/standin/metadatacalls.go
@@ -12,6 +12,9 @@
 	"eiderfold/port"
 )
 
+// headerEra counts how often the store was restored.
+const headerEra = "Store-Era"
+
 // maxMetadataWait is the longest wait of a watch that the protocol allows.
 const maxMetadataWait = 30 * time.Second
 
@@ -22,13 +25,15 @@
 	Revision uint64 `json:"revision"`
 	Created  uint64 `json:"created"`
 	Lease    uint64 `json:"lease"`
+	// Tombstone says that the key is gone.
+	Tombstone bool `json:"tombstone,omitempty"`
 }
 
 // items shows entries; the directory does not keep when a key was made.
 func items(entries []port.Entry) []metadataItem {
 	out := []metadataItem{}
 	for _, e := range entries {
-		out = append(out, metadataItem{Key: e.Key, Value: e.Value, Revision: e.Version, Created: e.Version})
+		out = append(out, metadataItem{Key: e.Key, Value: e.Value, Revision: e.Version, Created: e.Version, Tombstone: e.Removed})
 	}
 	return out
 }
@@ -40,12 +45,13 @@
 }
 
 // failed answers an error of the directory, and reports whether there was one.
-func failed(w http.ResponseWriter, revision uint64, err error) bool {
+func failed(w http.ResponseWriter, at port.Moment, err error) bool {
+	w.Header().Set(headerEra, strconv.FormatUint(at.Era, 10))
 	switch {
 	case err == nil:
 		return false
 	case errors.Is(err, port.ErrMissing):
-		reply(w, http.StatusNotFound, map[string]any{"currentRev": revision})
+		reply(w, http.StatusNotFound, map[string]any{"currentRev": at.Revision})
 	case errors.Is(err, port.ErrCompacted):
 		reply(w, http.StatusGone, map[string]any{"error": "history is gone"})
 	default:
@@ -55,14 +61,14 @@
 }
 
 func (m *Metadata) key(w http.ResponseWriter, r *http.Request) {
-	e, revision, err := m.directory.Get(r.Context(), r.URL.Query().Get("key"))
-	if failed(w, revision, err) {
+	e, at, err := m.directory.Get(r.Context(), r.URL.Query().Get("key"))
+	if failed(w, at, err) {
 		return
 	}
 	reply(w, http.StatusOK, struct {
 		metadataItem
 		CurrentRev uint64 `json:"currentRev"`
-	}{items([]port.Entry{e})[0], revision})
+	}{items([]port.Entry{e})[0], at.Revision})
 }
 
 // pageItems is how many items one page of a range has; small, so that tests see pages.
@@ -70,8 +76,8 @@
 
 func (m *Metadata) items(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	entries, err := m.directory.Range(r.Context(), q.Get("pathPrefix"))
-	if failed(w, 0, err) {
+	entries, at, err := m.directory.Range(r.Context(), q.Get("pathPrefix"))
+	if failed(w, at, err) {
 		return
 	}
 	var page []port.Entry
@@ -85,7 +91,7 @@
 		}
 		page = append(page, e)
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items(page), "morePages": more})
+	reply(w, http.StatusOK, map[string]any{"items": items(page), "morePages": more, "currentRev": at.Revision})
 }
 
 func (m *Metadata) watch(w http.ResponseWriter, r *http.Request) {
@@ -96,11 +102,12 @@
 		http.Error(w, "after or waitMs", http.StatusBadRequest)
 		return
 	}
-	entries, at, err := m.directory.Watch(r.Context(), q.Get("pathPrefix"), after, time.Duration(wait)*time.Millisecond)
-	if failed(w, 0, err) {
+	era := m.directory.Moment().Era // The protocol has no word for the one that the caller means.
+	entries, at, err := m.directory.Watch(r.Context(), q.Get("pathPrefix"), port.Moment{Era: era, Revision: after}, time.Duration(wait)*time.Millisecond)
+	if failed(w, at, err) {
 		return
 	}
-	reply(w, http.StatusOK, map[string]any{"events": items(entries), "currentRev": at})
+	reply(w, http.StatusOK, map[string]any{"events": items(entries), "currentRev": at.Revision})
 }
 
 func (m *Metadata) transaction(w http.ResponseWriter, r *http.Request) {
@@ -121,14 +128,14 @@
 			http.Error(w, "not yours", http.StatusForbidden)
 			return
 		}
-		if failed(w, 0, m.directory.Put(r.Context(), s.Key, s.Value)) {
+		if failed(w, m.directory.Moment(), m.directory.Put(r.Context(), s.Key, s.Value)) {
 			return
 		}
 	}
 	for _, key := range t.Remove {
-		if failed(w, 0, m.directory.Remove(r.Context(), key)) {
+		if failed(w, m.directory.Moment(), m.directory.Remove(r.Context(), key)) {
 			return
 		}
 	}
-	reply(w, http.StatusOK, map[string]any{"revision": 0})
+	reply(w, http.StatusOK, map[string]any{"revision": m.directory.Moment().Revision})
 }
--- a/gate/admission.go
+++ b/gate/admission.go
@@ -99,7 +99,7 @@
 // Mode returns how the gate takes work now.
 func (a *Admission) Mode() link.Mode {
 	switch {
-	case a.upstream.ID == "" || a.unconfirmed || a.stopping || slices.Contains(a.left, a.upstream):
+	case a.upstream.ID == "" || a.unconfirmed || a.stopping || a.evacuated || slices.Contains(a.left, a.upstream):
 		return link.ModeClosed
 	case a.trial:
 		return link.ModeTrial
@@ -134,7 +134,7 @@
 		return a.refuse(m, link.ReasonTrial)
 	}
 	i, _ := slices.BinarySearchFunc(a.queue, e, order)
-	wait := a.wait(i)
+	wait := a.wait(m.At, i)
 	if i >= queuePerSlot*a.slots || m.At.Add(wait+likely).After(e.place.Limit()) || !a.roomFor(e, wait) {
 		return []Command{Refuse{Key: m.Key, Reason: link.ReasonBusy, After: wait}}
 	}
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -38,6 +38,8 @@
 		return "upstream reported"
 	case Confirmed:
 		return "confirmed"
+	case Evacuated:
+		return "evacuation"
 	case Stopping:
 		return "node stops"
 	default:
--- a/gate/message.go
+++ b/gate/message.go
@@ -109,6 +109,8 @@
 func (m Ended) at() time.Time     { return m.At }
 func (m Reported) at() time.Time  { return m.At }
 func (m Confirmed) at() time.Time { return m.At }
+func (m Evacuated) at() time.Time { return m.At }
+func (m Bounded) at() time.Time   { return m.At }
 func (m Stopping) at() time.Time  { return m.At }
 func (m Ticked) at() time.Time    { return m.At }
 
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eiderfold/link"
+	"eiderfold/route"
 	"eiderfold/switches"
 )
 
@@ -34,13 +35,14 @@
 	priority  int
 	nearOnly  bool      // Gates of other data centres are of no use yet.
 	tried     []*Target // Not to be asked again.
-}
 	regions   route.Regions
+}
 
 // choice is a gate, and whether it shall take the offer though it is on trial.
 type choice struct {
-	target *Target
-	force  bool
+	target  *Target
+	force   bool
+	nowhere bool // The service has gates, and none where the request may go.
 }
 
 // candidates are the gates that can be asked, by what speaks for them.
@@ -51,6 +53,7 @@
 	silent   []*Target // Asked for a sign of life in vain.
 	answers  bool      // Some gate of the service is not silent.
 	below    bool      // Too few of the service's gates are open.
+	nowhere  bool      // None of the service's gates are where the request may go.
 }
 
 // candidates sorts a service's gates out.
@@ -113,7 +116,7 @@
 		// Nobody else can serve it, and it may be this node that does not hear.
 		return choice{target: t.oneOf(c.silent), force: c.below}
 	default:
-		return choice{}
+		return choice{nowhere: c.nowhere}
 	}
 }
 
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -8,6 +8,7 @@
 	"eiderfold/link"
 	"eiderfold/overload"
 	"eiderfold/quarantine"
+	"eiderfold/result"
 	"eiderfold/route"
 	"eiderfold/switches"
 )
@@ -27,8 +28,8 @@
 	route     *route.Route
 	service   string
 	account   *route.Account // For which it is made; nil without one.
-	attempt   string
 	regions   route.Regions  // Where it may run.
+	attempt   string
 	content   *link.Content
 	usual     *core.Usual // How long the route's answers take.
 	began     time.Time
@@ -88,7 +89,12 @@
 		return
 	}
 	c := f.forwarder.targets.choose(f.want(now), now)
-	if c.target == nil {
+	switch {
+	case c.nowhere && f.arrivals == 0 && len(f.offers) == 0:
+		// To wait for a round would only keep its caller from what may still serve it.
+		f.end(refusal(result.New(result.NoUpstream, f.service).WithRetryAfter(f.comeBack())))
+		return
+	case c.target == nil:
 		f.nextRound(now)
 		return
 	}
@@ -104,13 +110,13 @@
 		priority:  f.terms.Priority(),
 		nearOnly:  len(f.offers) > 0 && !f.busy() && now.Before(f.began.Add(f.farAfter())) && f.forwarder.targets.switches.On(switches.Near),
 		tried:     f.tried,
+		regions:   f.regions,
 	}
 }
 
 // on takes an event and returns the final answer, if that is what it brings.
 func (f *flight) on(e event, now time.Time) *Response {
 	if e.finish {
-		regions:   f.regions,
 		return f.final(now)
 	}
 	if e.target != nil {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"eiderfold/link"
+	"eiderfold/route"
 	"eiderfold/switches"
 )
 
@@ -113,6 +114,7 @@
 // the part of a service's gates that must not be set aside on suspicion.
 func NewTargets(dataCentre string, floorShare float64) *Targets {
 	t := &Targets{dataCentre: dataCentre, draw: rand.Float64}
+	t.SetEvacuated(nil)
 	t.SetFloorShare(floorShare)
 	t.services.Store(&map[string][]*Target{})
 	return t
@@ -121,8 +123,6 @@
 // SetSwitches says which mechanisms are on, before the first choice.
 func (t *Targets) SetSwitches(s switches.Set) { t.switches = s }
 
-// SetFloorShare changes the part that must not be set aside.
-func (t *Targets) SetFloorShare(share float64) { t.floorShare.Store(&share) }
 // SetRegions says in which regions data centres are, before the first choice.
 func (t *Targets) SetRegions(ofDataCentres map[string]string) { t.regions = ofDataCentres }
 
@@ -138,6 +138,8 @@
 	return !regions.Bound() || regions.Allow(t.regions[dataCentre])
 }
 
+// SetFloorShare changes the part that must not be set aside.
+func (t *Targets) SetFloorShare(share float64) { t.floorShare.Store(&share) }
 
 // Add makes a target eligible.
 func (t *Targets) Add(n *Target) { t.edit(n, true) }
--- a/link/message.go
+++ b/link/message.go
@@ -169,6 +169,15 @@
 	Process uint64 `cbor:"2,keyasint"` // Differs after a restart.
 	Version uint64 `cbor:"3,keyasint"` // Of the configuration it has; 0 for none.
 	Status  Status `cbor:"4,keyasint"`
+	// Operator is what is known of the operators' wishes; nil for nothing.
+	Operator *Operator `cbor:"5,keyasint,omitempty"`
+}
+
+// Operator is what operators wish, beside the configuration, as of a moment of the store.
+type Operator struct {
+	Era       uint64   `cbor:"1,keyasint,omitempty"`
+	Revision  uint64   `cbor:"2,keyasint"`
+	Evacuated []string `cbor:"3,keyasint,omitempty"` // Data centres whose upstreams are to get nothing.
 }
 
 // Member is a node as others need to know it.
@@ -255,4 +264,5 @@
 	LimitClaim    *LimitClaim    `cbor:"21,keyasint,omitempty"`
 	// Quarantine is what is known of requests that end upstreams.
 	Quarantine []quarantine.Record `cbor:"22,keyasint,omitempty"`
+	Operator   *Operator           `cbor:"23,keyasint,omitempty"`
 }
--- a/link/meter.go
+++ b/link/meter.go
@@ -30,7 +30,7 @@
 		return "commit"
 	case f.Answer != nil, f.Failed != nil:
 		return "answer"
-	case f.Configuration != nil:
+	case f.Configuration != nil, f.Operator != nil:
 		return "configuration"
 	case f.LimitAsk != nil, f.LimitAnswer != nil, f.LimitReports != nil,
 		f.LimitProbe != nil, f.LimitReached != nil, f.LimitClaim != nil:
--- a/memory/directory.go
+++ b/memory/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -17,19 +18,14 @@
 	Deaf       bool // Watches hear nothing until their wait is over.
 }
 
-// change is one entry of the history.
-type change struct {
-	entry port.Entry
-	gone  bool
-}
-
 // Directory is a port.Directory in memory, with faults.
 type Directory struct {
 	mu       sync.Mutex
 	faults   Faults
 	entries  map[string]port.Entry
-	history  []change
-	oldest   uint64 // Changes up to this revision are forgotten.
+	history  []port.Entry // What was written and removed.
+	oldest   uint64       // Changes up to this revision are forgotten.
+	era      uint64
 	revision uint64
 	changed  chan struct{} // Closed, and replaced, with every change.
 }
@@ -61,31 +57,67 @@
 	d.oldest = d.revision
 }
 
+// Copy is what a directory held at some time.
+type Copy struct {
+	entries  map[string]port.Entry
+	revision uint64
+}
+
+// Copy returns what the directory holds now.
+func (d *Directory) Copy() Copy {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Copy{entries: maps.Clone(d.entries), revision: d.revision}
+}
+
+// Restore brings an older copy back. What was written since is gone, revisions go on from
+// those of the copy, and waiting watches end.
+func (d *Directory) Restore(c Copy) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries = maps.Clone(c.entries)
+	d.revision = c.revision
+	d.history = slices.DeleteFunc(d.history, func(e port.Entry) bool { return e.Version > c.revision })
+	d.oldest = min(d.oldest, c.revision)
+	d.era++
+	d.wake()
+}
+
+// Moment returns the present.
+func (d *Directory) Moment() port.Moment {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.moment()
+}
+
+// moment returns the present, with the lock held.
+func (d *Directory) moment() port.Moment { return port.Moment{Era: d.era, Revision: d.revision} }
+
 // Get implements port.Directory.
-func (d *Directory) Get(_ context.Context, key string) (port.Entry, uint64, error) {
+func (d *Directory) Get(_ context.Context, key string) (port.Entry, port.Moment, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.begin(); err != nil {
-		return port.Entry{}, 0, err
+		return port.Entry{}, port.Moment{}, err
 	}
 	e, ok := d.entries[key]
 	if !ok {
-		return port.Entry{Key: key}, d.revision, port.ErrMissing
+		return port.Entry{Key: key}, d.moment(), port.ErrMissing
 	}
-	return e, d.revision, nil
+	return e, d.moment(), nil
 }
 
 // Peek implements port.Directory; here nothing is old.
-func (d *Directory) Peek(ctx context.Context, key string) (port.Entry, uint64, error) {
-	return d.Get(ctx, key)
+func (d *Directory) Peek(ctx context.Context, prefix string) ([]port.Entry, port.Moment, error) {
+	return d.Range(ctx, prefix)
 }
 
 // Range implements port.Directory.
-func (d *Directory) Range(_ context.Context, prefix string) ([]port.Entry, error) {
+func (d *Directory) Range(_ context.Context, prefix string) ([]port.Entry, port.Moment, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.begin(); err != nil {
-		return nil, err
+		return nil, port.Moment{}, err
 	}
 	var out []port.Entry
 	for key, e := range d.entries {
@@ -94,11 +126,11 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b port.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return out, nil
+	return out, d.moment(), nil
 }
 
 // Watch implements port.Directory.
-func (d *Directory) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]port.Entry, uint64, error) {
+func (d *Directory) Watch(ctx context.Context, prefix string, after port.Moment, wait time.Duration) ([]port.Entry, port.Moment, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -112,32 +144,32 @@
 			found, at, _, err = d.look(prefix, after, true)
 			return found, at, err
 		case <-ctx.Done():
-			return nil, 0, port.ErrUnknown
+			return nil, port.Moment{}, port.ErrUnknown
 		}
 	}
 }
 
 // look returns what a watch finds now, and the channel that ends its wait. A deaf
 // one finds nothing before its wait is over.
-func (d *Directory) look(prefix string, after uint64, over bool) ([]port.Entry, uint64, chan struct{}, error) {
+func (d *Directory) look(prefix string, after port.Moment, over bool) ([]port.Entry, port.Moment, chan struct{}, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.begin(); err != nil {
-		return nil, 0, nil, err
+		return nil, port.Moment{}, nil, err
+	}
+	if after.Revision < d.oldest || after.Revision > d.revision || after.Era != d.era {
+		return nil, port.Moment{}, nil, port.ErrCompacted
 	}
 	if d.faults.Deaf && !over {
 		return nil, after, d.changed, nil
 	}
-	if after < d.oldest {
-		return nil, 0, nil, port.ErrCompacted
-	}
 	var found []port.Entry
-	for _, c := range d.history {
-		if c.entry.Version > after && strings.HasPrefix(c.entry.Key, prefix) && !c.gone {
-			found = append(found, c.entry)
+	for _, e := range d.history {
+		if e.Version > after.Revision && strings.HasPrefix(e.Key, prefix) {
+			found = append(found, e)
 		}
 	}
-	return found, d.revision, d.changed, nil
+	return found, d.moment(), d.changed, nil
 }
 
 // Put implements port.Directory.
@@ -150,7 +182,7 @@
 	d.revision++
 	e := port.Entry{Key: key, Value: value, Version: d.revision}
 	d.entries[key] = e
-	d.record(change{entry: e})
+	d.record(e)
 	return d.answer()
 }
 
@@ -188,12 +220,12 @@
 	}
 	d.revision++
 	delete(d.entries, key)
-	d.record(change{entry: port.Entry{Key: key, Version: d.revision}, gone: true})
+	d.record(port.Entry{Key: key, Version: d.revision, Removed: true})
 }
 
 // record adds to the history and wakes watches, with the lock held.
-func (d *Directory) record(c change) {
-	d.history = append(d.history, c)
+func (d *Directory) record(e port.Entry) {
+	d.history = append(d.history, e)
 	d.wake()
 }
 
--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"eiderfold/gate"
 	"eiderfold/route"
 )
 
@@ -57,17 +58,14 @@
 	}
 	c.packed = packed
 	c.node.forwarder.SetTable(table)
-	c.mu.Unlock()
 	own, _ := table.Service(c.node.self.Service)
 	c.node.gate.SetCold(gate.ColdBound{Time: own.ColdStart, Rate: own.ColdRate})
+	c.mu.Unlock()
 	c.node.log.Info("configuration in force", zap.Uint64("version", table.Version()), zap.String("source", source))
+	c.note(table)
 	c.node.links.offerVersion(table.Version())
 }
 
-	c.note(table)
-// check returns the table of a newer, valid text; nil without an error if it is old.
-func (c *configuration) check(text []byte) (*route.Table, error) {
-	document, err := c.node.platform.DecodeConfiguration(text)
 // note tells once of each version what was not understood of it.
 func (c *configuration) note(table *route.Table) {
 	for _, note := range table.Notes() {
@@ -76,6 +74,9 @@
 	}
 }
 
+// check returns the table of a newer, valid text; nil without an error if it is old.
+func (c *configuration) check(text []byte) (*route.Table, error) {
+	document, err := c.node.platform.DecodeConfiguration(text)
 	if document.Version != 0 && document.Version <= max(c.version, c.rejected) {
 		return nil, nil
 	}
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -114,7 +114,7 @@
 // read learns the nodes whose records are there, and which upstreams of this instance
 // leave. If the own record is gone, it is written again.
 func (d *directory) read(ctx context.Context) error {
-	entries, err := d.node.platform.Store.Range(ctx, recordsPrefix)
+	entries, _, err := d.node.platform.Store.Range(ctx, recordsPrefix)
 	if err != nil {
 		return err
 	}
--- a/mesh/dump.go
+++ b/mesh/dump.go
@@ -9,8 +9,10 @@
 	Node          link.Member `json:"node"`
 	Configuration uint64      `json:"configuration"`
 	Ready         bool        `json:"ready"`
-	Gate          gateDump    `json:"gate"`
-	Peers         []peerDump  `json:"peers"`
+	// Evacuated are the data centres whose upstreams are to get nothing.
+	Evacuated []string   `json:"evacuated,omitempty"`
+	Gate      gateDump   `json:"gate"`
+	Peers     []peerDump `json:"peers"`
 	// Accounts are those whose home this node is, by how much of their limits they use.
 	Accounts []accountDump `json:"accounts,omitempty"`
 }
@@ -46,6 +48,7 @@
 		Node:          n.self,
 		Configuration: version,
 		Ready:         n.ready(),
+		Evacuated:     n.evacuation.list(),
 		Gate:          gateDump{Mode: s.Mode.String(), Upstream: s.Upstream, Slots: s.Slots, InHand: n.gate.Busy(), Suspect: s.Suspect},
 	}
 	for _, p := range n.links.all() {
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -114,9 +114,12 @@
 		l.locate(in, f.Hello.Member)
 		l.node.limits.joined(f.Hello.Member.Address, in)
 		l.node.ends.greet(in)
+		l.node.evacuation.hear(f.Hello.Operator)
 		l.node.config.handle(&link.Configuration{Version: f.Hello.Version}, in)
 	case f.Configuration != nil:
 		l.node.config.handle(f.Configuration, in)
+	case f.Operator != nil:
+		l.node.evacuation.hear(f.Operator)
 	case len(f.Members) > 0:
 		l.hear(f.Members...)
 	case f.LimitAsk != nil:
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -137,7 +137,7 @@
 // hello is what a link begins with, in both directions.
 func (l *links) hello() *link.Frame {
 	version, _ := l.node.config.current()
-	return &link.Frame{Hello: &link.Hello{Member: l.node.self, Process: l.node.process, Version: version, Status: l.node.gate.Status()}}
+	return &link.Frame{Hello: &link.Hello{Member: l.node.self, Process: l.node.process, Version: version, Status: l.node.gate.Status(), Operator: l.node.evacuation.message()}}
 }
 
 // close ends all links.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -107,11 +107,11 @@
 	one := b.add("one", "births")
 	b.meet()
 	one.directory.drop(one.self)
-	entries, err := b.store.Range(context.Background(), nodesPrefix)
+	entries, _, err := b.store.Range(context.Background(), nodesPrefix)
 	require.NoError(t, err)
 	require.Empty(t, entries)
 	require.NoError(t, one.directory.read(context.Background()))
-	entries, err = b.store.Range(context.Background(), nodesPrefix)
+	entries, _, err = b.store.Range(context.Background(), nodesPrefix)
 	require.NoError(t, err)
 	require.Len(t, entries, 1)
 }
@@ -256,12 +256,12 @@
 	b.meet()
 	assert.Equal(t, int64(3), one.store.calls.Load())
 	one.stopNode()
-	entries, err := b.store.Range(context.Background(), nodesPrefix)
+	entries, _, err := b.store.Range(context.Background(), nodesPrefix)
 	require.NoError(t, err)
 	assert.Len(t, entries, 1, "it is only restarted")
 	one.directory.ended.Store(true)
 	one.directory.end(context.Background())
-	entries, err = b.store.Range(context.Background(), nodesPrefix)
+	entries, _, err = b.store.Range(context.Background(), nodesPrefix)
 	require.NoError(t, err)
 	assert.Empty(t, entries, "its upstream has ended: the instance goes")
 }
@@ -281,7 +281,7 @@
 	require.NoError(t, d.recordLeaving(ctx, port.Incarnation{ID: "i-one"}))
 	records := func() []port.Entry {
 		require.NoError(t, d.read(ctx))
-		entries, err := b.store.Range(ctx, d.leavingPrefix())
+		entries, _, err := b.store.Range(ctx, d.leavingPrefix())
 		require.NoError(t, err)
 		return entries
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -26,24 +26,25 @@
 
 // Node is one process of the fleet.
 type Node struct {
-	settings  atomic.Pointer[settings.Mesh]
-	platform  port.Platform
-	log       *zap.Logger
-	metrics   *Metrics
-	self      link.Member
-	process   uint64 // Differs after a restart.
-	targets   *ingress.Targets
-	forwarder *ingress.Forwarder
-	budget    *budget.Budget
-	gate      *gate.Gate
-	server    *ingress.Server
-	links     *links
-	config    *configuration
-	directory *directory
-	limits    *limits
-	ends      *ends
-	settled   time.Time // When it takes its place among the others at the latest.
-	stopping  atomic.Bool
+	settings   atomic.Pointer[settings.Mesh]
+	platform   port.Platform
+	log        *zap.Logger
+	metrics    *Metrics
+	self       link.Member
+	process    uint64 // Differs after a restart.
+	targets    *ingress.Targets
+	forwarder  *ingress.Forwarder
+	budget     *budget.Budget
+	gate       *gate.Gate
+	server     *ingress.Server
+	links      *links
+	config     *configuration
+	directory  *directory
+	evacuation *evacuation
+	limits     *limits
+	ends       *ends
+	settled    time.Time // When it takes its place among the others at the latest.
+	stopping   atomic.Bool
 }
 
 // New wires a node. Nothing is started.
@@ -60,8 +61,8 @@
 	n.budget = budget.New(ratio, slack, time.Now())
 	n.settings.Store(s)
 	n.targets.SetSwitches(s.Switches())
-	n.limits = newLimits(n, s.AccountLimits())
 	n.targets.SetRegions(s.Regions())
+	n.limits = newLimits(n, s.AccountLimits())
 	n.ends = newEnds(n)
 	n.forwarder = ingress.NewForwarder(s.Service(), n.targets, p.Dialect, log, metrics,
 		ingress.WithParents(func(attempt string) (overload.Parent, bool) { return n.gate.Parent(attempt) }),
@@ -73,6 +74,7 @@
 		ingress.WithRoom(s.BodyMemory(), func() { metrics.Count("body_without_room") }))
 	n.directory = newDirectory(n)
 	n.config = newConfiguration(n)
+	n.evacuation = newEvacuation(n)
 	n.links = newLinks(n)
 	n.limits.homes = quota.NewHomes(fleetView{n.links})
 	n.gate = gate.New(gate.Upstream{Address: s.Upstream(), Service: s.Service()}, p.Dialect, log,
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -99,6 +99,8 @@
 		n.limits.reached(p.address, f.LimitReached)
 	case len(f.Quarantine) > 0:
 		n.ends.hear(f.Quarantine)
+	case f.Operator != nil:
+		n.evacuation.hear(f.Operator)
 	case f.Configuration != nil:
 		p.know(f.Configuration.Version)
 		n.config.handle(f.Configuration, l)
@@ -130,6 +132,7 @@
 	n.limits.homeBack(p.address)
 	n.ends.greet(l)
 	p.know(h.Version)
+	n.evacuation.hear(h.Operator)
 	n.config.handle(&link.Configuration{Version: h.Version}, l)
 	n.log.Info("link up", zap.String("node", h.Member.Name), zap.String("service", h.Member.Service), zap.Stringer("mode", h.Status.Mode))
 }
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -25,31 +25,31 @@
 	return nil
 }
 
-func (s *nodeStore) Get(ctx context.Context, key string) (port.Entry, uint64, error) {
+func (s *nodeStore) Get(ctx context.Context, key string) (port.Entry, port.Moment, error) {
 	if err := s.check(); err != nil {
-		return port.Entry{}, 0, err
+		return port.Entry{}, port.Moment{}, err
 	}
 	return s.Directory.Get(ctx, key)
 }
 
-func (s *nodeStore) Peek(ctx context.Context, key string) (port.Entry, uint64, error) {
+func (s *nodeStore) Peek(ctx context.Context, prefix string) ([]port.Entry, port.Moment, error) {
 	s.peeks.Add(1)
 	if err := s.check(); err != nil {
-		return port.Entry{}, 0, err
+		return nil, port.Moment{}, err
 	}
-	return s.Directory.Peek(ctx, key)
+	return s.Directory.Peek(ctx, prefix)
 }
 
-func (s *nodeStore) Range(ctx context.Context, prefix string) ([]port.Entry, error) {
+func (s *nodeStore) Range(ctx context.Context, prefix string) ([]port.Entry, port.Moment, error) {
 	if err := s.check(); err != nil {
-		return nil, err
+		return nil, port.Moment{}, err
 	}
 	return s.Directory.Range(ctx, prefix)
 }
 
-func (s *nodeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]port.Entry, uint64, error) {
+func (s *nodeStore) Watch(ctx context.Context, prefix string, after port.Moment, wait time.Duration) ([]port.Entry, port.Moment, error) {
 	if s.denied.Load() {
-		return nil, 0, port.ErrUnavailable
+		return nil, port.Moment{}, port.ErrUnavailable
 	}
 	return s.Directory.Watch(ctx, prefix, after, wait)
 }
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -35,7 +35,7 @@
 	watchRetryMost = 1200 * time.Millisecond
 )
 
-// run follows the operator's key until ctx ends.
+// run follows what operators write until ctx ends.
 func (c *configuration) run(ctx context.Context) {
 	pause := backoff{least: watchRetry, most: watchRetryMost}
 	for ctx.Err() == nil {
@@ -50,18 +50,17 @@
 	}
 }
 
-// follow reads the key and watches it until something fails. Lost history is no
-// failure: the key is read again.
+// follow reads what operators have written and watches it until something fails. Lost
+// history is no failure: all is read again. One watch tells of the configuration and of
+// data centres to be evacuated, as a waiting watch is paid for.
 func (c *configuration) follow(ctx context.Context, pause *backoff) error {
-	store := c.node.platform.Store
-	entry, revision, err := c.read(ctx)
-	if err != nil && !errors.Is(err, port.ErrMissing) {
+	store, operator := c.node.platform.Store, c.node.platform.OperatorPrefix
+	entries, at, err := c.read(ctx)
+	if err != nil {
 		return err
 	}
 	pause.reset()
-	if err == nil {
-		c.take(entry.Value, "store")
-	}
+	c.node.readOperator(entries, at)
 	c.node.meet(ctx)
 	for {
 		s := c.node.links.standing()
@@ -69,30 +68,27 @@
 			return c.rest(ctx)
 		}
 		wait := watchWait(time.Now(), s.before, min(s.fleet, c.watchers))
-		entries, at, err := store.Watch(ctx, c.node.platform.ConfigurationKey, revision, wait)
+		var events []port.Entry
+		events, at, err = store.Watch(ctx, operator, at, wait)
 		if errors.Is(err, port.ErrCompacted) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		revision = max(at, revision)
-		for _, e := range entries {
-			if e.Key == c.node.platform.ConfigurationKey {
-				c.take(e.Value, "watch")
-			}
-		}
+		c.node.hearOperator(events, at)
 	}
 }
 
-// read reads the key. A node that has a configuration and hears of others from its
-// peers only looks whether it has missed one long ago: an old reading will do.
-func (c *configuration) read(ctx context.Context) (port.Entry, uint64, error) {
-	store, key := c.node.platform.Store, c.node.platform.ConfigurationKey
+// read reads what operators have written. A node that has a configuration and hears of
+// others from its peers only looks whether it has missed one long ago: an old reading will
+// do.
+func (c *configuration) read(ctx context.Context) ([]port.Entry, port.Moment, error) {
+	store, operator := c.node.platform.Store, c.node.platform.OperatorPrefix
 	if version, _ := c.current(); version > 0 && !c.node.links.among(c.watchers) {
-		return store.Peek(ctx, key)
+		return store.Peek(ctx, operator)
 	}
-	return store.Get(ctx, key)
+	return store.Range(ctx, operator)
 }
 
 // rest waits, without a call to the store, until it is time to read the key again
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -24,6 +24,10 @@
 	Store            Directory
 	Dialect          Dialect
 	ConfigurationKey string
+	// OperatorPrefix is where all that operators write is, the configuration among it.
+	OperatorPrefix string
+	// EvacuationPrefix is where a key for each data centre is that is to be evacuated.
+	EvacuationPrefix string
 	ReadinessPath    string
 	// DecodeConfiguration reads the operator's configuration.
 	DecodeConfiguration func(text []byte) (route.Document, error)
@@ -35,18 +39,34 @@
 	AcknowledgeReport func(w http.ResponseWriter)
 }
 
+// Moment is a state of the store. Its revision grows with each change; a store that is
+// restored from an older copy begins another era, in which revisions go back and are given
+// out again.
+type Moment struct {
+	Era      uint64
+	Revision uint64
+}
+
+// Before tells whether the moment is older than another one.
+func (m Moment) Before(o Moment) bool {
+	if m.Era != o.Era {
+		return m.Era < o.Era
+	}
+	return m.Revision < o.Revision
+}
+
 // Directory is a store with short watches, as `eiderfold mesh` needs it.
 type Directory interface {
-	// Get reads a key and the store's revision. It returns ErrMissing.
-	Get(ctx context.Context, key string) (Entry, uint64, error)
-	// Peek reads a key as it was some seconds ago at the most, for a tenth of the
-	// price. It returns ErrMissing.
-	Peek(ctx context.Context, key string) (Entry, uint64, error)
-	// Range reads everything below a prefix.
-	Range(ctx context.Context, prefix string) ([]Entry, error)
-	// Watch waits for what was written below prefix after a revision. It returns
+	// Get reads a key and the store's moment. It returns ErrMissing.
+	Get(ctx context.Context, key string) (Entry, Moment, error)
+	// Range reads everything below a prefix, in the order of the keys.
+	Range(ctx context.Context, prefix string) ([]Entry, Moment, error)
+	// Peek reads everything below a prefix as it was some seconds ago at the most, for a
+	// tenth of the price.
+	Peek(ctx context.Context, prefix string) ([]Entry, Moment, error)
+	// Watch waits for what was written or removed below prefix after a moment. It returns
 	// ErrCompacted when that is no longer known.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
+	Watch(ctx context.Context, prefix string, after Moment, wait time.Duration) ([]Entry, Moment, error)
 	// Put writes a key, whatever was there before.
 	Put(ctx context.Context, key string, value []byte) error
 	// Remove deletes a key.
@@ -77,6 +97,7 @@
 	NotRun   bool   // The request was refused and has not run.
 	Genuine  bool   // The answer was made by an upstream's work.
 	Load     Load
+	ColdLeft time.Duration // How much longer it is cold.
 }
 
 // Load is how busy an upstream says it is; Slots is 0 if it does not say.
@@ -97,7 +118,6 @@
 	Answer(status int, h http.Header) AnswerTerms
 }
 
-	ColdLeft time.Duration // How much longer it is cold.
 // Incarnation is one start of an upstream. A later start may have the same id; what it
 // holds and what it counts begin anew.
 type Incarnation struct {
--- a/port/port.go
+++ b/port/port.go
@@ -35,6 +35,7 @@
 	Key     string
 	Value   []byte
 	Version uint64 // 0 stands for "the key does not exist".
+	Removed bool   // A watch tells that the key is gone; there is no value.
 }
 
 // Store is the platform's key-value service. Every call counts against its rate
--- a/route/route.go
+++ b/route/route.go
@@ -55,9 +55,9 @@
 	Name        string
 	HealthPath  string
 	Connections int
-}
 	ColdStart   time.Duration // How long an upstream is cold after a start.
 	ColdRate    float64       // Requests a second that a cold upstream bears; 0 for any number.
+}
 
 // Limits bound what a caller may send.
 type Limits struct {
@@ -74,10 +74,10 @@
 	Routes   []Route
 	Services []Service
 	Accounts []Account // None: callers need no keys.
+	Notes    []string  // What was not understood, and what is done about it.
 }
 
 // Table is a checked configuration.
-	Notes    []string  // What was not understood, and what is done about it.
 type Table struct {
 	version  uint64
 	limits   Limits
@@ -85,19 +85,19 @@
 	hosts    map[string][]*Route // Longest prefix first.
 	accounts accounts
 	levels   int // How many priorities routes have: 0 and up to the largest one.
+	notes    []string
 }
 
 // New checks a document. Its error names every fault with its field.
-	notes    []string
 func New(d Document) (*Table, error) {
 	t := &Table{version: d.Version, limits: d.Limits, services: map[string]Service{}, hosts: map[string][]*Route{}, notes: d.Notes}
 	var faults []string
 	t.accounts, faults = newAccounts(d.Accounts)
 	for _, s := range d.Services {
-		t.services[s.Name] = s
 		if s.ColdStart < 0 || s.ColdRate < 0 {
 			faults = append(faults, "service "+s.Name+": cold start, cold rate: a value is under 0")
 		}
+		t.services[s.Name] = s
 	}
 	if d.Limits.HeaderBytes < 0 || d.Limits.BodyBytes < 0 || d.Limits.HeaderTimeout < 0 || d.Limits.IdleTimeout < 0 {
 		faults = append(faults, "limits: a value is under 0")
@@ -163,6 +163,9 @@
 // Version returns the configuration's version; it only grows.
 func (t *Table) Version() uint64 { return t.version }
 
+// Notes returns what was not understood of the configuration.
+func (t *Table) Notes() []string { return t.notes }
+
 // Limits returns what a caller may send.
 func (t *Table) Limits() Limits { return t.limits }
 
@@ -171,9 +174,6 @@
 	s, ok := t.services[name]
 	return s, ok
 }
-// Notes returns what was not understood of the configuration.
-func (t *Table) Notes() []string { return t.notes }
-
 
 // Priority returns the priority of a request: its account's goes before its route's.
 func (t *Table) Priority(r *Route, a *Account) int {
