--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -36,6 +36,8 @@
 	nodes := c.Flags().Int("nodes", 6, "how many nodes")
 	accounts := c.Flags().Bool("accounts", false, "callers show keys of client accounts, one of them over its limit")
 	ending := c.Flags().Bool("ending", false, "requests come under which upstreams end")
+	operator := c.Flags().Bool("operator", false, "data centres are evacuated, and the store is restored from a copy")
+	uploads := c.Flags().Bool("uploads", false, "orders have large bodies, of which some come slowly")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		dir, err := os.MkdirTemp("", "eiderfold-soak")
 		if err != nil {
@@ -47,7 +49,7 @@
 		}
 		failed := 0
 		for seed := *from; seed < *from+*seeds; seed++ {
-			bad, err := play(c, soak.Options{Program: program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending})
+			bad, err := play(c, soak.Options{Program: program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads})
 			if err != nil {
 				return err
 			}
--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -37,7 +37,12 @@
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	for i := 0; ctx.Err() == nil; i++ {
-		s.request(ctx, client, n, fmt.Sprintf("s%d-c%d-%d", s.options.Seed, caller, i), i%orderOf == 0, s.keyOf(caller+i))
+		attempt := fmt.Sprintf("s%d-c%d-%d", s.options.Seed, caller, i)
+		body := ""
+		if i%orderOf == 0 {
+			body = s.orderBody(attempt, caller)
+		}
+		s.request(ctx, client, n, attempt, body, s.keyOf(caller+i))
 		time.Sleep(callPause/2 + rand.N(callPause))
 	}
 }
@@ -50,13 +55,17 @@
 	return keyOf(i)
 }
 
-// request sends one request and judges what came of it.
-func (s *soak) request(ctx context.Context, client *http.Client, n *node, attempt string, once bool, key string) {
-	method, path, body := http.MethodGet, "/look/"+attempt, ""
+// request sends one request and judges what came of it: an order, if it has a body.
+func (s *soak) request(ctx context.Context, client *http.Client, n *node, attempt, body, key string) {
+	method, path, once := http.MethodGet, "/look/"+attempt, body != ""
 	if once {
-		method, path, body = http.MethodPost, "/order/"+attempt, "order of "+attempt
+		method, path = http.MethodPost, "/order/"+attempt
+	}
+	var content io.Reader = strings.NewReader(body)
+	if len(body) > pacedFrom {
+		content = newSlowBody(body)
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+path, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+path, content)
 	if err != nil {
 		s.ledger.violate("harness: %v", err)
 		return
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -35,6 +35,9 @@
 	if s.options.Ending {
 		kinds = append(kinds, kind{s.killAll, everybody})
 	}
+	if s.options.Operator {
+		kinds = append(kinds, kind{s.evacuate, nobody}, kind{s.evacuate, nobody}, kind{s.restoreStore, everybody})
+	}
 	return kinds
 }
 
--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -31,6 +31,7 @@
 // node is one process, started again whenever it ends.
 type node struct {
 	name, ip, program, dir, settings, callers string
+	dataCentre                                string
 	upstream                                  *upstream
 	mu                                        sync.Mutex // Held while the process changes.
 	process                                   *fleet.Process
@@ -44,7 +45,8 @@
 func (s *soak) newNode(ctx context.Context, i int) (*node, error) {
 	name := fmt.Sprintf("n%d", i)
 	n := &node{name: name, ip: fmt.Sprintf("127.0.%d.%d", 1+s.options.Seed%200, 10+i), program: s.options.Program, dir: s.options.Dir}
-	if err := s.prepare(ctx, n, i%dataCentres); err != nil {
+	n.dataCentre = dataCentreName(i % dataCentres)
+	if err := s.prepare(ctx, n); err != nil {
 		return nil, err
 	}
 	if err := n.start(); err != nil {
@@ -56,7 +58,7 @@
 
 // prepare starts a node's upstream and writes its settings. The node's addresses are
 // free when it returns, and were held until everything else had its own.
-func (s *soak) prepare(ctx context.Context, n *node, dataCentre int) error {
+func (s *soak) prepare(ctx context.Context, n *node) error {
 	free, release, err := freeAddresses(n.ip, listeners)
 	if err != nil {
 		return err
@@ -71,13 +73,16 @@
 		return err
 	}
 	n.upstream.endings, n.upstream.inTouch = s.endings, n.contact.kept
+	n.upstream.evacuated = func() time.Time { return s.evacuations.of(n.dataCentre) }
 	n.callers = callers
 	n.settings = filepath.Join(s.options.Dir, n.name+".yaml")
-	text := fmt.Sprintf("node: %s\ndata_centre: d%d\nupstream: {address: %q, service: a}\nlisten: {callers: %q, links: %q, advertise: %q, reports: %q, ready: %q}\nstore: %q\nstop: {grace: %v}\naccount_limits: {window: %v, over: %v, slack: %v}\n",
-		n.name, dataCentre, n.upstream.address, callers, links, advertised, reports, ready, s.address, stopGrace, limitWindow, limitOver, limitSlack)
+	text := fmt.Sprintf("node: %s\ndata_centre: %s\nupstream: {address: %q, service: a}\nlisten: {callers: %q, links: %q, advertise: %q, reports: %q, ready: %q}\nstore: %q\nstop: {grace: %v}\naccount_limits: {window: %v, over: %v, slack: %v}\n",
+		n.name, n.dataCentre, n.upstream.address, callers, links, advertised, reports, ready, s.address, stopGrace, limitWindow, limitOver, limitSlack)
 	return errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), n.name)
 }
 
+func dataCentreName(i int) string { return fmt.Sprintf("d%d", i) }
+
 // freeAddresses returns addresses on which nobody listens. They are held until they
 // are released: a port that was given back may be given out again at once.
 func freeAddresses(ip string, count int) (addresses []string, release func(), err error) {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -49,6 +49,10 @@
 	Nodes   int
 	// Accounts lets callers show keys of client accounts, one of which is far over its limit.
 	Accounts bool
+	// Uploads lets orders have large bodies, of which some come slowly.
+	Uploads bool
+	// Operator lets operators evacuate data centres, and the store be restored from a copy.
+	Operator bool
 	// Ending lets requests come under which upstreams end.
 	Ending bool
 }
@@ -79,11 +83,13 @@
 	endings map[string]*ending
 	kernel  kernelCounters // As the run began.
 	version int
+	// evacuations are the data centres that are to get nothing.
+	evacuations evacuations
 }
 
 // Run plays one seed.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: standin.NewMetadata(), cutter: standin.NewCutter(), ledger: newLedger(), kernel: readKernelCounters()}
+	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: standin.NewMetadata(), cutter: standin.NewCutter(), ledger: newLedger(), kernel: readKernelCounters(), evacuations: evacuations{since: map[string]time.Time{}}}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if o.Ending {
@@ -151,6 +157,7 @@
 	return s.store.Directory().Put(ctx, "op/config", configurationText(s.version, s.options.Accounts))
 }
 
+// configurationText is the configuration of a version. Every order may have a large body.
 func configurationText(version int, withAccounts bool) []byte {
 	accounts := ""
 	if withAccounts {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -37,6 +37,12 @@
 	playSeed(t, Options{Seed: 120, Nodes: 5, For: 8 * time.Second, Ending: true})
 }
 
+// TestOperator lets data centres be evacuated and the store be restored from a copy while
+// nodes are stopped, killed and cut off, and orders with large bodies come slowly.
+func TestOperator(t *testing.T) {
+	playSeed(t, Options{Seed: 21, Nodes: 6, For: 12 * time.Second, Uploads: true, Operator: true})
+}
+
 // playSeed plays a seed. The nodes' logs stay when it breaks a promise, since
 // another play may not.
 func playSeed(t *testing.T, o Options) {
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -49,6 +49,8 @@
 	server  *http.Server       // nil while the process is away.
 	endings map[string]*ending // Requests under which it ends, by path.
 	inTouch func() bool        // The node beside it is.
+	// evacuated returns since when its data centre is to get nothing; zero if it may.
+	evacuated func() time.Time
 }
 
 func startUpstream(ctx context.Context, ip, reports string, l *ledger) (*upstream, error) {
@@ -121,6 +123,7 @@
 	if e != nil {
 		e.arrived(u.inTouch(), u.ledger)
 	}
+	u.checkEvacuated(attempt)
 	u.ledger.ran(attempt, r.Method+" "+r.RequestURI+" "+string(body), r.Header.Get("Tenant"))
 	time.Sleep(workLeast + rand.N(workMost-workLeast))
 	if e != nil {
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -113,6 +113,17 @@
 	}
 }
 
+// Of 981 nodes all but twelve read the operators' keys twice a minute, a tenth of a call each:
+// 200 calls' price a minute, and more with each node. However large a fleet is, its store is
+// read so as often as by a hundred nodes.
+func TestUnwatchedReadsDoNotGrow(t *testing.T) {
+	for _, fleet := range []int{100, 1_000, 4_000, 10_000} {
+		perSecond := float64(fleet) / unwatchedPause(fleet).Seconds()
+		assert.InDelta(t, 100/unwatchedRead.Seconds(), perSecond, 0.01, "%d nodes", fleet)
+	}
+	assert.Equal(t, unwatchedRead, unwatchedPause(3))
+}
+
 // TestFarNodesHearOfTrialsInTurn counts what a node far away and a near one are
 // told while a gate goes on trial and back ten times a second.
 func TestFarNodesHearOfTrialsInTurn(t *testing.T) {
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -23,8 +23,10 @@
 	// many outlast a data centre that is cut off while the store turns a third away.
 	watchers = 12
 	// unwatchedRead is how often a node that does not watch reads the key, should
-	// no word ever reach it.
-	unwatchedRead = 30 * time.Second
+	// no word ever reach it. In a fleet of more than unwatchedFleet nodes it does so less
+	// often, so that the store's work for all of them stays the same.
+	unwatchedRead  = 30 * time.Second
+	unwatchedFleet = 100
 	// peersTime is how long a node that has met others waits for them to tell of a
 	// configuration: while they have none, those that watch will hear of it first.
 	peersTime = 2 * time.Second
@@ -120,7 +122,7 @@
 // rest waits, without a call to the store, until it is time to read the key again
 // or the node has become one of those that watch.
 func (c *configuration) rest(ctx context.Context) error {
-	until := time.Now().Add(jitter(unwatchedRead))
+	until := time.Now().Add(jitter(unwatchedPause(c.node.links.fleetSize())))
 	for time.Now().Before(until) && !c.node.links.among(c.watchers) {
 		select {
 		case <-ctx.Done():
@@ -131,6 +133,11 @@
 	return nil
 }
 
+// unwatchedPause is the pause between two reads of a node that does not watch.
+func unwatchedPause(fleet int) time.Duration {
+	return unwatchedRead * time.Duration(max(fleet, unwatchedFleet)) / unwatchedFleet
+}
+
 // watchWait is how long a watch waits that begins now on the node at a place among
 // so many: until the node's next turn by the time of day. Clocks that are apart
 // move the turns, and no more.
