--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -82,6 +82,9 @@
 		}
 		r, fault := c.request()
 		if !c.begin() {
+			if r != nil {
+				r.share.release() // It counts as not read, and nobody else gives its room back.
+			}
 			return false
 		}
 		p := &slot{response: make(chan *Response, 1)}
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -121,13 +121,8 @@
 // look reads what operators have written once. Where it fails, follow reads it; what may be
 // seconds old is no beginning for a watch.
 func (c *configuration) look(ctx context.Context) port.Moment {
-	store, operator := c.node.platform.Store, c.node.platform.OperatorPrefix
 	first := c.node.links.comesBefore(c.watchers)
-	read := store.Peek
-	if first {
-		read = store.Range
-	}
-	entries, at, err := read(ctx, operator)
+	entries, at, err := c.readAs(ctx, first)
 	if err != nil {
 		c.node.log.Info("configuration not read", zap.Error(err))
 		return port.Moment{}
@@ -142,11 +137,17 @@
 // read reads what operators have written. A node that hears of changes from its peers only
 // looks whether it has missed one long ago: an old reading will do.
 func (c *configuration) read(ctx context.Context) ([]port.Entry, port.Moment, error) {
+	return c.readAs(ctx, c.node.links.among(c.watchers))
+}
+
+// readAs reads what operators have written as it is, for a node that watches, or as it was
+// lately.
+func (c *configuration) readAs(ctx context.Context, watches bool) ([]port.Entry, port.Moment, error) {
 	store, operator := c.node.platform.Store, c.node.platform.OperatorPrefix
-	if !c.node.links.among(c.watchers) {
-		return store.Peek(ctx, operator)
+	if watches {
+		return store.Range(ctx, operator)
 	}
-	return store.Range(ctx, operator)
+	return store.Peek(ctx, operator)
 }
 
 // rest waits, without a call to the store, until it is time to read the key again
