mesh: watchers that cannot reach the store delegate the watch

Symptom: while the store did not respond to most nodes, nodes in touch that could read it handled requests by a version that had been replaced by one acknowledged more than 2 s before (CONFIG: "handled by version 3 or older; version 23 was acked more than 2000 ms before").

Cause: the twelve nodes that precede the others by rank watch the store and send changes to the rest. A watcher keeps this role as long as its links work, whether or not it can reach the store, and no other node learns that it cannot.

Change: a watcher whose call fails asks random nodes (ln(n) + 4 in a fleet of n, as for gossip) to watch for 5 s. They read the store at once and send what they find. The request is repeated every 5 s while calls fail. Nodes that watch at a request do not forward it, so an outage of the store for all nodes costs about a hundred calls, not one from each node of a large fleet. The request is a new field of the configuration message; nodes running the previous version ignore it.

Evidence: TestChangeArrivesWhileStoreRefusesWatchers fails without the change (the version did not arrive within 20 s). The test store now also refuses a watch that began before the store started to refuse the node; previously it delivered the change.

--- a/link/message.go
+++ b/link/message.go
@@ -198,6 +198,8 @@
 	Version uint64 `cbor:"1,keyasint"`
 	Packed  []byte `cbor:"2,keyasint,omitempty"` // The text, compressed.
 	Want    bool   `cbor:"3,keyasint,omitempty"` // The sender requests the text.
+	// WatchFor asks the receiver to watch the store for this long, as the sender cannot reach it; 0 for no request.
+	WatchFor time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Ping requests a ping reply, or is one.
--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -16,14 +16,19 @@
 	node           *Node
 	mu             sync.Mutex
 	version        uint64
-	packed         []byte    // Compressed text, as sent to peers.
-	rejected       uint64    // Newest version that was rejected.
-	requested      uint64    // Newest version requested from a peer.
-	requestExpires time.Time // When another peer may be asked for it.
-	watchers       int       // How many nodes of the fleet watch; tests set fewer.
+	packed         []byte        // Compressed text, as sent to peers.
+	rejected       uint64        // Newest version that was rejected.
+	requested      uint64        // Newest version requested from a peer.
+	requestExpires time.Time     // When another peer may be asked for it.
+	watchers       int           // How many nodes of the fleet watch; tests set fewer.
+	watchUntil     time.Time     // When this node stops watching at the request of others.
+	watchRequested chan struct{} // Signals a request from another node to watch.
+	nextDelegation time.Time     // When this node may next ask others to watch; accessed by run only.
 }
 
-func newConfiguration(n *Node) *configuration { return &configuration{node: n, watchers: watchers} }
+func newConfiguration(n *Node) *configuration {
+	return &configuration{node: n, watchers: watchers, watchRequested: make(chan struct{}, 1)}
+}
 
 // apply puts a configuration in force if it is newer than the current one. An invalid one
 // is logged, and the current one stays in force.
--- a/mesh/configuration_test.go
+++ b/mesh/configuration_test.go
@@ -122,3 +122,23 @@
 		assert.NotEqual(t, n.links.amongFirst(1), peeked, n.self.Name)
 	}
 }
+
+// While the store refuses the calls of all watchers, another node must watch it and send the
+// change to them, although the watchers keep running.
+func TestChangeArrivesWhileStoreRefusesWatchers(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	b.watchers = 2
+	b.addBirths(5)
+	b.awaitReady()
+	refused := 0
+	for _, n := range b.nodes {
+		if n.links.amongFirst(b.watchers) {
+			n.store.denied.Store(true)
+			refused++
+		}
+	}
+	require.Equal(t, b.watchers, refused)
+	b.configure(5, "/five/")
+	b.awaitVersion(5)
+}
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -22,6 +22,9 @@
 
 // handle processes a peer's message about its configuration and answers it.
 func (c *configuration) handle(m *link.Configuration, from *link.Link) {
+	if m.WatchFor > 0 {
+		c.acceptDelegation(time.Now().Add(min(m.WatchFor, delegationTime)))
+	}
 	version, packed := c.current()
 	switch {
 	case m.Want && version > m.Version:
@@ -40,7 +43,7 @@
 // it from a peer in its own data centre.
 func (c *configuration) requestDelay(from *link.Link) time.Duration {
 	switch {
-	case c.node.links.amongFirst(c.watchers):
+	case c.watches():
 		return jitter(watcherRequestDelay)
 	case c.node.links.near(from):
 		return 0
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -58,7 +58,11 @@
 	if s.denied.Load() {
 		return nil, port.StoreRevision{}, port.ErrUnavailable
 	}
-	return s.Directory.Watch(ctx, prefix, after, wait)
+	events, at, err := s.Directory.Watch(ctx, prefix, after, wait)
+	if s.denied.Load() {
+		return nil, port.StoreRevision{}, port.ErrUnavailable // A watch pending when refusals begin must not deliver changes.
+	}
+	return events, at, err
 }
 
 func (s *nodeStore) Put(ctx context.Context, key string, value []byte) error {
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -45,7 +45,7 @@
 	at := c.initialRead(ctx)
 	c.node.awaitJoin(ctx)
 	c.node.endpoints.SetJoined()
-	if version, _ := c.current(); version > 0 && !c.node.links.amongFirst(c.watchers) {
+	if version, _ := c.current(); version > 0 && !c.watches() {
 		c.awaitPoll(ctx)
 	}
 	for ctx.Err() == nil {
@@ -53,6 +53,7 @@
 		at = port.StoreRevision{}
 		if err != nil && ctx.Err() == nil {
 			c.node.log.Info("configuration not followed", zap.Error(err))
+			c.delegateWatch(time.Now())
 			select {
 			case <-ctx.Done():
 			case <-time.After(pause.next()):
@@ -77,12 +78,11 @@
 	}
 	pause.reset()
 	for {
-		s := c.node.links.position()
-		if !s.amongFirst(c.watchers) {
+		wait, ok := c.nextWatchWait(time.Now())
+		if !ok {
 			c.awaitPoll(ctx)
 			return nil
 		}
-		wait := watchWait(time.Now(), s.before, min(s.fleet, c.watchers))
 		events, next, err := store.Watch(ctx, operator, at, wait)
 		if errors.Is(err, port.ErrCompacted) {
 			return nil
@@ -136,7 +136,7 @@
 // read reads the operator state. For a node that receives changes from its peers a stale
 // read is enough, as it only looks for changes missed long ago.
 func (c *configuration) read(ctx context.Context) ([]port.Entry, port.StoreRevision, error) {
-	return c.readAs(ctx, c.node.links.amongFirst(c.watchers))
+	return c.readAs(ctx, c.watches())
 }
 
 // readAs reads the current operator state for a node that watches, and a possibly stale one
@@ -150,13 +150,14 @@
 }
 
 // awaitPoll waits, without calls to the store, until the next poll is due or the node has
-// become a watcher.
+// become a watcher or been asked to watch.
 func (c *configuration) awaitPoll(ctx context.Context) {
 	until := time.Now().Add(jitter(pollPause(c.node.links.fleetSize())))
-	for time.Now().Before(until) && !c.node.links.amongFirst(c.watchers) {
+	for time.Now().Before(until) && !c.watches() {
 		select {
 		case <-ctx.Done():
 			return
+		case <-c.watchRequested:
 		case <-time.After(watcherCheckEvery):
 		}
 	}
