budget: grow the slack of a new process with its age

Cause: a new process could use half of its part of the slack immediately, regardless of what its predecessor had used. The limit allowed for one restart within a window, but a gate whose process restarts more often used that half again after every restart. The class of fault is a limit that is kept in process memory and is reset when the process restarts.

Change: the usable part grows linearly from zero to half over the first window. All processes that succeed each other within a window now have half in total, however many there are.

Evidence: TestBudgetHoldsDuringRepeatedRestarts restarts all gates every 1 to 4 s from 20 to 40 and from 60 to 80 s, with requests, failures and repeats as in TestBudgetHoldsOverAnyWindow.

TestFractionalPartsAddUp expected half of the slack from processes that start now. That expectation is replaced by a stricter one: nothing at the start, a quarter after half a window, and all after a window. TestRestartedFleetKeepsItsSlack took the repeats of the new processes at their start, where they have no slack any more; it takes them at the end of the window now.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -28,9 +28,11 @@
 	ratioShare = 0.85
 	slackShare = 0.65
 	// startupShare is the part of its slack that a process may use until it has run for a
-	// window. The process before it may have used all of its slack within the same window, and
-	// slackShare × (1 + startupShare) stays below 1. So the limit also holds if the whole fleet
-	// restarts at once.
+	// window. It is reached gradually: the usable part grows linearly from 0, so that all processes
+	// that a gate starts within a window use at most startupShare in total. The process before them
+	// may have used all of its slack within the same window, and slackShare × (1 + startupShare)
+	// stays below 1. So the limit also holds if the whole fleet restarts, once or several times
+	// within a window.
 	startupShare = 0.5
 	// hedgeReserve is the part of the budget that hedges may not use. It is reserved for failed
 	// attempts, which need a repeat more than slow ones.
@@ -147,10 +149,16 @@
 
 // allows reports whether one more repeat is within the limit. The caller holds the lock.
 func (b *Budget) allows(now time.Time, k AttemptKind) bool {
-	slack := b.slack
-	if now.Before(b.startupEnds) {
-		slack = startupShare * b.slack
-	}
-	bound := b.ratio*b.firsts.sum(now) + slack/float64(b.gates)
+	bound := b.ratio*b.firsts.sum(now) + b.slackAt(now)/float64(b.gates)
 	return b.repeats.sum(now)+1 <= (1-k.reserve())*bound+b.rounding
 }
+
+// slackAt returns the slack that is available at the given time to all gates together, assuming
+// that they all started when this one did. The caller holds the lock.
+func (b *Budget) slackAt(now time.Time) float64 {
+	if !now.Before(b.startupEnds) {
+		return b.slack
+	}
+	age := window - b.startupEnds.Sub(now)
+	return startupShare * b.slack * float64(age) / float64(window)
+}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -9,7 +9,7 @@
 )
 
 // simulatedFleet generates bursts of requests, repeats and nested requests of repeated runs at
-// many gates that do not communicate, and restarts them all once.
+// many gates that do not communicate and may restart.
 type simulatedFleet struct {
 	random   *rand.Rand
 	budgets  []*Budget
@@ -27,15 +27,20 @@
 )
 
 func (f *simulatedFleet) start(now time.Time) {
-	f.budgets = nil
-	for i := range budgetGates {
-		b := New(budgetRatio, budgetSlack, now)
-		b.ObserveGates(budgetGates)
-		b.SetRank(roundingOf(i, budgetGates))
-		f.budgets = append(f.budgets, b)
+	f.budgets = make([]*Budget, budgetGates)
+	for i := range f.budgets {
+		f.restart(i, now)
 	}
 }
 
+// restart replaces the budget of gate i with that of a process that starts now.
+func (f *simulatedFleet) restart(i int, now time.Time) {
+	b := New(budgetRatio, budgetSlack, now)
+	b.ObserveGates(budgetGates)
+	b.SetRank(roundingOf(i, budgetGates))
+	f.budgets[i] = b
+}
+
 // roundingOf returns the rank of gate i.
 func roundingOf(i, gates int) float64 { return (float64(i) + 0.5) / float64(gates) }
 
@@ -78,8 +83,8 @@
 	return n
 }
 
-// TestBudgetHoldsOverAnyWindow checks the fleet's limit in every window, by the requests of the
-// same window, the one before or half of each.
+// TestBudgetHoldsOverAnyWindow checks that the limit holds in every window when all gates restart
+// once at the same time.
 func TestBudgetHoldsOverAnyWindow(t *testing.T) {
 	for seed := range uint64(20) {
 		f := &simulatedFleet{random: rand.New(rand.NewPCG(seed, 1))}
@@ -93,10 +98,37 @@
 			f.step(at, begin.Add(at))
 		}
 		assert.Positive(t, f.returned)
-		for from := time.Duration(0); from <= budgetLength; from += budgetStep {
-			asked := max(countWithin(f.requests, from), countWithin(f.requests, from-window/2), countWithin(f.requests, from-window))
-			assert.LessOrEqual(t, countWithin(f.repeats, from), budgetRatio*asked+budgetSlack, "seed %d, window from %v", seed, from)
+		f.checkWindows(t, seed)
+	}
+}
+
+// checkWindows asserts that the repeats in every window are within the fleet's limit. The ratio
+// applies to the largest number of requests in the same window, in the one before it, or in the
+// one that starts half a window earlier.
+func (f *simulatedFleet) checkWindows(t *testing.T, seed uint64) {
+	t.Helper()
+	for from := time.Duration(0); from <= budgetLength; from += budgetStep {
+		asked := max(countWithin(f.requests, from), countWithin(f.requests, from-window/2), countWithin(f.requests, from-window))
+		assert.LessOrEqual(t, countWithin(f.repeats, from), budgetRatio*asked+budgetSlack, "seed %d, window from %v", seed, from)
+	}
+}
+
+// A gate that restarts several times within a window must not regain its slack with each restart.
+func TestBudgetHoldsDuringRepeatedRestarts(t *testing.T) {
+	for seed := range uint64(20) {
+		f := &simulatedFleet{random: rand.New(rand.NewPCG(seed, 2))}
+		begin := time.Unix(1000, 0)
+		f.start(begin)
+		restartPeriod := time.Duration(1+f.random.IntN(4)) * time.Second
+		for at := time.Duration(0); at < budgetLength; at += budgetStep {
+			for i := range f.budgets {
+				if (at+time.Duration(i)*budgetStep)%restartPeriod == 0 && at/(20*time.Second)%2 == 1 {
+					f.restart(i, begin.Add(at))
+				}
+			}
+			f.step(at, begin.Add(at))
 		}
+		f.checkWindows(t, seed)
 	}
 }
 
@@ -130,12 +162,12 @@
 	begin := time.Unix(1000, 0)
 	now := begin.Add(2 * window)
 	spent := 0
-	for _, started := range []time.Time{begin, now} {
+	for _, process := range []struct{ started, takes time.Time }{{begin, now}, {now, now.Add(window - time.Nanosecond)}} {
 		for i := range budgetGates {
-			b := New(0, slack, started)
+			b := New(0, slack, process.started)
 			b.ObserveGates(budgetGates)
 			b.SetRank(roundingOf(i, budgetGates))
-			for b.TryTake(now, FailureRetry) {
+			for b.TryTake(process.takes, FailureRetry) {
 				spent++
 			}
 		}
@@ -152,21 +184,21 @@
 		gates int
 		slack float64
 	}{{740, 1040}, {740, 200}, {4000, 1040}, {12, 60}} {
-		for _, started := range []time.Time{begin.Add(-window), begin} {
+		for _, process := range []struct {
+			started   time.Time
+			slackPart float64
+		}{{begin.Add(-window), 1}, {begin.Add(-window / 2), startupShare / 2}, {begin, 0}} {
 			given := 0
 			for i := range c.gates {
-				b := New(budgetRatio, c.slack, started)
+				b := New(budgetRatio, c.slack, process.started)
 				b.ObserveGates(c.gates)
 				b.SetRank(roundingOf(i, c.gates))
 				for b.TryTake(begin, FailureRetry) {
 					given++
 				}
 			}
-			parts := slackShare * c.slack
-			if started == begin {
-				parts *= startupShare
-			}
-			assert.InDelta(t, parts, given, 1, "%d gates, slack %v, started %v", c.gates, c.slack, started)
+			parts := slackShare * c.slack * process.slackPart
+			assert.InDelta(t, parts, given, 1, "%d gates, slack %v, started %v", c.gates, c.slack, process.started)
 		}
 	}
 }
