budget: count repeats for a whole window

The fault fixed here is only suspected to be the cause.

Cause: repeats were counted in ten buckets of one second, and the oldest bucket was dropped when a new second began. A repeat taken at the end of a second was dropped after little more than nine seconds, so a gate could use its slack twice within a window of ten seconds.

Repeats are counted over all buckets, which cover the window and at most one bucket more. First attempts are counted without the oldest bucket, so over the window or at most one bucket less.

TestHedgesLeaveAReserve and TestReturnCountsInItsOwnBucket assumed that a repeat is no longer counted exactly one window after it was taken, which is when the old code dropped it at the latest. They now wait one bucket longer. TestHedgesLeaveAReserve also checks that the budget is not free again before the window has passed, and TestReturnCountsInItsOwnBucket keeps its check after exactly one window.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -149,8 +149,10 @@
 
 // allows reports whether one more repeat is within the limit. The caller holds the lock.
 func (b *Budget) allows(now time.Time, k AttemptKind) bool {
-	bound := b.ratio*b.firsts.sum(now) + b.slackAt(now)/float64(b.gates)
-	return b.repeats.sum(now)+1 <= (1-k.reserve())*bound+b.rounding
+	// First attempts are counted low and repeats high, so that the inexact counts never allow
+	// more repeats than the limit.
+	bound := b.ratio*b.firsts.lowerBound(now) + b.slackAt(now)/float64(b.gates)
+	return b.repeats.upperBound(now)+1 <= (1-k.reserve())*bound+b.rounding
 }
 
 // slackAt returns the slack that is available at the given time to all gates together, assuming
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -142,7 +142,8 @@
 	}
 	assert.Equal(t, 7, hedges)
 	assert.True(t, b.TryTake(now, FailureRetry), "a failure may still be repeated")
-	assert.True(t, b.TryTake(now.Add(window), Hedge), "a window later the budget is full again")
+	assert.False(t, b.TryTake(now.Add(window-time.Nanosecond), Hedge), "repeats count until a window has passed")
+	assert.True(t, b.TryTake(now.Add(window+bucket), Hedge), "the budget is full again one bucket after the window")
 }
 
 // Charged requests must reduce the budget, although they are never refused.
@@ -214,6 +215,26 @@
 	assert.True(t, b.TryTake(later, FailureRetry))
 	assert.False(t, b.TryTake(later, FailureRetry))
 	assert.False(t, b.TryTake(taken.Add(window), FailureRetry), "a returned repeat is available only once")
-	b.Refund(taken) // Its bucket has left the window.
-	assert.False(t, b.TryTake(taken.Add(window), FailureRetry))
+	assert.False(t, b.TryTake(taken.Add(window+bucket), FailureRetry), "a returned repeat is available only once")
+	b.Refund(taken) // Its bucket has left the ring.
+	assert.False(t, b.TryTake(taken.Add(window+bucket), FailureRetry))
+}
+
+// A repeat must count for at least a whole window, wherever in its bucket it was taken: otherwise
+// the slack could be used twice within a window.
+func TestSlackIsUsedOncePerWindow(t *testing.T) {
+	const slack = 10
+	for _, offset := range []time.Duration{0, bucket / 2, bucket - time.Nanosecond, time.Second - time.Nanosecond} {
+		b := New(0, slack/slackShare, time.Time{})
+		taken := time.Unix(1000, 0).Add(offset)
+		for range slack {
+			assert.True(t, b.TryTake(taken, FailureRetry))
+		}
+		assert.False(t, b.TryTake(taken.Add(window-time.Nanosecond), FailureRetry), "offset %v", offset)
+		assert.True(t, b.TryTake(taken.Add(window+bucket), FailureRetry), "offset %v", offset)
+		b = New(1/ratioShare, 0, time.Time{})
+		b.CountFirst(taken)
+		assert.True(t, b.CanTake(taken.Add(window-bucket-time.Nanosecond), FailureRetry), "offset %v", offset)
+		assert.False(t, b.CanTake(taken.Add(window), FailureRetry), "offset %v", offset)
+	}
 }
