--- a/consul/consul.go
+++ b/consul/consul.go
@@ -26,6 +26,7 @@
 	"golang.org/x/time/rate"
 
 	"eiderfold/port"
+	"eiderfold/storehttp"
 )
 
 const (
@@ -62,7 +63,7 @@
 func New(base string, options ...Option) *Client {
 	c := &Client{
 		base:    strings.TrimRight(base, "/"),
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		http:    &http.Client{Transport: storehttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})},
 		limiter: rate.NewLimiter(defaultCallsPerSecond, defaultBurst),
 	}
 	for _, o := range options {
--- /dev/null
+++ b/storehttp/transport.go
@@ -0,0 +1,54 @@
+// Package storehttp provides the HTTP transport used by the clients of key-value stores.
+//
+// Open connections may stall without an error while new connections work. A call on a stalled
+// connection fails only when it times out, and the next call would time out too if it reused an
+// idle connection that has also stalled. The transport therefore closes its idle connections
+// after a call that fails without a complete response, so that the next call opens a new one.
+//
+// # Usage
+//
+//	client := &http.Client{Transport: storehttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 2})}
+package storehttp
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Transport is an http.RoundTripper that closes its idle connections after a call that fails
+// without a complete response. It is safe for concurrent use.
+type Transport struct {
+	*http.Transport
+}
+
+// NewTransport returns a Transport that sends requests with base.
+func NewTransport(base *http.Transport) *Transport { return &Transport{Transport: base} }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	response.Body = &responseBody{ReadCloser: response.Body, transport: t}
+	return response, nil
+}
+
+// responseBody closes the transport's idle connections when a read fails before the end of
+// the body.
+type responseBody struct {
+	io.ReadCloser
+	transport *Transport
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.transport.CloseIdleConnections()
+	}
+	return n, err
+}
