--- a/proxy/once.go
+++ b/proxy/once.go
@@ -14,10 +14,7 @@
 	"eiderfold/result"
 )
 
-const (
-	keptAnswer  = 64 << 10 // Unused: the operation table limits the answers that it keeps.
-	maxKeyBytes = 256
-)
+const maxKeyBytes = 256
 
 // serveOnce serves an at-most-once route. Without a key each request is a separate
 // operation, which needs no coordination with other nodes.
