ingress: a stop answers the requests that are being read

Cause: a connection counted as idle until a request's body had been read whole, and the stop closes idle connections. The same class: a new connection whose first request has not been read yet, a request that arrives as its connection is closed, and an accepted connection that registered itself only in its own goroutine.

Change: a request is on its connection from the first byte; a body that doesn't arrive before the stop ends gets 408 (not run); a closing connection is read once more, a new one kept for 200 ms; connections are registered before they are served. The soak also reports a request without an answer on a new connection, whether or not it ran; until now it reported time-outs and runs only, so none of this was a violation. FuzzServer calls open and handle where it called handle, as connections are registered apart from serving.

--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -113,8 +113,8 @@
 }
 
 // checkUnanswered checks a request that got no response. It reports a timeout, and any
-// other failure if an upstream ran the request, unless the node was killed, paused or
-// exited unexpectedly within excuseTime. A planned stop excuses neither.
+// other failure if an upstream ran the request or its connection was new, unless the node was
+// killed, paused or exited unexpectedly within excuseTime. A planned stop excuses none of them.
 func (s *soak) checkUnanswered(ctx context.Context, n *node, attempt string, starts int64, trace *connTrace, err error) {
 	if ctx.Err() != nil {
 		return
@@ -126,7 +126,7 @@
 			attempt, n.name, starts, time.Since(trace.start).Round(time.Millisecond), trace.connected(), n.stops.overlaps(trace.start), s.kernel.since(), err)
 		return
 	}
-	if !excused && s.checker.runs(attempt) > 0 {
+	if !excused && (s.checker.runs(attempt) > 0 || trace.freshConn()) {
 		s.checker.violate("LOST: %s by %s, life %d: %v", attempt, n.name, starts, err)
 	}
 }
--- a/bench/soak/conntrace.go
+++ b/bench/soak/conntrace.go
@@ -15,6 +15,7 @@
 	mu      sync.Mutex
 	steps   []string
 	gotConn bool // The request got a connection.
+	fresh   bool // Its last connection was new.
 }
 
 // addStep adds a step with its time since start in milliseconds.
@@ -24,11 +25,20 @@
 	c.steps = append(c.steps, fmt.Sprintf("%d ms ", time.Since(c.start).Milliseconds())+fmt.Sprintf(format, args...))
 }
 
-// recordConn records that the request got a connection.
-func (c *connTrace) recordConn() {
+// recordConn records that the request got a connection, and whether that is new.
+func (c *connTrace) recordConn(fresh bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.gotConn = true
+	c.fresh = fresh
+}
+
+// freshConn reports whether the last connection of the request was new. A stop can't close such a
+// connection as idle, so the request is owed an answer.
+func (c *connTrace) freshConn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fresh
 }
 
 // connected reports whether the request ever had a connection, so that part of it may
@@ -50,7 +60,7 @@
 func (c *connTrace) clientTrace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			c.recordConn()
+			c.recordConn(!i.Reused)
 			c.addStep("connection %s to %s, used before: %t, idle %v", i.Conn.LocalAddr(), i.Conn.RemoteAddr(), i.Reused, i.IdleTime)
 		},
 		ConnectDone:          func(_, address string, err error) { c.addStep("dialed %s: %v", address, err) },
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -17,6 +17,11 @@
 	// lingerTime is how long a connection is read after its last answer, so that bytes in
 	// transit do not reset it before the answer arrives.
 	lingerTime = 500 * time.Millisecond
+	// lastLookTime is how long a closing connection is read for a request that has arrived.
+	lastLookTime = time.Millisecond
+	// freshTime is how long a new connection is kept open for its first request when the
+	// server stops.
+	freshTime = 200 * time.Millisecond
 	// bufferBytes is the size of a connection's buffers: most headers fit.
 	bufferBytes = 4 << 10
 )
@@ -39,15 +44,32 @@
 	answers chan *pendingAnswer
 	mu      sync.Mutex
 	pending int  // Requests that were read and are not answered.
-	closing bool // Nothing more is read from it.
+	reading bool // Part of a request was read that is not pending yet.
+	closing bool // It closes unless a request has arrived already.
+	// announced is whether the caller was told that no further request is read.
+	announced bool
+	// keepUntil is until when it is kept open without a request: its caller has just connected.
+	keepUntil time.Time
 }
 
-// handle serves one connection until its last answer is sent.
-func (s *Server) handle(raw net.Conn) {
+// open registers a new connection. It is open until handle returns.
+func (s *Server) open(raw net.Conn) *serverConn {
 	limit := &io.LimitedReader{R: raw, N: defaultHeaderBytes}
-	c := &serverConn{Conn: raw, server: s, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes), answers: make(chan *pendingAnswer, maxPipelined)}
+	c := &serverConn{
+		Conn:      raw,
+		server:    s,
+		limit:     limit,
+		reader:    bufio.NewReaderSize(limit, bufferBytes),
+		answers:   make(chan *pendingAnswer, maxPipelined),
+		keepUntil: time.Now().Add(freshTime),
+	}
 	s.track(c, true)
-	defer s.track(c, false)
+	return c
+}
+
+// handle serves the connection until its last answer is sent.
+func (c *serverConn) handle() {
+	defer c.server.track(c, false)
 	ctx, cancel := context.WithCancel(context.Background())
 	written := make(chan struct{})
 	go func() {
@@ -79,13 +101,11 @@
 		if gone, ok := c.awaitRequest(); !ok {
 			return gone
 		}
-		r, fault := c.request()
-		if !c.begin() {
-			if r != nil {
-				r.reservation.release() // The request is dropped; nothing else releases its memory.
-			}
+		if !c.beginReading() {
 			return false
 		}
+		r, fault := c.request()
+		c.begin()
 		p := &pendingAnswer{response: make(chan *Response, 1)}
 		if fault != nil {
 			p.last = true
@@ -142,42 +162,52 @@
 }
 
 // awaitRequest waits for the first byte of the next request. ok is false if none arrives;
-// gone reports whether the caller closed the connection.
+// gone reports whether the caller closed the connection. When the connection closes, it looks
+// once more for a request that arrived before.
 func (c *serverConn) awaitRequest() (gone, ok bool) {
 	for {
 		l := c.server.limits()
 		c.limit.N = int64(orDefault(l.HeaderBytes, defaultHeaderBytes)) + bufferBytes
-		_ = c.SetReadDeadline(time.Now().Add(orDefaultTime(l.IdleTimeout, defaultIdleTimeout))) // Fails only on a closed connection, as the read does.
-		if c.isClosing() {
-			return false, false // wakeReader may have run before the deadline was set.
+		closing := c.isClosing()
+		wait := orDefaultTime(l.IdleTimeout, defaultIdleTimeout)
+		if closing {
+			wait = lastLookTime
+		}
+		_ = c.SetReadDeadline(time.Now().Add(wait)) // Fails only on a closed connection, as the read does.
+		if c.isClosing() != closing {
+			continue // wakeReader may have run before the deadline was set.
 		}
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return false, true
 		}
 		c.mu.Lock()
-		busy := c.pending > 0 && !c.closing
-		closing := c.closing
+		closingNow, pending := c.closing, c.pending > 0
 		c.mu.Unlock()
-		if !timedOut(err) {
-			return !closing, false
-		}
-		if !busy {
+		switch {
+		case !timedOut(err):
+			return !closingNow, false
+		case closing, !closingNow && !pending:
 			return false, false
 		}
 	}
 }
 
-// begin counts a request as pending. It returns false if the connection is closing and the
-// request is dropped.
-func (c *serverConn) begin() bool {
+// beginReading records that a request is being read, which keeps the connection open until it
+// is answered. It returns false if the last answer has been announced as such.
+func (c *serverConn) beginReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
-		return false
-	}
+	c.reading = !c.announced
+	return c.reading
+}
+
+// begin counts the request that was read as pending.
+func (c *serverConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
 	c.pending++
-	return true
 }
 
 // answer runs a request and passes its response to the writer.
@@ -224,25 +254,46 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
-	if p.last || c.server.stopping.Load() && c.pending == 0 {
+	if p.last || c.idle() && (c.closing || c.server.stopping.Load()) {
 		c.closing = true
+		c.announced = true
 	}
-	return c.closing && c.pending == 0
+	return c.announced
 }
 
 // wakeReader interrupts a read that waits for the next request.
 func (c *serverConn) wakeReader() { _ = c.SetReadDeadline(time.Now()) }
 
-// closeIdle closes the connection if no request is pending.
-func (c *serverConn) closeIdle() {
+// idle reports whether no request is pending or being read. The lock must be held.
+func (c *serverConn) idle() bool { return c.pending == 0 && !c.reading }
+
+// busy reports whether a request is pending or being read.
+func (c *serverConn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idle()
+}
+
+// closeIdle closes the connection if it is idle and not new.
+func (c *serverConn) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 {
+	if c.idle() && now.After(c.keepUntil) {
 		c.closing = true
 		c.wakeReader()
 	}
 }
 
+// abortReading makes a request that is still being read fail with a timeout, so that its
+// caller gets an answer.
+func (c *serverConn) abortReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		c.wakeReader()
+	}
+}
+
 func (c *serverConn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -68,24 +68,47 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		go s.handle(c)
+		go s.open(c).handle()
 	}
 }
 
 // Stop makes the server close each connection once its pending requests are answered.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
-// CloseIdle closes the connections without a pending request and returns how many
-// connections remain, including those that are still closing.
+// CloseIdle closes the connections on which no request is pending or being read and returns
+// how many connections remain, including those that are still closing.
 func (s *Server) CloseIdle() int {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.closeIdle()
+		c.closeIdle(now)
 	}
 	return len(s.conns)
 }
 
+// Busy returns on how many connections a request is pending or being read.
+func (s *Server) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		if c.busy() {
+			n++
+		}
+	}
+	return n
+}
+
+// AbortReading refuses the requests that are still being read, as if their time were over.
+func (s *Server) AbortReading() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.abortReading()
+	}
+}
+
 func (s *Server) track(c *serverConn, open bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -179,6 +179,67 @@
 	assert.True(t, r.Close)
 }
 
+// stopWhileReading sends the first half of an order on a new connection, stops the server and
+// closes its idle connections for longer than a new connection is kept.
+func stopWhileReading(t *testing.T) (s *Server, c net.Conn, in *bufio.Reader) {
+	t.Helper()
+	s, address := testServer(t, func(_ context.Context, r *Request) *Response { return text(200, string(r.Body)) }, route.Limits{})
+	c, in = dialServer(t, address)
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\nhalf")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return tracked(s) == 1 }, 5*time.Second, time.Millisecond)
+	s.Stop()
+	for until := time.Now().Add(2 * freshTime); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		s.CloseIdle()
+	}
+	return s, c, in
+}
+
+// TestStopAnswersRequestBeingRead guards against a stop that drops a request whose body is still
+// arriving, without an answer.
+func TestStopAnswersRequestBeingRead(t *testing.T) {
+	_, c, in := stopWhileReading(t)
+	_, err := io.WriteString(c, "more")
+	require.NoError(t, err)
+	r, body := readAnswer(t, in)
+	assert.Equal(t, "halfmore", body)
+	assert.True(t, r.Close)
+}
+
+// TestStopRefusesUnfinishedRequest guards against the same for a body that does not arrive before
+// the stop ends.
+func TestStopRefusesUnfinishedRequest(t *testing.T) {
+	s, _, in := stopWhileReading(t)
+	assert.Equal(t, 1, s.Busy())
+	s.AbortReading()
+	r, _ := readAnswer(t, in)
+	assert.Equal(t, http.StatusRequestTimeout, r.StatusCode)
+	assert.True(t, r.Close)
+	require.Eventually(t, func() bool { return s.CloseIdle() == 0 }, 5*time.Second, time.Millisecond)
+}
+
+// TestStopServesRequestThatCrossesIt guards against a stop that closes a connection on which a
+// request has just arrived: the first of a new connection, or a further one of an idle connection.
+func TestStopServesRequestThatCrossesIt(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	for _, earlier := range []int{0, 1} {
+		s, address := testServer(t, func(context.Context, *Request) *Response { return text(200, "done") }, route.Limits{})
+		c, in := dialServer(t, address)
+		for range earlier {
+			_, err := io.WriteString(c, request)
+			require.NoError(t, err)
+			readAnswer(t, in)
+		}
+		require.Eventually(t, func() bool { return tracked(s) == 1 && s.Busy() == 0 }, 5*time.Second, time.Millisecond)
+		s.Stop()
+		_, err := io.WriteString(c, request)
+		require.NoError(t, err)
+		s.CloseIdle()
+		_, body := readAnswer(t, in)
+		assert.Equal(t, "done", body, "requests before: %d", earlier)
+	}
+}
+
 // TestIdleConnectionEnds checks that a connection is closed that is idle past the limit.
 func TestIdleConnectionEnds(t *testing.T) {
 	_, address := testServer(t, func(context.Context, *Request) *Response { return text(200, "") }, route.Limits{IdleTimeout: 50 * time.Millisecond})
@@ -216,7 +277,7 @@
 		s := NewServer(func(_ context.Context, r *Request) *Response { return text(200, r.RequestURI) }, func() route.Limits {
 			return route.Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
 		})
-		go s.handle(far)
+		go s.open(far).handle()
 		go func() {
 			_, _ = near.Write(input)
 		}()
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -39,6 +39,7 @@
 	}
 	n.forwarder.Finish() // Requests whose outcome is unknown get an answer instead of a broken connection.
 	for end := time.Now().Add(finishTimeout); time.Now().Before(end) && n.server.CloseIdle() > 0; {
+		n.server.AbortReading()
 		time.Sleep(stopPoll)
 	}
 	time.Sleep(flushTime)
