mesh: a stopping node refuses new requests until it ends

Symptom: from 2.5 s (or half of the grace) after SIGTERM until the process ended, dials were refused by the kernel, with no word on whether and when to come back, and so were the calls of requests that still ran on the upstream beside the node.

Cause: the listener was closed first, to get no more work.

Change: it stays open until the last work has ended; meanwhile new requests get 503 stopping (not run) with Retry-After, and calls of requests that run beside the node are served.

Result: TestStopRefusesNewRequests fails without the change ("connection refused") and passes with it.

--- a/bench/soak/stops.go
+++ b/bench/soak/stops.go
@@ -9,8 +9,8 @@
 const (
 	// dialTimeout is the timeout of a caller for a new connection.
 	dialTimeout = time.Second
-	// closeAfter is how long after SIGTERM a node closes its listener: half of its grace
-	// time at most, or as long as the platform needs to move callers away.
+	// closeAfter is how long after SIGTERM a node may close its listener, at the earliest: half
+	// of its grace time at most, or as long as the platform needs to move callers away.
 	closeAfter = stopGrace / 2
 	// closeMargin is how much earlier the listener may close as seen by this process.
 	closeMargin = 50 * time.Millisecond
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -48,6 +48,7 @@
 	limits    Limits
 	tracker   *quarantine.SharedTracker // Tracks requests that crash upstreams.
 	table     atomic.Pointer[route.Table]
+	stopping  atomic.Bool
 	origin    uint64 // Identifies this process's offers; differs after a restart.
 	number    atomic.Uint64
 	latencies sync.Map // *core.LatencyPercentile by route name.
@@ -111,6 +112,10 @@
 		f.explain(r, nil, refused)
 		return refused
 	}
+	if refused := f.checkStopping(req); refused != nil {
+		f.explain(r, req, refused)
+		return refused
+	}
 	if refused := f.checkQuarantine(req); refused != nil {
 		f.explain(r, req, refused)
 		return refused
@@ -134,6 +139,18 @@
 	return f.outgoing(response)
 }
 
+// Refuse makes Serve refuse new requests, as the node stops, but for calls of requests that still
+// run on the upstream beside this node: nobody else takes these.
+func (f *Forwarder) Refuse() { f.stopping.Store(true) }
+
+// checkStopping returns the refusal of a request that arrived after Refuse.
+func (f *Forwarder) checkStopping(req *inFlightRequest) *Response {
+	if !f.stopping.Load() || req.nested {
+		return nil
+	}
+	return refusal(result.New(result.Stopping, "").WithRetryAfter(shortRetryAfter))
+}
+
 // prepare matches the route and returns the in-flight request, or the refusal of a request
 // that cannot be forwarded.
 func (f *Forwarder) prepare(r *Request) (*inFlightRequest, *Response) {
@@ -180,6 +197,7 @@
 		requirements: requirements,
 		saturated:    f.saturated,
 		inRepeat:     parent.Repeat,
+		nested:       isNested,
 		events:       make(chan event, eventBuffer),
 	}, nil
 }
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -43,6 +43,7 @@
 	offersMade     int                // Offers made, in all rounds.
 	runs           int                // Attempts that may have run.
 	deliveries     int                // Attempts that may have reached an upstream: runs, and those refused as shed or misdirected.
+	nested         bool               // Sent by a request that runs on the upstream beside this node.
 	inRepeat       bool               // Nested in a repeated attempt.
 	budgetDenials  int                // Gates that had no budget for the current repeat.
 	far            bool               // Offered to other data centres after a long wait.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"eiderfold/link"
 	"eiderfold/memory"
 	"eiderfold/port"
+	"eiderfold/result"
 )
 
 // Sends a request to a node of another service than the one that serves it.
@@ -188,6 +190,35 @@
 	assert.Equal(t, 502, <-status)
 }
 
+// Guards against a stopping node that closes its listener while it still works, so that callers
+// who are not moved away yet get no answer: it must refuse new requests until it ends.
+func TestStopRefusesNewRequests(t *testing.T) {
+	t.Parallel()
+	_, births, marriages := newPair(t)
+	marriages.stopNode()
+	marriages.yaml = strings.Replace(marriages.yaml, "grace: 2s", "grace: 4s", 1)
+	marriages.start()
+	marriages.report(1, false)
+	births.cluster.awaitReady()
+	status, release := marriages.blockedWriteAt(births)
+	defer release()
+	marriages.cancel()
+	for i := 0; ; i++ {
+		r, _, err := marriages.ask(context.Background(), http.MethodGet, "/marriages/x", fmt.Sprintf("b%d", i))
+		require.NoError(t, err, "request %d", i)
+		if r.StatusCode == http.StatusServiceUnavailable {
+			assert.Equal(t, fmt.Sprint(int(result.Stopping)), r.Header.Get(result.Header))
+			assert.NotEmpty(t, r.Header.Get("Retry-After"))
+			break
+		}
+		require.Equal(t, http.StatusOK, r.StatusCode)
+		time.Sleep(5 * time.Millisecond)
+	}
+	release()
+	assert.Equal(t, http.StatusOK, <-status)
+	<-marriages.done
+}
+
 // Starts a node of another service at the links address of a stopped one: requests must not
 // reach it under the old service.
 func TestAnotherServiceAtTheAddress(t *testing.T) {
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -25,26 +25,29 @@
 )
 
 // stop stops the node without cutting off requests: it first signals callers and other
-// nodes to go elsewhere, then waits for work in progress, then closes the sockets.
+// nodes to go elsewhere, then waits for work in progress, then closes the sockets. Until the
+// end it accepts connections, and refuses new requests, which are sent elsewhere at once.
 func (n *Node) stop(l *listeners) {
 	kill := time.Now().Add(n.settings.Load().Grace() - killMargin)
 	n.log.Info("stop", zap.Time("until", kill))
 	n.stopping.Store(true)
 	n.server.Stop()
 	time.Sleep(min(unreadyTime, n.settings.Load().Grace()/2))
+	n.forwarder.Refuse()
 	n.gate.Stop()
-	_ = l.callers.Close()
-	for time.Now().Before(kill) && (n.server.CloseIdle() > 0 || n.gate.ActiveOffers() > 0) {
+	for time.Now().Before(kill) && (n.server.Busy() > 0 || n.gate.ActiveOffers() > 0) {
+		n.server.CloseIdle()
 		time.Sleep(stopPoll)
 	}
 	n.forwarder.Finish() // Requests whose outcome is unknown get an answer instead of a broken connection.
+	_ = l.callers.Close()
 	for end := time.Now().Add(finishTimeout); time.Now().Before(end) && n.server.CloseIdle() > 0; {
 		n.server.AbortReading()
 		time.Sleep(stopPoll)
 	}
 	time.Sleep(flushTime)
-	if n.server.CloseIdle() > 0 || n.gate.ActiveOffers() > 0 {
-		n.log.Warn("stopped with requests in flight", zap.Int("attempts", n.gate.ActiveOffers()), zap.Int("connections", n.server.CloseIdle()))
+	if n.server.Busy() > 0 || n.gate.ActiveOffers() > 0 {
+		n.log.Warn("stopped with requests in flight", zap.Int("attempts", n.gate.ActiveOffers()), zap.Int("connections", n.server.Busy()))
 	}
 	for _, o := range []net.Listener{l.links, l.reports, l.ready, l.metrics} {
 		if o != nil {
