Soak: each run has addresses of its own, with ports below those of outgoing connections

Cause: addresses followed from the seed alone, so plays of one seed, and of seeds 200 apart, shared them; ports were free ones, written down and released, from the range that the kernel gives to outgoing connections, so that one of these could have a stopped node's port.

Change: a run reserves a /24 of loopback by a lock port that it holds, and nodes, upstreams and fault proxies listen on fixed ports below that range. TestFreeAddressesDiffer asks the same of what replaces freeAddresses, for 750 addresses of 25 runs of one seed; a second test checks the range.

On the old code the second test's claim fails by construction (ports from 32768 on).

--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -24,9 +23,9 @@
 	superviseInterval = 100 * time.Millisecond
 	// dataCentres is the number of data centres; nodes are assigned round-robin.
 	dataCentres = 2
-	// listenersPerNode counts the addresses that a node listens on: callers, links,
-	// reports and ready.
-	listenersPerNode = 4
+	// listenersPerNode counts the addresses of a node: callers, links, reports and ready, its
+	// upstream, and the fault proxy before its links.
+	listenersPerNode = 6
 )
 
 // node runs one node process and restarts it whenever it exits.
@@ -45,7 +44,7 @@
 // newNode starts an upstream and the node beside it.
 func (s *soak) newNode(ctx context.Context, i int) (*node, error) {
 	name := fmt.Sprintf("n%d", i)
-	n := &node{name: name, ip: fmt.Sprintf("127.0.%d.%d", 1+s.options.Seed%200, 10+i), program: s.options.Program, dir: s.options.Dir}
+	n := &node{name: name, ip: s.block.host(i), program: s.options.Program, dir: s.options.Dir}
 	n.dataCentre = dataCentreName(i % dataCentres)
 	if err := s.prepare(ctx, n); err != nil {
 		return nil, err
@@ -57,20 +56,15 @@
 	return n, nil
 }
 
-// prepare starts a node's upstream and writes the node's settings. It reserves the node's
-// addresses until the upstream and the fault proxy have theirs, and then releases them.
+// prepare starts a node's upstream and writes the node's settings.
 func (s *soak) prepare(ctx context.Context, n *node) error {
-	free, release, err := freeAddresses(n.ip, listenersPerNode)
-	if err != nil {
-		return err
-	}
-	defer release()
-	links, reports, callers, ready := free[0], free[1], free[2], free[3]
-	advertised, err := s.faultProxy.Open(standin.Link{Name: n.name, Network: "tcp", Listen: n.ip + ":0", Target: links})
+	listen := listenAddresses(n.ip)
+	links, reports, callers, ready, upstreamAddress, advertise := listen[0], listen[1], listen[2], listen[3], listen[4], listen[5]
+	advertised, err := s.faultProxy.Open(standin.Link{Name: n.name, Network: "tcp", Listen: advertise, Target: links})
 	if err != nil {
 		return errors.Wrap(err, "cutter")
 	}
-	if n.upstream, err = startUpstream(ctx, n.ip, reports, s.checker); err != nil {
+	if n.upstream, err = startUpstream(ctx, upstreamAddress, reports, s.checker); err != nil {
 		return err
 	}
 	n.upstream.crashingRequests, n.upstream.nodeConnected = s.crashingRequests, n.connectivity.connected
@@ -84,27 +78,6 @@
 
 func dataCentreName(i int) string { return fmt.Sprintf("d%d", i) }
 
-// freeAddresses returns unused addresses and reserves them until release is called,
-// because the kernel may assign a closed port again at once.
-func freeAddresses(ip string, count int) (addresses []string, release func(), err error) {
-	var listeners []net.Listener
-	release = func() {
-		for _, l := range listeners {
-			_ = l.Close() // Only the port was needed.
-		}
-	}
-	for range count {
-		l, err := net.Listen("tcp4", ip+":0")
-		if err != nil {
-			release()
-			return nil, nil, errors.Wrap(err, "address")
-		}
-		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, release, nil
-}
-
 func (n *node) start() error {
 	p, err := fleet.StartProgram(n.name, n.dir, n.program, "mesh", "--settings", n.settings)
 	n.process = p
--- a/bench/soak/node_test.go
+++ b/bench/soak/node_test.go
@@ -1,6 +1,10 @@
 package soak
 
 import (
+	"net"
+	"os"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -8,15 +12,38 @@
 )
 
 // TestFreeAddressesDiffer guards against duplicate addresses: a node with the same port for
-// two of its listeners never starts.
+// two of its listeners never starts, and neither does one whose address another run uses.
 func TestFreeAddressesDiffer(t *testing.T) {
-	const count = 500
-	addresses, release, err := freeAddresses("127.0.250.1", count)
-	require.NoError(t, err)
-	defer release()
+	const (
+		runs  = 25
+		nodes = 5
+	)
 	seen := map[string]bool{}
-	for _, a := range addresses {
-		seen[a] = true
+	for range runs {
+		b, err := reserveBlock(58)
+		require.NoError(t, err)
+		defer b.Close() //nolint:errcheck // Nothing was accepted on it.
+		for i := range nodes {
+			for _, a := range listenAddresses(b.host(i)) {
+				seen[a] = true
+			}
+		}
+	}
+	assert.Len(t, seen, runs*nodes*listenersPerNode)
+}
+
+// TestStoppedNodesPortsStayFree guards against a node that can't start again, because an outgoing
+// connection from its address got one of its ports while it was stopped.
+func TestStoppedNodesPortsStayFree(t *testing.T) {
+	text, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	require.NoError(t, err)
+	first, err := strconv.Atoi(strings.Fields(string(text))[0])
+	require.NoError(t, err)
+	for _, a := range listenAddresses("127.0.0.1") {
+		_, port, err := net.SplitHostPort(a)
+		require.NoError(t, err)
+		n, err := strconv.Atoi(port)
+		require.NoError(t, err)
+		assert.Less(t, n, first)
 	}
-	assert.Len(t, seen, count)
 }
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -75,6 +75,7 @@
 	random           *rand.Rand
 	store            *standin.Metadata
 	faultProxy       *standin.FaultProxy
+	block            *addressBlock
 	storeAddress     string // Address of the store.
 	nodes            []*node
 	checker          *checker
@@ -98,6 +99,11 @@
 	if o.Ending {
 		s.crashingRequests = newCrashingRequests()
 	}
+	var err error
+	if s.block, err = reserveBlock(o.Seed); err != nil {
+		return nil, err
+	}
+	defer s.block.Close() //nolint:errcheck // Nothing was accepted on it.
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -56,8 +56,8 @@
 	evacuatedSince func() time.Time
 }
 
-func startUpstream(ctx context.Context, ip, reportAddress string, c *checker) (*upstream, error) {
-	listener, err := net.Listen("tcp4", ip+":0")
+func startUpstream(ctx context.Context, address, reportAddress string, c *checker) (*upstream, error) {
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream")
 	}
