mesh: a watcher without the store asks all linked nodes if none of the first confirms

Cause: a watcher that can't reach the store asked some random nodes to watch and never learned whether any of them could.

Change: nodes that were asked confirm once they have reached the store.

--- a/link/message.go
+++ b/link/message.go
@@ -200,6 +200,7 @@
 	Want    bool   `cbor:"3,keyasint,omitempty"` // The sender requests the text.
 	// WatchFor asks the receiver to watch the store for this long, as the sender cannot reach it; 0 for no request.
 	WatchFor time.Duration `cbor:"4,keyasint,omitempty"`
+	Watching bool          `cbor:"5,keyasint,omitempty"` // The sender, asked to watch the store, has reached it.
 }
 
 // Ping requests a ping reply, or is one.
--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -21,13 +21,13 @@
 	requested      uint64        // Newest version requested from a peer.
 	requestExpires time.Time     // When another peer may be asked for it.
 	watchers       int           // How many nodes of the fleet watch; tests set fewer.
-	watchUntil     time.Time     // When this node stops watching at the request of others.
 	watchRequested chan struct{} // Signals a request from another node to watch.
-	nextDelegation time.Time     // When this node may next ask others to watch; accessed by run only.
+	delegation     delegation
 }
 
 func newConfiguration(n *Node) *configuration {
-	return &configuration{node: n, watchers: watchers, watchRequested: make(chan struct{}, 1)}
+	return &configuration{node: n, watchers: watchers, watchRequested: make(chan struct{}, 1),
+		delegation: delegation{broadPause: backoff{min: broadPauseMin, max: broadPauseMax}}}
 }
 
 // apply puts a configuration in force if it is newer than the current one. An invalid one
--- a/mesh/configuration_test.go
+++ b/mesh/configuration_test.go
@@ -1,9 +1,11 @@
 package mesh
 
 import (
+	"encoding/json"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -142,3 +144,37 @@
 	b.configure(5, "/five/")
 	b.awaitVersion(5)
 }
+
+// Guards against a watcher that asks a few random nodes to watch the store in its place, none of
+// which reaches it either, while a node that does is not asked: if none confirms, all linked
+// nodes must be asked, within the same round.
+func TestAllLinkedNodesAreAskedToWatch(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	b.watchers = 1
+	b.addBirths(10)
+	b.awaitReady()
+	var watcher *testNode
+	for _, n := range b.nodes {
+		n.store.denied.Store(true)
+		if n.links.amongFirst(b.watchers) {
+			watcher = n
+		}
+	}
+	others := len(b.nodes) - 1
+	first := watcher.links.gossipFanout()
+	require.Less(t, first, others)
+	require.Eventually(t, func() bool { return delegations(t, watcher) > first }, waitTimeout, time.Millisecond)
+	assert.Equal(t, first+others, delegations(t, watcher))
+	watcher.store.denied.Store(false)
+	b.configure(5, "/five/")
+	b.awaitVersion(5)
+}
+
+// delegations returns how many requests to watch a node has sent.
+func delegations(t *testing.T, n *testNode) int {
+	t.Helper()
+	var counts map[string]int
+	require.NoError(t, json.Unmarshal([]byte(n.metrics.Counts()), &counts))
+	return counts["watch_delegated"]
+}
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -23,7 +23,10 @@
 // handle processes a peer's message about its configuration and answers it.
 func (c *configuration) handle(m *link.Configuration, from *link.Link) {
 	if m.WatchFor > 0 {
-		c.acceptDelegation(time.Now().Add(min(m.WatchFor, delegationTime)))
+		c.acceptDelegation(from, m.WatchFor)
+	}
+	if m.Watching {
+		c.noteDelegate(from)
 	}
 	version, packed := c.current()
 	switch {
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -53,6 +53,7 @@
 		at = port.StoreRevision{}
 		if err != nil && ctx.Err() == nil {
 			c.node.log.Info("configuration not followed", zap.Error(err))
+			c.dropDelegation()
 			c.delegateWatch(time.Now())
 			select {
 			case <-ctx.Done():
@@ -76,6 +77,7 @@
 		at = read
 		c.node.applyOperatorEntries(entries, at)
 	}
+	c.confirmDelegation()
 	pause.reset()
 	for {
 		wait, ok := c.nextWatchWait(time.Now())
@@ -92,6 +94,7 @@
 		}
 		at = next
 		c.node.applyOperatorEvents(events, at)
+		c.confirmDelegation()
 	}
 }
 
