Soak: nodes of an earlier build beside today's, replaced one after the other

Cause: upgrades were tried on scratch copies only; no run of ours had two builds in one fleet.

Building the program is one function for the tests and the command.

Not a fault's fix; nothing failed before.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -3,6 +3,10 @@
 // # Usage
 //
 //	soak --seeds 50 --from 1 --for 30s --nodes 6
+//	soak --previous 694d83d1 --seeds 50
+//
+// The second runs nodes of the build of a commit beside today's, and replaces them one after the
+// other.
 //
 // It prints a line for each seed and exits with status 1 if any seed had violations. It
 // keeps the nodes' logs of failed seeds, in a folder for each.
@@ -11,7 +15,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"time"
 
@@ -38,18 +41,25 @@
 	ending := c.Flags().Bool("ending", false, "send requests that crash the upstreams which run them")
 	operator := c.Flags().Bool("operator", false, "data centres are evacuated, and the store is restored from a copy")
 	uploads := c.Flags().Bool("uploads", false, "some orders have large bodies that are sent slowly")
+	commit := c.Flags().String("previous", "", "a commit: its build runs beside today's, nodes are replaced one after the other")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		dir, err := os.MkdirTemp("", "eiderfold-soak")
 		if err != nil {
 			return errors.Wrap(err, "folder")
 		}
-		program := filepath.Join(dir, "eiderfold")
-		if output, err := exec.Command("go", "build", "-o", program, "eiderfold/cmd/eiderfold").CombinedOutput(); err != nil {
-			return errors.Wrapf(err, "build: %s", output)
+		program, err := soak.Build(dir)
+		if err != nil {
+			return err
+		}
+		previous := ""
+		if *commit != "" {
+			if previous, err = soak.BuildCommit(dir, *commit); err != nil {
+				return err
+			}
 		}
 		failed := 0
 		for seed := *from; seed < *from+*seeds; seed++ {
-			violated, err := runSeed(c, soak.Options{Program: program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads})
+			violated, err := runSeed(c, soak.Options{Program: program, Previous: previous, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads})
 			if err != nil {
 				return err
 			}
--- a/bench/soak/cost_test.go
+++ b/bench/soak/cost_test.go
@@ -37,7 +37,7 @@
 func BenchmarkPassthrough(b *testing.B) {
 	dir := b.TempDir()
 	program := build(b, dir, "eiderfold/bench/cmd/passthrough")
-	u, err := startUpstream(b.Context(), "127.0.0.1", "127.0.0.1:1", newChecker())
+	u, err := startUpstream(b.Context(), "127.0.0.1:0", "127.0.0.1:1", newChecker())
 	require.NoError(b, err)
 	p, address, err := fleet.StartStandin(b.Context(), "passthrough", dir, program, u.address)
 	require.NoError(b, err)
--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -44,7 +44,8 @@
 // newNode starts an upstream and the node beside it.
 func (s *soak) newNode(ctx context.Context, i int) (*node, error) {
 	name := fmt.Sprintf("n%d", i)
-	n := &node{name: name, ip: s.block.host(i), program: s.options.Program, dir: s.options.Dir}
+	first, _ := s.programAt()
+	n := &node{name: name, ip: s.block.host(i), program: first, dir: s.options.Dir}
 	n.dataCentre = dataCentreName(i % dataCentres)
 	if err := s.prepare(ctx, n); err != nil {
 		return nil, err
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -45,10 +45,14 @@
 // Options configures a run.
 type Options struct {
 	Program string // Path of the node's binary.
-	Dir     string // Folder of settings and logs.
-	Seed    uint64
-	For     time.Duration // Duration of fault injection.
-	Nodes   int
+	// Previous is the path of an earlier build's binary, "" for none. Nodes of both builds run
+	// side by side and are replaced one after the other: by today's build if the seed is even, by
+	// the earlier one if it is odd.
+	Previous string
+	Dir      string // Folder of settings and logs.
+	Seed     uint64
+	For      time.Duration // Duration of fault injection.
+	Nodes    int
 	// Accounts makes callers send keys of client accounts, one of which exceeds its limit by far.
 	Accounts bool
 	// Uploads makes some orders large and sends their bodies slowly.
@@ -118,6 +122,9 @@
 	for _, e := range s.crashingRequests {
 		clients.Go(func() { s.sendCrashing(callerCtx, e) })
 	}
+	if o.Previous != "" {
+		clients.Go(func() { s.replaceBuilds(callerCtx) })
+	}
 	s.injectFaults(ctx)
 	s.clearFaults()
 	time.Sleep(recoverTime)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -44,13 +43,26 @@
 	runSeed(t, Options{Seed: 21, Nodes: 6, For: 12 * time.Second, Uploads: true, Operator: true})
 }
 
+// previousCommit is the commit whose build TestUpgrade runs beside today's.
+const previousCommit = "694d83d1"
+
+// TestUpgrade replaces the nodes of an earlier build by today's, one after the other, while nodes of
+// both are stopped, killed and cut off.
+func TestUpgrade(t *testing.T) {
+	if exec.Command("git", "cat-file", "-e", previousCommit).Run() != nil {
+		t.Skipf("this clone lacks the history: commit %s can't be built", previousCommit)
+	}
+	previous, err := BuildCommit(t.TempDir(), previousCommit)
+	require.NoError(t, err)
+	runSeed(t, Options{Seed: 36, Nodes: 5, For: 12 * time.Second, Previous: previous})
+}
+
 // runSeed runs the soak and checks that it finds no violation. It keeps the nodes' logs on
 // failure, since another run with the same seed may pass.
 func runSeed(t *testing.T, o Options) {
 	t.Helper()
-	program := filepath.Join(t.TempDir(), "eiderfold")
-	output, err := exec.Command("go", "build", "-o", program, "eiderfold/cmd/eiderfold").CombinedOutput()
-	require.NoError(t, err, string(output))
+	program, err := Build(t.TempDir())
+	require.NoError(t, err)
 	logs, err := os.MkdirTemp("", fmt.Sprintf("eiderfold-seed%d-", o.Seed))
 	require.NoError(t, err)
 	o.Program, o.Dir = program, logs
--- /dev/null
+++ b/bench/soak/upgrade.go
@@ -0,0 +1,45 @@
+package soak
+
+import (
+	"context"
+	"syscall"
+	"time"
+)
+
+// programAt returns the program that a node runs at the start: in a run with an earlier build
+// that one, or today's if the run goes back to the earlier build.
+func (s *soak) programAt() (first, next string) {
+	o := s.options
+	switch {
+	case o.Previous == "":
+		return o.Program, o.Program
+	case o.Seed%2 == 0:
+		return o.Previous, o.Program
+	default:
+		return o.Program, o.Previous
+	}
+}
+
+// replaceBuilds stops the nodes one after the other during the faults and starts them again with
+// the other build. It returns once all run it.
+func (s *soak) replaceBuilds(ctx context.Context) {
+	_, next := s.programAt()
+	pause := s.options.For / time.Duration(len(s.nodes)+1)
+	for _, n := range s.nodes {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		n.setProgram(next)
+		n.restart(syscall.SIGTERM)
+		s.recordFault("other build on " + n.name)
+	}
+}
+
+// setProgram sets the program of the node's further starts.
+func (n *node) setProgram(program string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.program = program
+}
