--- a/bench/soak/stops_test.go
+++ b/bench/soak/stops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -40,8 +41,9 @@
 	assert.Empty(t, parseKernelCounters("TcpExt: ListenDrops\nTcpExt:\n"))
 }
 
-// BenchmarkDialsAtAClosingListener dials a listener from eight goroutines without pause
-// while the listener is closed and reopened every 20 ms, and while it stays open. It reports
+// BenchmarkDialsAtAClosingListener dials a listener from eight goroutines at random moments
+// while the listener is closed and reopened about every 20 ms, and while it stays open. Without
+// the pauses all dialers wait for an accept when it closes, and hardly any dials then. It reports
 // the dials per iteration and the total number of dials that timed out.
 func BenchmarkDialsAtAClosingListener(b *testing.B) {
 	for name, closes := range map[string]bool{"closed": true, "kept": false} {
@@ -54,7 +56,7 @@
 			stopDialing := dialUntilStopped(address, &dials, &lost)
 			go acceptAll(l)
 			for b.Loop() {
-				time.Sleep(20 * time.Millisecond)
+				time.Sleep(10*time.Millisecond + rand.N(20*time.Millisecond))
 				if !closes {
 					continue
 				}
@@ -71,6 +73,9 @@
 	}
 }
 
+// dialPause is the mean pause between two dials of a goroutine.
+const dialPause = 2 * time.Millisecond
+
 // dialUntilStopped dials from eight goroutines until stop is called.
 func dialUntilStopped(address string, dials, lost *atomic.Int64) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -78,6 +83,7 @@
 	for range 8 {
 		dialers.Go(func() {
 			for ctx.Err() == nil {
+				time.Sleep(rand.N(2 * dialPause))
 				dials.Add(1)
 				if dialOnce(address) {
 					lost.Add(1)
