mesh: close the other end of a stalled link when its node comes back on a new one

The end of a stalled link doesn't reach the node at its other side, which kept it for 50 s, with the offers on it and as a way for gossip.

Cause: an inbound link ended only with its connection or by its idle time.

Change: when a node introduces itself on an inbound link, an older one from the same node is closed.

--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -72,10 +72,16 @@
 	i.nextStatus = now.Add(farStatusEvery)
 }
 
-// identify records which node dialed and whether it is near.
+// identify records which node dialed and whether it is near. A node uses one link at a time, so
+// an older link of the same node has stalled, and is closed.
 func (l *links) identify(in *link.Link, m link.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for other, dialer := range l.inbound {
+		if other != in && dialer.address == m.Address {
+			other.Close()
+		}
+	}
 	if dialer := l.inbound[in]; dialer != nil {
 		dialer.address = m.Address
 		dialer.near = m.DataCentre == l.node.self.DataCentre
--- a/mesh/replace_test.go
+++ b/mesh/replace_test.go
@@ -70,17 +70,19 @@
 }
 
 // forward copies from one end to the other, or discards what it reads once the connection has
-// stalled. It ends when the connection is closed at the near end, or at either if not stalled.
+// stalled. The end of a stalled connection does not reach the other side either.
 func (r *stallingRelay) forward(c *relayedConn, from, to net.Conn) {
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := from.Read(buffer)
 		r.mu.Lock()
 		stalled := c.stalled
-		if err != nil && (from == c.near || !stalled) {
+		if err != nil {
 			delete(r.open, c)
-			_ = c.near.Close()
-			_ = c.far.Close()
+			_ = from.Close()
+		}
+		if err != nil && !stalled {
+			_ = to.Close()
 		}
 		r.mu.Unlock()
 		if err != nil {
@@ -115,7 +117,7 @@
 	t.Parallel()
 	b := newTestCluster(t)
 	caller := b.add("one", "marriages")
-	_, busy := b.addBehindRelay("two", "births")
+	births, busy := b.addBehindRelay("two", "births")
 	_, idle := b.addBehindRelay("three", "marriages")
 	b.awaitReady()
 	busy.stall()
@@ -126,4 +128,12 @@
 	}
 	b.awaitReady()
 	assert.Equal(t, http.StatusOK, caller.status(http.MethodPost, "/write/x", "a2"))
+	assert.Eventually(t, func() bool { return births.inboundLinks() == len(b.nodes)-1 }, waitTimeout, time.Millisecond, "the other ends of stalled links close")
+}
+
+// inboundLinks returns how many links other nodes have to this one.
+func (n *testNode) inboundLinks() int {
+	n.links.mu.Lock()
+	defer n.links.mu.Unlock()
+	return len(n.links.inbound)
 }
