mesh: only watchers retry a failed call of the store

Cause: a node that doesn't watch but had failed once, in a poll or asked by a watcher, called again each 0.3 to 1.2 s until it succeeded.

Change: after a failed call such a node waits for its next poll or request.

Result: TestOnlyWatchersRetry fails by construction without it (there was one pause for all).

--- a/mesh/configuration_test.go
+++ b/mesh/configuration_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -145,6 +146,23 @@
 	b.awaitVersion(5)
 }
 
+// Guards against a fleet of which every node retries its calls while the store is down: after a
+// failed call only watchers may retry before the next poll is due.
+func TestOnlyWatchersRetry(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	b.watchers = 1
+	b.addBirths(3)
+	b.awaitReady()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, n := range b.nodes {
+		pause := backoff{min: watchRetry, max: watchRetryMax}
+		n.config.awaitRetry(ended, &pause)
+		assert.Equal(t, n.config.watches(), pause.last > 0, n.self.Name)
+	}
+}
+
 // Guards against a watcher that asks a few random nodes to watch the store in its place, none of
 // which reaches it either, while a node that does is not asked: if none confirms, all linked
 // nodes must be asked, within the same round.
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -55,14 +55,25 @@
 			c.node.log.Info("configuration not followed", zap.Error(err))
 			c.dropDelegation()
 			c.delegateWatch(time.Now())
-			select {
-			case <-ctx.Done():
-			case <-time.After(pause.next()):
-			}
+			c.awaitRetry(ctx, &pause)
 		}
 	}
 }
 
+// awaitRetry waits after a failed call until the next one. A node that does not watch waits as
+// long as between two polls: during an outage, a fleet that retried would cost the store as many
+// calls as it has nodes.
+func (c *configuration) awaitRetry(ctx context.Context, pause *backoff) {
+	if version, _ := c.current(); version > 0 && !c.watches() {
+		c.awaitPoll(ctx)
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause.next()):
+	}
+}
+
 // follow reads the operator state and watches it until a call fails or this node no longer
 // watches. Compacted history is not an error: follow returns to read everything again. One
 // watch covers the configuration and the evacuated data centres, because a waiting watch
