Soak: the other build is on all nodes before the check of recovery begins

Cause: nodes were replaced beside the faults, each stop taking up to 4 s, so that the last ones could be stopped while recovery was checked; and these stops were not marked as faults of their nodes. Seen in reading, no run failed.

Change: the run waits for the replacements before it clears the faults, and marks the stops as those of other faults.

--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -44,7 +44,7 @@
 // newNode starts an upstream and the node beside it.
 func (s *soak) newNode(ctx context.Context, i int) (*node, error) {
 	name := fmt.Sprintf("n%d", i)
-	first, _ := s.programAt()
+	first, _ := s.programs()
 	n := &node{name: name, ip: s.block.host(i), program: first, dir: s.options.Dir}
 	n.dataCentre = dataCentreName(i % dataCentres)
 	if err := s.prepare(ctx, n); err != nil {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -122,10 +122,12 @@
 	for _, e := range s.crashingRequests {
 		clients.Go(func() { s.sendCrashing(callerCtx, e) })
 	}
+	var builds sync.WaitGroup
 	if o.Previous != "" {
-		clients.Go(func() { s.replaceBuilds(callerCtx) })
+		builds.Go(func() { s.replaceBuilds(ctx) })
 	}
 	s.injectFaults(ctx)
+	builds.Wait()
 	s.clearFaults()
 	time.Sleep(recoverTime)
 	s.checkRecovery()
--- a/bench/soak/upgrade.go
+++ b/bench/soak/upgrade.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// programAt returns the program that a node runs at the start: in a run with an earlier build
-// that one, or today's if the run goes back to the earlier build.
-func (s *soak) programAt() (first, next string) {
+// programs returns the program that the nodes run first and the one that replaces it. They differ
+// only in a run with an earlier build.
+func (s *soak) programs() (first, next string) {
 	o := s.options
 	switch {
 	case o.Previous == "":
@@ -23,7 +23,7 @@
 // replaceBuilds stops the nodes one after the other during the faults and starts them again with
 // the other build. It returns once all run it.
 func (s *soak) replaceBuilds(ctx context.Context) {
-	_, next := s.programAt()
+	_, next := s.programs()
 	pause := s.options.For / time.Duration(len(s.nodes)+1)
 	for _, n := range s.nodes {
 		select {
@@ -31,8 +31,10 @@
 			return
 		case <-time.After(pause):
 		}
+		end := s.markAffected(oneNode, n)
 		n.setProgram(next)
 		n.restart(syscall.SIGTERM)
+		end()
 		s.recordFault("other build on " + n.name)
 	}
 }
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -61,8 +61,8 @@
 }
 
 // awaitRetry waits after a failed call until the next one. A node that does not watch waits as
-// long as between two polls: during an outage, a fleet that retried would cost the store as many
-// calls as it has nodes.
+// long as between two polls, since the store would otherwise get the calls of a whole fleet again
+// and again during an outage.
 func (c *configuration) awaitRetry(ctx context.Context, pause *backoff) {
 	if version, _ := c.current(); version > 0 && !c.watches() {
 		c.awaitPoll(ctx)
