--- a/mesh/upstream_test.go
+++ b/mesh/upstream_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,11 +28,48 @@
 	callers   map[string]string
 	headers   map[string]http.Header
 	work      func(r *http.Request)
+	limit     string // Limit that its responses name, "" for none.
+	leaving   bool   // Its responses say that it leaves.
+	arrivals  []arrival
+}
+
+// arrival is a request that reached an upstream.
+type arrival struct {
+	attempt string
+	at      time.Time
+}
+
+// setStatements sets what the upstream's responses say of itself: its limit, "" for none, and
+// whether it leaves.
+func (u *testUpstream) setStatements(limit string, leaving bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit, u.leaving = limit, leaving
+}
+
+// state writes the upstream's statements to a response's header.
+func (u *testUpstream) state(h http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.limit != "" {
+		h.Set("Server-Limit", u.limit)
+	}
+	if u.leaving {
+		h.Set("Server-Leaving", "1")
+	}
+}
+
+// arrived returns the requests that have reached the upstream.
+func (u *testUpstream) arrived() []arrival {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.arrivals)
 }
 
 func (u *testUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := u.identity()
 	if r.URL.Path == "/health" {
+		u.state(w.Header())
 		w.Header().Set("Instance-Id", id)
 		if !u.healthy.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -48,12 +86,14 @@
 	u.runs[attempt]++
 	u.callers[attempt] = r.Header.Get("Caller-Service")
 	u.headers[attempt] = r.Header.Clone()
+	u.arrivals = append(u.arrivals, arrival{attempt: attempt, at: time.Now()})
 	work := u.work
 	u.mu.Unlock()
 	body, _ := io.ReadAll(r.Body)
 	if work != nil {
 		work(r)
 	}
+	u.state(w.Header())
 	w.Header().Set("Attempt-Id", attempt)
 	w.Header().Set("Response-Stamp", "stamp-of-"+id)
 	_, _ = fmt.Fprintf(w, "%s by %s: %s", r.RequestURI, id, body)
