gate: keep the limit that an upstream names in its answers

Cause: answers are decoded for what they say of the request; what they say of the upstream (Server-Limit) was passed on to the caller and heeded by nobody. The gate beside the upstream, which alone talks to it, paced starts by slots. Change: the gate takes the limit from each answer and refusal of the current incarnation and paces starts to it with a token bucket that starts empty. Queued offers go by urgency within it; what it keeps from starting in time is refused at once with the wait (reason limited), and an ingress whose gates are all so refuses at once, with the earliest of these waits as Retry-After. A node that has heard a limit sends it with its offers to a gate that has not, so a replaced process starts with the limit and an empty bucket. Why it holds on all paths: orders, lookups, repeats, calls and trials start through this one admission; nothing else reaches the upstream but the health check.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -35,6 +35,7 @@
 	upstream    port.Incarnation // The incarnation that runs it.
 	sample      *sample          // Evidence for the hang detector, once it runs.
 	budgetTaken time.Time        // When it was taken from the budget as a repeat.
+	tokenTaken  bool             // It has a token of the limit that the upstream names.
 	hung        bool             // Already counted as a bad outcome.
 	warned      bool             // A Warn command was returned for it.
 }
@@ -55,6 +56,8 @@
 	stopping    bool
 	evacuated   bool // The data centre gets no new work.
 	cold        coldLimiter
+	named       namedLimiter
+	notice      limitNotice
 	leaving     []port.Incarnation // Incarnations that are leaving or have left.
 	replaced    []port.Incarnation // Incarnations that were replaced.
 	entries     map[link.Key]*entry
@@ -85,6 +88,8 @@
 		out = a.reported(m)
 	case Confirmed:
 		a.confirmed(m)
+	case Stated:
+		a.stated(m)
 	case Evacuated:
 		a.evacuate(m)
 	case ColdBoundChanged:
@@ -111,7 +116,8 @@
 
 // Status returns the status that is sent to other nodes.
 func (a *Admission) Status() link.Status {
-	return link.Status{Mode: a.Mode(), Upstream: a.upstream.ID, Slots: a.slots, MeanResponseTime: a.meanResponseTime, Suspicion: a.suspicion}
+	return link.Status{Mode: a.Mode(), Upstream: a.upstream.ID, StartedAt: a.upstream.StartedAt, Slots: a.slots, MeanResponseTime: a.meanResponseTime,
+		Suspicion: a.suspicion, Heard: !a.named.heardAt.IsZero(), Limited: a.named.limited, Limit: a.named.rate}
 }
 
 // offered grants a slot, queues the offer, or refuses it if the wait in the queue would make
@@ -136,12 +142,12 @@
 	}
 	i, _ := slices.BinarySearchFunc(a.queue, e, compareQueued)
 	wait := a.wait(m.At, i)
-	if i >= maxQueuePerSlot*a.slots || m.At.Add(wait+expected).After(e.queueKey.Limit()) || !a.mayWait(e, wait) {
-		return []Command{Refuse{Key: m.Key, Reason: link.ReasonBusy, RetryAfter: wait}}
+	e.expires = m.At.Add(time.Duration(maxWaitShare * float64(m.Deadline.Sub(m.At))))
+	if i >= maxQueuePerSlot*a.slots || m.At.Add(wait+expected).After(e.queueKey.Limit()) || !a.mayWait(e, wait) || a.cannotStart(m.At, e, i) {
+		return []Command{a.refuseWait(m.At, m.Key, i)}
 	}
 	e.Ready = false // Another gate may get the request meanwhile; the commit decides.
 	a.entries[m.Key] = e
-	e.expires = m.At.Add(time.Duration(maxWaitShare * float64(m.Deadline.Sub(m.At))))
 	a.queue = slices.Insert(a.queue, i, e)
 	return []Command{Queue{Key: m.Key}}
 }
@@ -157,7 +163,7 @@
 	if reason != link.ReasonTrial {
 		return 0
 	}
-	return a.trialRetryAfter(at, a.trialAttempts() >= a.maxTrialAttempts())
+	return max(a.trialRetryAfter(at, a.trialAttempts() >= a.maxTrialAttempts()), a.named.wait(at, len(a.queue)))
 }
 
 // refusalReason returns why an offer cannot be taken even if a slot is free.
@@ -212,7 +218,7 @@
 func (a *Admission) canAdmit(at time.Time, e *entry) bool {
 	busy := a.busy()
 	switch {
-	case !a.cold.allows(at, a.awaitingCommit()):
+	case !a.cold.allows(at, a.awaitingCommit()), !a.named.allows(at):
 		return false
 	case a.Mode() != link.ModeTrial:
 		return busy < a.slots && !a.mustWait(at, e)
@@ -252,6 +258,7 @@
 		return []Command{Refuse{Key: e.Key, Reason: link.ReasonBudget}}
 	}
 	e.admitted = at
+	e.tokenTaken = a.named.take(at)
 	if e.Ready {
 		return a.start(at, e)
 	}
@@ -280,6 +287,9 @@
 	e.upstream = a.upstream
 	e.sample = a.addSample(at, e.Kind, e.TargetDeadline)
 	a.cold.noteStart(at)
+	if !e.tokenTaken {
+		a.named.take(at) // The upstream has named the limit since the slot was granted.
+	}
 	a.countStart(at, e.AttemptKind)
 	return []Command{Start{Key: e.Key}}
 }
--- a/gate/answer.go
+++ b/gate/answer.go
@@ -22,6 +22,8 @@
 	status int
 	header http.Header
 	body   []byte
+	readAt time.Time // When its header was read.
+	said   statement
 }
 
 // classify checks whether an answer is complete and comes from the upstream itself, and returns
@@ -85,6 +87,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue // 1xx: the final answer follows.
 		}
+		readAt := time.Now()
 		body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 		if err != nil {
 			return nil, false, errors.Wrap(err, "answer's body")
@@ -93,7 +96,7 @@
 			return nil, false, errors.New("answer's body is too large")
 		}
 		conn.idleUntil = time.Now().Add(keepAliveTimeout(response.Header))
-		return &answer{status: response.StatusCode, header: response.Header, body: body}, !response.Close && conn.reader.Buffered() == 0, nil
+		return &answer{status: response.StatusCode, header: response.Header, body: body, readAt: readAt}, !response.Close && conn.reader.Buffered() == 0, nil
 	}
 }
 
@@ -105,4 +108,5 @@
 	closedByPeer bool // The upstream closed the connection.
 	// processEnded is set if nothing listened at the upstream's address when the attempt failed.
 	processEnded bool
+	said         statement // What the upstream's refusal says of the upstream.
 }
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -54,6 +54,7 @@
 	if f != nil && f.closedByPeer {
 		f.processEnded = g.client.processEnded(ctx)
 	}
+	g.noteStatement(upstream, a, f)
 	frame, outcome := g.result(ao, a, f)
 	g.updateQuarantine(ao, frame, outcome, upstream, started, f)
 	if outcome == Erred && g.switches.On(switches.NestedRequests) && g.nestedRequestFailed(started, time.Now()) {
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -21,7 +21,7 @@
 	g.mu.Unlock()
 	if announced != nil {
 		g.log.Info("gate mode", zap.Stringer("mode", announced.Mode), zap.String("upstream", announced.Upstream),
-			zap.Float64("suspicion", announced.Suspicion), zap.Duration("usual", announced.MeanResponseTime), zap.String("cause", cause(m)))
+			zap.Float64("suspicion", announced.Suspicion), zap.Duration("usual", announced.MeanResponseTime), zap.Bool("limited", announced.Limited), zap.Float64("limit", announced.Limit), zap.String("cause", cause(m)))
 		g.announce()
 	}
 }
@@ -38,6 +38,8 @@
 		return "upstream reported"
 	case Confirmed:
 		return "confirmed"
+	case Stated:
+		return "upstream's answer"
 	case Evacuated:
 		return "evacuation"
 	case Stopping:
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -17,6 +17,7 @@
 	}
 	a.replaced = addIncarnation(a.replaced, a.upstream)
 	a.upstream = port.Incarnation{}
+	a.named = namedLimiter{}
 	a.health = health{switches: a.switches, meanResponseTime: a.meanResponseTime, hangDetector: hangDetector{kinds: a.kinds}}
 }
 
@@ -77,6 +78,13 @@
 	return []Command{Confirm{Upstream: r.Incarnation}}
 }
 
+// stated processes what the current incarnation says of itself in an answer.
+func (a *Admission) stated(m Stated) {
+	if m.Upstream == a.upstream {
+		a.named.hear(m.At, m.HeardAt, m.Limit)
+	}
+}
+
 func (a *Admission) confirmed(m Confirmed) {
 	if m.Leaving {
 		a.leaving = addIncarnation(a.leaving, m.Upstream)
--- a/gate/message.go
+++ b/gate/message.go
@@ -85,6 +85,14 @@
 	Leaving  bool
 }
 
+// Stated carries what the upstream says of itself in an answer.
+type Stated struct {
+	At       time.Time
+	HeardAt  time.Time // When the answer arrived, at this node or at another one.
+	Upstream port.Incarnation
+	Limit    port.NamedLimit
+}
+
 // Evacuated reports whether the upstream's data centre is evacuated and gets no new work.
 type Evacuated struct {
 	At time.Time
@@ -109,6 +117,7 @@
 func (m Ended) at() time.Time            { return m.At }
 func (m Reported) at() time.Time         { return m.At }
 func (m Confirmed) at() time.Time        { return m.At }
+func (m Stated) at() time.Time           { return m.At }
 func (m Evacuated) at() time.Time        { return m.At }
 func (m ColdBoundChanged) at() time.Time { return m.At }
 func (m Stopping) at() time.Time         { return m.At }
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -42,7 +42,39 @@
 	for i, e := range slices.Clone(a.queue) {
 		if wait := a.wait(at, i); !a.mayWait(e, wait) {
 			a.drop(e)
-			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonBusy, RetryAfter: wait})
+			out = append(out, a.refuseWait(at, e.Key, i))
+		}
+	}
+	return out
+}
+
+// refuseWait refuses an offer that would wait too long behind this many entries of the queue, by
+// what it would wait for: a slot, or the limit that the upstream names.
+func (a *Admission) refuseWait(at time.Time, k link.Key, before int) Refuse {
+	wait := a.wait(at, before)
+	if limited := a.named.wait(at, before); limited > 0 && limited == wait {
+		return Refuse{Key: k, Reason: link.ReasonLimited, RetryAfter: wait}
+	}
+	return Refuse{Key: k, Reason: link.ReasonBusy, RetryAfter: wait}
+}
+
+// cannotStart reports whether the limit that the upstream names keeps an entry with this many
+// others before it from starting before its wait expires.
+func (a *Admission) cannotStart(at time.Time, e *entry, before int) bool {
+	return at.Add(a.named.wait(at, before)).After(e.expires)
+}
+
+// refuseUnreachable refuses queued entries that the limit keeps from starting in time, as it was
+// lowered or more urgent entries went before them.
+func (a *Admission) refuseUnreachable(at time.Time) []Command {
+	if !a.named.limited {
+		return nil
+	}
+	var out []Command
+	for _, e := range slices.Clone(a.queue) {
+		if i := slices.Index(a.queue, e); a.cannotStart(at, e, i) {
+			a.drop(e)
+			out = append(out, a.refuseWait(at, e.Key, i))
 		}
 	}
 	return out
@@ -66,7 +98,7 @@
 // wait estimates how long an offer waits with this many entries before it in the queue.
 func (a *Admission) wait(at time.Time, before int) time.Duration {
 	slots := a.estimatedResponseTime() * time.Duration(before+1) / time.Duration(max(a.slots, 1))
-	return max(slots, a.cold.wait(at, before))
+	return max(slots, a.cold.wait(at, before), a.named.wait(at, before))
 }
 
 // expectedTime returns the expected answer time of a kind of request. For a kind that was never
@@ -87,6 +119,9 @@
 	if !e.budgetTaken.IsZero() && e.phase != running {
 		a.budget.Refund(e.budgetTaken)
 	}
+	if e.phase == granted && e.tokenTaken {
+		a.named.refund()
+	}
 	if e.phase == queued {
 		a.queue = slices.DeleteFunc(a.queue, func(o *entry) bool { return o == e })
 	}
--- a/gate/reconcile.go
+++ b/gate/reconcile.go
@@ -13,7 +13,7 @@
 // ticked refuses entries whose wait has expired, and counts attempts that hang.
 func (a *Admission) ticked(at time.Time) []Command {
 	a.tick(at)
-	out := a.reorder(at)
+	out := append(a.reorder(at), a.refuseUnreachable(at)...)
 	for _, e := range a.inOrder() {
 		switch {
 		case e.phase == granted && at.After(e.expires):
@@ -21,7 +21,7 @@
 			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonExpired})
 		case e.phase == queued && at.After(e.expires):
 			a.drop(e)
-			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonBusy, RetryAfter: a.wait(at, len(a.queue))})
+			out = append(out, a.refuseWait(at, e.Key, len(a.queue)))
 		case e.phase == running && a.trialAttemptHangs(at, e):
 			e.hung = true
 			a.bad(at, suspicionHang)
@@ -72,9 +72,12 @@
 		a.queue = slices.DeleteFunc(a.queue, func(o *entry) bool { return o == e })
 		out = append(out, a.admit(at, e)...)
 	}
+	limitChanged := a.notice.due(at, &a.named)
 	if mode != a.mode {
 		a.mode = mode
 		out = append(out, Announce{Why: mode.String()})
+	} else if limitChanged {
+		out = append(out, Announce{Why: "limit"})
 	}
 	return out
 }
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -34,6 +34,7 @@
 	// Evacuate starts an evacuation of the data centre or, if false, ends it.
 	Evacuate *bool         `yaml:"evacuate"`
 	Bound    *coldStep     `yaml:"bound"`
+	Say      *sayStep      `yaml:"say"`
 	After    time.Duration `yaml:"after"` // Time passes, then a tick.
 	Want     []string      `yaml:"want"`  // Commands, in any order.
 	Mode     string        `yaml:"mode"`  // Checked if given.
@@ -75,6 +76,13 @@
 	Rate float64       `yaml:"rate"`
 }
 
+// sayStep is what the upstream says of itself in an answer.
+type sayStep struct {
+	Upstream string        `yaml:"upstream"`
+	Limit    *float64      `yaml:"limit"` // nil if the answer names none.
+	Age      time.Duration `yaml:"age"`   // How long ago another node heard it.
+}
+
 type confirmStep struct {
 	Upstream string `yaml:"upstream"`
 	Born     int64  `yaml:"born"`
@@ -134,6 +142,8 @@
 		return Reported{At: now, Report: port.Report{Incarnation: port.Incarnation{ID: r.Upstream, StartedAt: r.Born}, Service: service, Slots: r.Slots, Sequence: r.Sequence, Leaving: r.Leaving, ColdLeft: r.Cold}}
 	case s.Confirm != nil:
 		return Confirmed{At: now, Upstream: port.Incarnation{ID: s.Confirm.Upstream, StartedAt: s.Confirm.Born}, Leaving: s.Confirm.Leaving}
+	case s.Say != nil:
+		return s.Say.message(now)
 	case s.Evacuate != nil:
 		return Evacuated{At: now, On: *s.Evacuate}
 	case s.Bound != nil:
@@ -145,6 +155,14 @@
 	}
 }
 
+func (s sayStep) message(now time.Time) Stated {
+	limit := port.NamedLimit{State: port.LimitNone}
+	if s.Limit != nil {
+		limit = port.NamedLimit{State: port.LimitNamed, Rate: *s.Limit}
+	}
+	return Stated{At: now, HeardAt: now.Add(-s.Age), Upstream: port.Incarnation{ID: s.Upstream}, Limit: limit}
+}
+
 func (o offerStep) message(now time.Time) Offered {
 	service := o.Service
 	if service == "" {
--- /dev/null
+++ b/gate/statement.go
@@ -0,0 +1,53 @@
+package gate
+
+import (
+	"net/http"
+	"time"
+
+	"eiderfold/link"
+	"eiderfold/port"
+)
+
+// statement is what an answer says of the upstream itself. The zero statement says nothing.
+type statement struct {
+	at    time.Time // When the answer's header was read.
+	limit port.NamedLimit
+}
+
+// statementOf returns what an answer says of the upstream. An answer of another incarnation, or
+// one that names no request, says nothing. Only an answer that is marked as the upstream's own
+// shows that there is no limit.
+func statementOf(a *answer, meta port.ResponseMetadata) statement {
+	s := statement{at: a.readAt, limit: meta.Limit}
+	switch {
+	case a.status == http.StatusMisdirectedRequest || meta.Attempt == "" && !meta.NotRun:
+		return statement{}
+	case meta.Limit.State == port.LimitNone && !meta.Genuine:
+		s.limit = port.NamedLimit{}
+	}
+	return s
+}
+
+// noteStatement passes on what the upstream said in its answer or refusal.
+func (g *Gate) noteStatement(upstream port.Incarnation, a *answer, f *failure) {
+	var said statement
+	switch {
+	case a != nil:
+		said = a.said
+	case f != nil:
+		said = f.said
+	}
+	if !said.at.IsZero() {
+		g.update(Stated{At: time.Now(), HeardAt: said.at, Upstream: upstream, Limit: said.limit})
+	}
+}
+
+// noteKnownLimit uses what the sender of an offer knows of the upstream's limit. A process that
+// replaced another one has not heard it yet.
+func (g *Gate) noteKnownLimit(now time.Time, o *link.Offer) {
+	if o.Limit == nil {
+		return
+	}
+	upstream := port.Incarnation{ID: o.Upstream, StartedAt: o.Limit.StartedAt}
+	g.update(Stated{At: now, HeardAt: now.Add(-max(o.Limit.Age, 0)), Upstream: upstream, Limit: port.NamedLimit{State: port.LimitNamed, Rate: o.Limit.Rate}})
+}
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -82,7 +82,14 @@
 		if meta.Attempt != "" && meta.Attempt != http.Header(r.Header).Get(c.dialect.AttemptHeader()) {
 			continue // The answer to an earlier request; ours may follow.
 		}
-		return c.classify(a, meta, reusable && writeErr == nil)
+		said := statementOf(a, meta)
+		answered, reusable, f := c.classify(a, meta, reusable && writeErr == nil)
+		if f != nil {
+			f.said = said
+		} else {
+			answered.said = said
+		}
+		return answered, reusable, f
 	}
 	return nil, false, &failure{outcome: Broken, detail: "answers of other requests only"}
 }
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -45,7 +45,8 @@
 type selection struct {
 	endpoint     *Endpoint
 	force        bool
-	noneEligible bool // The service has gates, but none is eligible for the request.
+	noneEligible bool      // The service has gates, but none is eligible for the request.
+	room         time.Time // When the limits of all upstreams have room again; the zero time if other gates can be asked sooner.
 }
 
 // candidates are the gates that can be asked, grouped by state.
@@ -57,12 +58,14 @@
 	anyResponsive bool        // Some gate of the service is responsive.
 	belowFloor    bool        // Too few of the service's gates are open.
 	noneEligible  bool        // No gate of the service is eligible for the request.
+	room          time.Time   // When a gate has room that the limit of its upstream keeps from being asked now.
+	allLimited    bool        // That is so for all responsive gates.
 }
 
 // candidates groups a service's gates by state.
 func (e *Endpoints) candidates(crit criteria, now time.Time) candidates {
 	var c candidates
-	open, live := 0, 0
+	open, live, responsive, limited := 0, 0, 0, 0
 	all := e.Of(crit.service)
 	c.noneEligible = len(all) > 0 && e.joined.Load()
 	for _, n := range all {
@@ -76,10 +79,20 @@
 		}
 		live++
 		unresponsive := n.unresponsive(now)
-		c.anyResponsive = c.anyResponsive || !unresponsive
+		if !unresponsive {
+			c.anyResponsive = true
+			responsive++
+		}
 		if mode == link.ModeOpen && !unresponsive {
 			open++
 		}
+		if room := n.limit.roomAt(crit.priority, now); !unresponsive && !room.IsZero() {
+			limited++
+			if c.room.IsZero() || room.Before(c.room) {
+				c.room = room
+			}
+			continue
+		}
 		if slices.Contains(crit.tried, n) || n.full(crit.priority, now) {
 			continue
 		}
@@ -94,6 +107,7 @@
 			c.trial = append(c.trial, n)
 		}
 	}
+	c.allLimited = limited > 0 && limited == responsive
 	c.belowFloor = e.switches.On(switches.Forced) && float64(open) < e.minOpen(live)
 	return c
 }
@@ -119,6 +133,8 @@
 		// No other gate can serve the request, and this node may be the one that receives
 		// nothing.
 		return selection{endpoint: e.oneOf(c.unresponsive), force: c.belowFloor}
+	case c.allLimited:
+		return selection{room: c.room}
 	default:
 		return selection{noneEligible: c.noneEligible}
 	}
--- a/ingress/endpoint.go
+++ b/ingress/endpoint.go
@@ -40,6 +40,7 @@
 	noTrialUntil   atomic.Int64 // UnixNano until which the gate refuses trial requests.
 	busyUntil      atomic.Int64 // UnixNano until which its queue is full,
 	busyPriority   atomic.Int32 // for this priority and less urgent ones.
+	limit          limitRefusal
 }
 
 // noteRefusal records why the gate refused an offer of a priority.
@@ -51,6 +52,8 @@
 	case link.ReasonBusy:
 		e.busyPriority.Store(int32(priority))
 		e.busyUntil.Store(at)
+	case link.ReasonLimited:
+		e.limit.note(m.RetryAfter, priority, now)
 	}
 }
 
@@ -74,7 +77,10 @@
 
 // SetStatus records a status reported by the gate.
 func (e *Endpoint) SetStatus(s link.Status, now time.Time) {
-	e.status.Store(&s)
+	before := e.status.Swap(&s)
+	if before.Limited && (!s.Limited || s.Limit > before.Limit) {
+		e.limit.clear()
+	}
 	e.responseTime.note(s.MeanResponseTime, now)
 }
 
@@ -97,7 +103,8 @@
 	evacuated      atomic.Pointer[[]string] // Data centres that receive no requests.
 	regions        map[string]string        // Region by data centre, where known.
 	exhaustedUntil sync.Map                 // UnixNano by service, until which its repeat budget counts as exhausted.
-	draw           func() float64           // Returns a uniform number in [0, 1); replaced in tests.
+	statements     statements
+	draw           func() float64 // Returns a uniform number in [0, 1); replaced in tests.
 }
 
 // noteBudgetExhausted records that a gate of a service had no budget for a repeat.
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -96,6 +96,11 @@
 		// Waiting for another round would only delay the caller's retry elsewhere.
 		f.end(refusal(result.New(result.NoUpstream, f.service).WithRetryAfter(f.retryAfter())))
 		return
+	case c.room.After(f.waitUntil()) && len(f.offers) == 0:
+		f.lastRefusal = link.ReasonLimited
+		f.noteRetryAfter(c.room.Sub(now))
+		f.end(f.final(now))
+		return
 	case c.endpoint == nil:
 		f.nextRound(now)
 		return
--- /dev/null
+++ b/ingress/limitrefusal.go
@@ -0,0 +1,43 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+)
+
+// maxLimitRefusal is how long a gate is not asked again that refused an offer by the limit of its
+// upstream. Queued offers that start elsewhere can free it much sooner than it estimated.
+const maxLimitRefusal = 1 * time.Second
+
+// limitRefusal is a gate's latest refusal of an offer by the limit that its upstream names.
+type limitRefusal struct {
+	mu       sync.Mutex
+	until    time.Time // The gate is not asked before,
+	priority int       // for this priority and less urgent ones.
+	room     time.Time // When the gate expected to have room for another offer.
+}
+
+// note records a refusal of an offer of a priority.
+func (l *limitRefusal) note(retryAfter time.Duration, priority int, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.until, l.priority, l.room = now.Add(min(retryAfter, maxLimitRefusal)), priority, now.Add(retryAfter)
+}
+
+// clear forgets the refusal, as the limit was raised or has ended.
+func (l *limitRefusal) clear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.until = time.Time{}
+}
+
+// roomAt returns when the gate expects to have room for an offer of a priority; the zero time if
+// it may be asked now.
+func (l *limitRefusal) roomAt(priority int, now time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !now.Before(l.until) || priority < l.priority {
+		return time.Time{}
+	}
+	return l.room
+}
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eiderfold/link"
+	"eiderfold/port"
 )
 
 const (
@@ -29,6 +30,7 @@
 type offer struct {
 	endpoint  *Endpoint
 	process   uint64 // Of the gate; a restarted gate has no record of the offer.
+	upstream  port.Incarnation
 	key       link.Key
 	state     offerState
 	direct    bool      // It carried the content and may start without a commit.
@@ -48,8 +50,10 @@
 		f.nextRound(now)
 		return
 	}
-	o := &offer{endpoint: c.endpoint, process: l.process, key: f.forwarder.newKey(), suspectAt: now.Add(offerTimeout)}
+	status := c.endpoint.Status()
+	o := &offer{endpoint: c.endpoint, process: l.process, upstream: incarnationOf(status), key: f.forwarder.newKey(), suspectAt: now.Add(offerTimeout)}
 	message := f.offerMessage(o, c.force, now)
+	message.Limit = f.forwarder.endpoints.statements.limitFor(status, now)
 	if f.route.Retryable && f.offersMade == 0 {
 		message.Content = f.content
 		o.direct = true
@@ -70,7 +74,7 @@
 		Key:           o.key,
 		Attempt:       f.attempt,
 		Service:       f.service,
-		Upstream:      o.endpoint.Status().Upstream,
+		Upstream:      o.upstream.ID,
 		CallerService: f.forwarder.service,
 		TimeLeft:      f.deadline.Sub(now),
 		Priority:      f.requirements.Priority(),
--- a/ingress/outcome.go
+++ b/ingress/outcome.go
@@ -31,6 +31,7 @@
 func (f *inFlightRequest) answered(o *offer, a *link.Answer, now time.Time) *Response {
 	f.removeOffer(o)
 	o.endpoint.responseTime.note(a.MeanResponseTime, now)
+	f.forwarder.endpoints.statements.note(o.upstream, f.forwarder.dialect.Answer(a.Status, a.Header), now)
 	r := &Response{Status: a.Status, Header: a.Header, Body: a.Body}
 	if a.Status < http.StatusInternalServerError {
 		f.latency.Add(now.Sub(o.started))
@@ -66,7 +67,11 @@
 
 // retryAfter returns the retry-after of a refusal, in whole milliseconds.
 func (f *inFlightRequest) retryAfter() time.Duration {
-	return f.requirements.RetryAfter(f.minRetryAfter, f.forwarder.endpoints.draw()).Round(time.Millisecond)
+	draw := f.forwarder.endpoints.draw()
+	if f.lastRefusal == link.ReasonLimited {
+		return f.requirements.RetryAfterLimit(f.minRetryAfter, draw).Round(time.Millisecond)
+	}
+	return f.requirements.RetryAfter(f.minRetryAfter, draw).Round(time.Millisecond)
 }
 
 // noteRetryAfter keeps the shortest retry-after of the gates that refused the request, for the
--- a/link/message.go
+++ b/link/message.go
@@ -44,6 +44,16 @@
 	Account       string             `cbor:"14,keyasint,omitempty"` // The client account it is made for.
 	// Record is the quarantine record of the request, if an upstream crashed while running it.
 	Record *quarantine.Record `cbor:"15,keyasint,omitempty"`
+	// Limit is the limit that the intended upstream last named to the sender. It is only sent to a
+	// gate that has heard nothing from the upstream yet, as after a restart.
+	Limit *KnownLimit `cbor:"16,keyasint,omitempty"`
+}
+
+// KnownLimit is the limit that an upstream has named to the sender.
+type KnownLimit struct {
+	StartedAt int64         `cbor:"1,keyasint,omitempty"` // When the incarnation started; see port.Incarnation.
+	Rate      float64       `cbor:"2,keyasint"`           // Requests per second.
+	Age       time.Duration `cbor:"3,keyasint"`           // How long ago it was named.
 }
 
 // Granted reports that a slot is reserved for the offer. The gate waits for the
@@ -74,9 +84,10 @@
 	ReasonExpired             // The deadline passed before it started.
 	ReasonBudget              // The offer is a retry or hedge, and the gate's retry budget is exhausted.
 	ReasonQuarantined         // The request is quarantined because upstreams crash while running it.
+	ReasonLimited             // The limit that the upstream names keeps the offer from starting in time.
 )
 
-var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget", "quarantined"}
+var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget", "quarantined", "limited"}
 
 // String returns the reason's name, or "unknown".
 func (r Reason) String() string {
@@ -161,6 +172,10 @@
 	Slots            int           `cbor:"3,keyasint,omitempty"`
 	MeanResponseTime time.Duration `cbor:"4,keyasint,omitempty"`
 	Suspicion        float64       `cbor:"5,keyasint,omitempty"` // Evidence against its upstream, used to rank gates.
+	StartedAt        int64         `cbor:"6,keyasint,omitempty"` // When the upstream's incarnation started; see port.Incarnation.
+	Heard            bool          `cbor:"7,keyasint,omitempty"` // The gate knows what the upstream says of itself in its answers.
+	Limited          bool          `cbor:"8,keyasint,omitempty"` // The upstream names a limit.
+	Limit            float64       `cbor:"9,keyasint,omitempty"` // That limit, in requests per second.
 }
 
 // Hello is the first message of each side of a link.
--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -199,8 +200,8 @@
 		state = "draining"
 	}
 	u := n.upstream
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":2,"state":%q,"coldLeftMs":0,"callSeq":%d%s}`,
-		u.service, u.address, state, sequence, u.startField())
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":%d,"state":%q,"coldLeftMs":0,"callSeq":%d%s}`,
+		u.service, u.address, cmp.Or(u.slots, defaultSlots), state, sequence, u.startField())
 	return n.post(u.identity(), body)
 }
 
--- a/mesh/statements_test.go
+++ b/mesh/statements_test.go
@@ -25,9 +25,13 @@
 	// passedOnAge is how long ago a node must have passed on a statement for its requests to count.
 	passedOnAge = 500 * time.Millisecond
 	// callersPerNode is the number of concurrent callers of each node.
-	callersPerNode = 3
+	callersPerNode = 8
 	// callerPause is a caller's pause between two requests.
 	callerPause = 10 * time.Millisecond
+	// An upstream with manySlots slots and requests that take slowWork can have many of them before
+	// its first answer.
+	manySlots = 12
+	slowWork  = 300 * time.Millisecond
 )
 
 // testLoad sends requests to all nodes of a cluster and records which nodes have passed on an
@@ -100,6 +104,17 @@
 	}
 }
 
+// forget excuses a node that was restarted: what it has passed on is not known to it any more.
+func (l *testLoad) forget(n *testNode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key := range l.passedOn {
+		if strings.HasPrefix(key, n.self.Name+" ") {
+			delete(l.passedOn, key)
+		}
+	}
+}
+
 // counted returns the arrivals at an upstream from nodes that had passed on a statement of it.
 func (l *testLoad) counted(u *testUpstream) []arrival {
 	l.mu.Lock()
@@ -161,6 +176,39 @@
 	}
 }
 
+// The process beside a limited upstream is replaced twice under load. Neither the limit nor what
+// was used of it may be lost with it.
+func TestNamedLimitSurvivesRestartOfItsNode(t *testing.T) {
+	t.Parallel()
+	for _, route := range []struct{ method, path string }{{http.MethodGet, "/look/x"}, {http.MethodPost, "/write/x"}} {
+		t.Run(route.method, func(t *testing.T) {
+			t.Parallel()
+			b := newTestCluster(t)
+			b.addBirths(4)
+			one := b.nodes[0]
+			for _, n := range b.nodes {
+				n.upstream.slots = manySlots
+				n.upstream.setWork(func(*http.Request) { time.Sleep(slowWork) })
+				n.report(2, false)
+			}
+			b.awaitReady()
+			l := b.startLoad(route.method, route.path)
+			one.upstream.setStatements("1", false)
+			named := time.Now()
+			time.Sleep(limitSettles)
+			for range 2 {
+				one.stopNode()
+				l.forget(one)
+				one.start()
+				one.report(3, false)
+				time.Sleep(limitWindow / 2)
+			}
+			l.end()
+			assert.LessOrEqual(t, mostInWindow(l.counted(one.upstream), named.Add(limitSettles)), allowedBy(1))
+		})
+	}
+}
+
 // An upstream whose answers say that it leaves must get no new requests, although its reports do
 // not say so.
 func TestUpstreamThatLeavesByItsAnswersGetsNoRequests(t *testing.T) {
--- a/mesh/upstream_test.go
+++ b/mesh/upstream_test.go
@@ -23,6 +23,7 @@
 	id        string // Of the current incarnation.
 	life      int
 	sameID    bool  // Restarts keep the first id.
+	slots     int   // As reported; 0 for defaultSlots.
 	startedAt int64 // Start time in ms reported by the current incarnation, 0 if none.
 	runs      map[string]int
 	callers   map[string]string
@@ -33,6 +34,9 @@
 	arrivals  []arrival
 }
 
+// defaultSlots is how many slots an upstream reports by default.
+const defaultSlots = 2
+
 // arrival is a request that reached an upstream.
 type arrival struct {
 	attempt string
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -105,6 +105,24 @@
 	Genuine  bool   // The response is marked as an upstream's own.
 	Load     Load
 	ColdLeft time.Duration // How much longer the upstream is cold.
+	Limit    NamedLimit
+}
+
+// LimitState tells what a response says about the upstream's limit.
+type LimitState uint8
+
+// States of a NamedLimit.
+const (
+	LimitUnknown LimitState = iota // Nothing that can be read.
+	LimitNone                      // The response names no limit.
+	LimitNamed
+)
+
+// NamedLimit is the limit that an upstream names in a response. It holds for as long as its
+// responses name it.
+type NamedLimit struct {
+	State LimitState
+	Rate  float64 // Requests per second from all nodes together; set if State is LimitNamed.
 }
 
 // Load is the load that an upstream reports, in requests; Slots is 0 if it reports none.
