gate, ingress: an upstream that says in an answer that it leaves gets no new requests

Only reports closed the gate. Change: the gate closes for an incarnation at its first answer (or refusal or health answer) with Server-Leaving, for good, and records it in the store as for a report, so that a process that replaces it stays closed; without the store the health answer tells it. Each ingress keeps which incarnations have said so to it and does not choose their gates, whatever those report. Health checks of an unconfirmed upstream keep to the limit that it names.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -89,7 +89,7 @@
 	case Confirmed:
 		a.confirmed(m)
 	case Stated:
-		a.stated(m)
+		out = a.stated(m)
 	case Evacuated:
 		a.evacuate(m)
 	case ColdBoundChanged:
--- a/gate/confirm.go
+++ b/gate/confirm.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"eiderfold/port"
@@ -16,6 +17,9 @@
 type Records interface {
 	// Leaving reports whether an incarnation was recorded as leaving.
 	Leaving(ctx context.Context, upstream port.Incarnation) (bool, error)
+	// RecordLeaving records an incarnation as leaving, retrying until it succeeds, the incarnation
+	// is no longer the current one, or ctx ends.
+	RecordLeaving(ctx context.Context, upstream port.Incarnation)
 }
 
 // confirm finds out whether an incarnation is leaving: from the records or, while those cannot
@@ -32,11 +36,36 @@
 		select {
 		case <-g.done:
 			return
-		case <-time.After(confirmInterval):
+		case <-time.After(g.confirmPause()):
 		}
 	}
 }
 
+// confirmPause returns the pause before the next check. Health checks count as requests: an
+// upstream that names a limit gets no more of them than that allows.
+func (g *Gate) confirmPause() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(confirmInterval, g.admission.named.interval())
+}
+
+// recordLeaving records that an incarnation leaves, until the gate ends.
+func (g *Gate) recordLeaving(upstream port.Incarnation) {
+	if g.records == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-g.done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	g.records.RecordLeaving(ctx, upstream)
+}
+
 // checkLeaving checks once and returns the source of the result.
 func (g *Gate) checkLeaving(upstream port.Incarnation) (leaving bool, source string, err error) {
 	if g.records == nil {
@@ -54,9 +83,16 @@
 	}
 	check, stop := context.WithTimeout(context.Background(), connectTimeout)
 	defer stop()
-	reported, checkErr := g.client.checkHealth(check, path)
+	answer, checkErr := g.client.checkHealth(check, path)
 	if checkErr != nil {
 		return false, "", checkErr
 	}
-	return reported != upstream.ID, "health check", nil
+	if answer.upstream != upstream.ID {
+		return true, "health check", nil // Another incarnation has its address.
+	}
+	g.update(Stated{At: time.Now(), HeardAt: answer.said.at, Upstream: upstream, Limit: answer.said.limit, Leaving: answer.said.leaving})
+	if !answer.healthy && !answer.said.leaving {
+		return false, "", errors.New("health check: not healthy")
+	}
+	return answer.said.leaving, "health check", nil
 }
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -39,6 +39,9 @@
 	case Confirmed:
 		return "confirmed"
 	case Stated:
+		if m.Leaving {
+			return "upstream leaves"
+		}
 		return "upstream's answer"
 	case Evacuated:
 		return "evacuation"
@@ -71,6 +74,8 @@
 		}
 	case Confirm:
 		go g.confirm(c.Upstream)
+	case RecordLeaving:
+		go g.recordLeaving(c.Upstream)
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -50,8 +50,8 @@
 	do(ctx context.Context, r *link.Content, m port.OutgoingMetadata, once bool) (*answer, *failure)
 	// processEnded reports whether the upstream's process is gone.
 	processEnded(ctx context.Context) bool
-	// checkHealth returns the id of the incarnation that reports itself healthy.
-	checkHealth(ctx context.Context, path string) (string, error)
+	// checkHealth requests the upstream's health path.
+	checkHealth(ctx context.Context, path string) (*healthAnswer, error)
 	// closeIdle closes all idle connections, or only the expired ones.
 	closeIdle(all bool)
 }
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -78,11 +78,17 @@
 	return []Command{Confirm{Upstream: r.Incarnation}}
 }
 
-// stated processes what the current incarnation says of itself in an answer.
-func (a *Admission) stated(m Stated) {
+// stated processes what an incarnation says of itself in an answer. One that leaves says so until
+// it ends, so a later answer without that was only delayed.
+func (a *Admission) stated(m Stated) []Command {
 	if m.Upstream == a.upstream {
 		a.named.hear(m.At, m.HeardAt, m.Limit)
 	}
+	if !m.Leaving || m.Upstream.ID == "" || slices.Contains(a.leaving, m.Upstream) {
+		return nil
+	}
+	a.leaving = addIncarnation(a.leaving, m.Upstream)
+	return []Command{RecordLeaving{Upstream: m.Upstream}}
 }
 
 func (a *Admission) confirmed(m Confirmed) {
--- a/gate/message.go
+++ b/gate/message.go
@@ -91,6 +91,7 @@
 	HeardAt  time.Time // When the answer arrived, at this node or at another one.
 	Upstream port.Incarnation
 	Limit    port.NamedLimit
+	Leaving  bool
 }
 
 // Evacuated reports whether the upstream's data centre is evacuated and gets no new work.
@@ -152,6 +153,9 @@
 // Announce sends the gate's new status over all links.
 type Announce struct{ Why string }
 
+// RecordLeaving records that an incarnation leaves, for a process that replaces this one.
+type RecordLeaving struct{ Upstream port.Incarnation }
+
 // Confirm looks up whether an incarnation was acknowledged as leaving before this process
 // started.
 type Confirm struct{ Upstream port.Incarnation }
@@ -164,3 +168,5 @@
 func (Abort) command()    {}
 func (Announce) command() {}
 func (Confirm) command()  {}
+
+func (RecordLeaving) command() {}
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -130,8 +130,8 @@
 
 func (modelUpstream) processEnded(context.Context) bool { return false }
 
-func (modelUpstream) checkHealth(context.Context, string) (string, error) {
-	return "", errors.New("none")
+func (modelUpstream) checkHealth(context.Context, string) (*healthAnswer, error) {
+	return nil, errors.New("none")
 }
 func (modelUpstream) closeIdle(bool) {}
 
--- a/gate/namedlimit.go
+++ b/gate/namedlimit.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// interval returns the time between two requests at the limit; 0 if there is none.
+func (l *namedLimiter) interval() time.Duration {
+	if !l.limited {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / l.rate)
+}
+
 // allows reports whether one more request may start.
 func (l *namedLimiter) allows(at time.Time) bool { return l.wait(at, 0) == 0 }
 
--- a/gate/nested_test.go
+++ b/gate/nested_test.go
@@ -24,8 +24,10 @@
 
 func (failingClient) processEnded(context.Context) bool { return false }
 
-func (failingClient) checkHealth(context.Context, string) (string, error) { return "", nil }
-func (failingClient) closeIdle(bool)                                      {}
+func (failingClient) checkHealth(context.Context, string) (*healthAnswer, error) {
+	return &healthAnswer{healthy: true}, nil
+}
+func (failingClient) closeIdle(bool) {}
 
 // An error that follows from a failed nested request must not count against the upstream. A
 // failure that ended earlier, or of a request from before the attempt, is no such reason.
--- a/gate/parent_test.go
+++ b/gate/parent_test.go
@@ -23,7 +23,9 @@
 
 func (blockingClient) processEnded(context.Context) bool { return false }
 
-func (blockingClient) checkHealth(context.Context, string) (string, error) { return "", nil }
+func (blockingClient) checkHealth(context.Context, string) (*healthAnswer, error) {
+	return &healthAnswer{healthy: true}, nil
+}
 
 func (blockingClient) closeIdle(bool) {}
 
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -81,6 +81,7 @@
 	Upstream string        `yaml:"upstream"`
 	Limit    *float64      `yaml:"limit"` // nil if the answer names none.
 	Age      time.Duration `yaml:"age"`   // How long ago another node heard it.
+	Leaving  bool          `yaml:"leaving"`
 }
 
 type confirmStep struct {
@@ -160,7 +161,7 @@
 	if s.Limit != nil {
 		limit = port.NamedLimit{State: port.LimitNamed, Rate: *s.Limit}
 	}
-	return Stated{At: now, HeardAt: now.Add(-s.Age), Upstream: port.Incarnation{ID: s.Upstream}, Limit: limit}
+	return Stated{At: now, HeardAt: now.Add(-s.Age), Upstream: port.Incarnation{ID: s.Upstream}, Limit: limit, Leaving: s.Leaving}
 }
 
 func (o offerStep) message(now time.Time) Offered {
@@ -200,6 +201,8 @@
 		return "announce " + c.Why
 	case Confirm:
 		return "confirm " + c.Upstream.String()
+	case RecordLeaving:
+		return "record " + c.Upstream.String()
 	default:
 		return fmt.Sprintf("%T", c)
 	}
--- a/gate/statement.go
+++ b/gate/statement.go
@@ -12,13 +12,15 @@
 type statement struct {
 	at    time.Time // When the answer's header was read.
 	limit port.NamedLimit
+	// leaving is set if the upstream leaves.
+	leaving bool
 }
 
 // statementOf returns what an answer says of the upstream. An answer of another incarnation, or
 // one that names no request, says nothing. Only an answer that is marked as the upstream's own
 // shows that there is no limit.
 func statementOf(a *answer, meta port.ResponseMetadata) statement {
-	s := statement{at: a.readAt, limit: meta.Limit}
+	s := statement{at: a.readAt, limit: meta.Limit, leaving: meta.Leaving}
 	switch {
 	case a.status == http.StatusMisdirectedRequest || meta.Attempt == "" && !meta.NotRun:
 		return statement{}
@@ -38,7 +40,7 @@
 		said = f.said
 	}
 	if !said.at.IsZero() {
-		g.update(Stated{At: time.Now(), HeardAt: said.at, Upstream: upstream, Limit: said.limit})
+		g.update(Stated{At: time.Now(), HeardAt: said.at, Upstream: upstream, Limit: said.limit, Leaving: said.leaving})
 	}
 }
 
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -109,26 +109,34 @@
 	return out.Bytes()
 }
 
-// checkHealth requests the upstream's health path and returns the id of the incarnation that
-// answered with 200.
-func (c *client) checkHealth(ctx context.Context, path string) (string, error) {
+// healthAnswer is the answer to a health check.
+type healthAnswer struct {
+	upstream string // ID of the incarnation that answered.
+	healthy  bool
+	said     statement
+}
+
+// checkHealth requests the upstream's health path.
+func (c *client) checkHealth(ctx context.Context, path string) (*healthAnswer, error) {
 	conn, err := c.connection(ctx, true)
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	defer conn.Close() //nolint:errcheck // The connection is not reused.
 	if at, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(at)
 	}
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, c.address); err != nil {
-		return "", errors.Wrap(err, "health check")
+		return nil, errors.Wrap(err, "health check")
 	}
 	a, _, err := c.read(conn, http.MethodGet)
 	if err != nil {
-		return "", err
+		return nil, err
 	}
-	if a.status != http.StatusOK {
-		return "", errors.Errorf("health check: status %d", a.status)
+	meta := c.dialect.Answer(a.status, a.header)
+	said := statement{at: a.readAt, leaving: meta.Leaving}
+	if meta.Limit.State == port.LimitNamed {
+		said.limit = meta.Limit // A health answer without a limit does not show that there is none.
 	}
-	return c.dialect.Answer(a.status, a.header).Upstream, nil
+	return &healthAnswer{upstream: meta.Upstream, healthy: a.status == http.StatusOK, said: said}, nil
 }
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -73,8 +73,9 @@
 			continue
 		}
 		c.noneEligible = false
-		mode := n.Status().Mode
-		if mode == link.ModeClosed || !n.Reachable() {
+		status := n.Status()
+		mode := status.Mode
+		if mode == link.ModeClosed || !n.Reachable() || e.statements.leaves(status) {
 			continue
 		}
 		live++
--- a/ingress/limitrefusal_test.go
+++ b/ingress/limitrefusal_test.go
@@ -11,6 +11,7 @@
 
 	"eiderfold/link"
 	"eiderfold/overload"
+	"eiderfold/port"
 	"eiderfold/route"
 )
 
@@ -104,3 +105,21 @@
 	say("")
 	assert.Nil(t, limitOf(status, now), "the upstream names no limit any more")
 }
+
+// A node that has passed on an answer of an upstream that leaves must not send it anything, even if
+// the process beside the upstream was replaced and does not know.
+func TestLeavingUpstreamIsNotChosen(t *testing.T) {
+	now := time.Unix(1000, 0)
+	req, all, _ := orderInFlight(t, now, 2)
+	status := link.Status{Mode: link.ModeOpen, Slots: 4, Upstream: "i-1", StartedAt: 7}
+	all[0].SetStatus(status, now)
+	endpoints := req.forwarder.endpoints
+	endpoints.statements.note(incarnationOf(status), port.ResponseMetadata{Leaving: true}, now)
+	for range 100 {
+		assert.Equal(t, all[1], endpoints.choose(criteria{service: "a"}, now).endpoint)
+	}
+	assert.Nil(t, endpoints.choose(criteria{service: "a", tried: all[1:]}, now).endpoint, "not even as the last one")
+	status.StartedAt = 8
+	all[0].SetStatus(status, now)
+	assert.Equal(t, all[0], endpoints.choose(criteria{service: "a", tried: all[1:]}, now).endpoint, "a later incarnation under the same id")
+}
--- a/ingress/statement.go
+++ b/ingress/statement.go
@@ -1,61 +1,96 @@
 package ingress
 
 import (
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eiderfold/link"
 	"eiderfold/port"
 )
 
-// maxStatements bounds how many upstreams' statements are kept: few upstreams name a limit at a
-// time.
-const maxStatements = 1024
+const (
+	// maxLimits bounds how many upstreams' limits are kept: few name one at a time.
+	maxLimits = 1024
+	// leavingRetention is for how long an upstream is known to leave: far longer than it lives
+	// after it has said so.
+	leavingRetention = 10 * time.Minute
+)
 
-// statement is what an upstream last said of itself in an answer to this node.
-type statement struct {
-	rate    float64 // The limit that it names, in requests per second.
-	heardAt time.Time
+// statements holds what upstreams have said of themselves in answers to this node, by incarnation.
+// The gates beside them act on it. This node keeps it because a gate's process may be replaced.
+type statements struct {
+	mu      sync.Mutex // Held by writers.
+	limits  map[port.Incarnation]heardLimit
+	leaving atomic.Pointer[map[port.Incarnation]time.Time] // When each first said so; replaced by modified copies.
 }
 
-// statements holds what upstreams have said of themselves, by incarnation. The gate beside an
-// upstream acts on it; this node keeps it for the process that replaces the gate.
-type statements struct {
-	mu sync.Mutex
-	of map[port.Incarnation]statement
+// heardLimit is the limit that an upstream last named.
+type heardLimit struct {
+	rate float64 // Requests per second.
+	at   time.Time
 }
 
 // note records what an answer of an upstream says.
 func (s *statements) note(upstream port.Incarnation, m port.ResponseMetadata, now time.Time) {
-	if upstream.ID == "" || m.Limit.State == port.LimitUnknown {
+	if upstream.ID == "" {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if m.Leaving {
+		s.noteLeaving(upstream, now)
+	}
 	switch {
 	case m.Limit.State == port.LimitNamed:
-		s.put(upstream, statement{rate: m.Limit.Rate, heardAt: now})
-	case m.Genuine:
-		delete(s.of, upstream)
+		s.noteLimit(upstream, heardLimit{rate: m.Limit.Rate, at: now})
+	case m.Limit.State == port.LimitNone && m.Genuine:
+		delete(s.limits, upstream)
 	}
 }
 
-// put stores a statement and evicts the oldest one if there are too many. The lock must be held.
-func (s *statements) put(upstream port.Incarnation, said statement) {
-	if s.of == nil {
-		s.of = map[port.Incarnation]statement{}
+// noteLimit records a limit and evicts the oldest one if there are too many. The lock must be held.
+func (s *statements) noteLimit(upstream port.Incarnation, l heardLimit) {
+	if s.limits == nil {
+		s.limits = map[port.Incarnation]heardLimit{}
 	}
-	s.of[upstream] = said
-	if len(s.of) <= maxStatements {
+	s.limits[upstream] = l
+	if len(s.limits) <= maxLimits {
 		return
 	}
 	oldest := upstream
-	for u, other := range s.of {
-		if other.heardAt.Before(s.of[oldest].heardAt) {
+	for u, other := range s.limits {
+		if other.at.Before(s.limits[oldest].at) {
 			oldest = u
 		}
 	}
-	delete(s.of, oldest)
+	delete(s.limits, oldest)
+}
+
+// noteLeaving records that an upstream leaves, and drops those that have ended. The lock must be
+// held.
+func (s *statements) noteLeaving(upstream port.Incarnation, now time.Time) {
+	next := map[port.Incarnation]time.Time{}
+	if old := s.leaving.Load(); old != nil {
+		if _, known := (*old)[upstream]; known {
+			return
+		}
+		maps.Copy(next, *old)
+		maps.DeleteFunc(next, func(_ port.Incarnation, at time.Time) bool { return now.Sub(at) > leavingRetention })
+	}
+	next[upstream] = now
+	s.leaving.Store(&next)
+}
+
+// leaves reports whether the upstream beside a gate has said that it leaves.
+func (s *statements) leaves(gate link.Status) bool {
+	leaving := s.leaving.Load()
+	if leaving == nil {
+		return false
+	}
+	_, known := (*leaving)[incarnationOf(gate)]
+	return known
 }
 
 // limitFor returns the limit to send with an offer to a gate; nil if none is known, or the gate
@@ -66,11 +101,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	said, ok := s.of[incarnationOf(gate)]
+	l, ok := s.limits[incarnationOf(gate)]
 	if !ok {
 		return nil
 	}
-	return &link.KnownLimit{StartedAt: gate.StartedAt, Rate: said.rate, Age: now.Sub(said.heardAt)}
+	return &link.KnownLimit{StartedAt: gate.StartedAt, Rate: l.rate, Age: now.Sub(l.at)}
 }
 
 // incarnationOf returns the incarnation of the upstream beside a gate.
--- a/mesh/leaving.go
+++ b/mesh/leaving.go
@@ -16,6 +16,9 @@
 	// recordRetry is the pause between attempts to record a leaving upstream, whose report
 	// waits for the record.
 	recordRetry = 150 * time.Millisecond
+	// recordRetryMax is the longest pause between attempts to record an upstream that says in its
+	// answers that it leaves.
+	recordRetryMax = 5 * time.Second
 	// leavingRetention is how long the record of a leaving upstream is kept after it was
 	// first read: far longer than an upstream lives after it reported that it leaves, and
 	// less than two checks of the own records are apart.
@@ -94,6 +97,25 @@
 	}
 }
 
+// RecordLeaving records that an incarnation leaves which says so in its answers. Unlike a report,
+// an answer is passed on without waiting for the record.
+func (d *directory) RecordLeaving(ctx context.Context, upstream port.Incarnation) {
+	pause := backoff{min: recordRetry, max: recordRetryMax}
+	for !d.isLeaving(upstream) && d.node.gate.Upstream() == upstream {
+		err := d.node.platform.Store.Put(ctx, d.leavingKey(upstream), []byte(d.node.self.Name))
+		d.node.log.Info("upstream leaves", zap.Stringer("upstream", upstream), zap.Bool("recorded", err == nil), zap.NamedError("cause", err))
+		if err == nil {
+			d.markLeaving(keySegment(upstream))
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause.next()):
+		}
+	}
+}
+
 // restoreLeaving rewrites the record of the current incarnation if it is leaving and the
 // store has lost it.
 func (d *directory) restoreLeaving(ctx context.Context, entries []port.Entry) error {
--- a/mesh/statements_test.go
+++ b/mesh/statements_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"eiderfold/link"
 )
 
 const (
@@ -241,3 +243,37 @@
 	}
 	assert.Zero(t, late, "requests later than the drain time")
 }
+
+// The process beside an upstream that leaves by its answers is replaced, and reports still say that
+// the upstream is ready: the gate must stay closed, whether the store can be read or not.
+func TestLeavingByAnswerSurvivesRestart(t *testing.T) {
+	t.Parallel()
+	for _, out := range []bool{false, true} {
+		t.Run(fmt.Sprintf("store out %v", out), func(t *testing.T) {
+			t.Parallel()
+			b := newTestCluster(t)
+			b.addBirths(2)
+			b.awaitReady()
+			one := b.nodes[0]
+			one.store.denied.Store(out)
+			one.upstream.setStatements("", true)
+			for i := 0; one.gateMode() != link.ModeClosed; i++ {
+				require.Less(t, i, 1000)
+				require.Equal(t, 200, one.status(http.MethodGet, "/look/x", fmt.Sprint("a", i)))
+			}
+			if !out {
+				require.Eventually(t, func() bool { return one.directory.isLeaving(one.gate.Upstream()) }, waitTimeout, time.Millisecond)
+			}
+			one.stopNode()
+			one.start()
+			require.Equal(t, 200, one.report(2, false))
+			time.Sleep(3 * observeTime)
+			assert.Equal(t, link.ModeClosed, one.gateMode())
+			before := len(one.upstream.arrived())
+			for i := range 50 {
+				assert.Equal(t, 200, b.nodes[1].status(http.MethodPost, "/write/x", fmt.Sprint("b", i)))
+			}
+			assert.Len(t, one.upstream.arrived(), before)
+		})
+	}
+}
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -106,6 +106,7 @@
 	Load     Load
 	ColdLeft time.Duration // How much longer the upstream is cold.
 	Limit    NamedLimit
+	Leaving  bool // The upstream leaves and accepts no new requests.
 }
 
 // LimitState tells what a response says about the upstream's limit.
