Soak: upstreams name limits and leave by their answers

Cause: no upstream of ours said anything of itself in its answers, so neither tests nor the soak could meet LIMIT or DRAIN by answers.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -41,6 +41,7 @@
 	ending := c.Flags().Bool("ending", false, "send requests that crash the upstreams which run them")
 	operator := c.Flags().Bool("operator", false, "data centres are evacuated, and the store is restored from a copy")
 	uploads := c.Flags().Bool("uploads", false, "some orders have large bodies that are sent slowly")
+	limits := c.Flags().Bool("limits", false, "upstreams name limits in their answers, or that they leave")
 	commit := c.Flags().String("previous", "", "a commit: its build runs beside today's, nodes are replaced one after the other")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		dir, err := os.MkdirTemp("", "eiderfold-soak")
@@ -59,7 +60,7 @@
 		}
 		failed := 0
 		for seed := *from; seed < *from+*seeds; seed++ {
-			violated, err := runSeed(c, soak.Options{Program: program, Previous: previous, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads})
+			violated, err := runSeed(c, soak.Options{Program: program, Previous: previous, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads, Limits: *limits})
 			if err != nil {
 				return err
 			}
--- a/bench/soak/accounts.go
+++ b/bench/soak/accounts.go
@@ -83,7 +83,7 @@
 	time.Sleep(keyPropagationTime)
 	for i, n := range s.nodes {
 		attempt := fmt.Sprintf("s%d-gone-%d", s.options.Seed, i)
-		s.checker.recordSent(attempt, "GET /look/"+attempt+" ", false, keyRevoked)
+		s.checker.recordSent(n, attempt, "GET /look/"+attempt+" ", false, keyRevoked)
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.callers+"/look/"+attempt, nil)
 		if err != nil {
 			s.checker.violate("harness: %v", err)
--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -79,7 +79,7 @@
 	if key != "" {
 		r.Header.Set("Authorization", "Token "+key)
 	}
-	s.checker.recordSent(attempt, method+" "+path+" "+body, once, key)
+	s.checker.recordSent(n, attempt, method+" "+path+" "+body, once, key)
 	if mustBeServed(key) {
 		s.asked.Add(1)
 	}
@@ -93,6 +93,9 @@
 	s.checker.countOutcome(fmt.Sprint(n.name, " ", resp.StatusCode, " ", resp.Header.Get(result.Header)))
 	defer resp.Body.Close() //nolint:errcheck // The body is only read.
 	text, err := io.ReadAll(resp.Body)
+	if err == nil && n.starts.Load() == starts {
+		s.checker.statements.passedOn(n.name, resp.Header)
+	}
 	s.check(n, attempt, key, resp.StatusCode, string(text), err)
 }
 
--- a/bench/soak/checker.go
+++ b/bench/soak/checker.go
@@ -16,6 +16,7 @@
 	request string
 	key     string    // Key sent with it, "" for none.
 	sentAt  time.Time // When it was sent.
+	node    string    // The node that it was sent to.
 	runs    int
 	refused bool // The caller received a status that promises it never runs.
 }
@@ -23,18 +24,21 @@
 // checker compares the responses that callers received with the requests that
 // upstreams ran, and collects violations.
 type checker struct {
-	mu        sync.Mutex
-	attempts  map[string]*attemptRecord
-	messages  []string       // Violations.
-	outcomes  map[string]int // Requests by node and outcome, since the last reset.
-	smallRuns []span         // First runs of the small account's requests.
+	mu         sync.Mutex
+	attempts   map[string]*attemptRecord
+	messages   []string       // Violations.
+	outcomes   map[string]int // Requests by node and outcome, since the last reset.
+	smallRuns  []span         // First runs of the small account's requests.
+	statements *statements
 }
 
 // span holds when a request was sent and when it first reached an upstream.
 type span struct{ sent, ran time.Time }
 
-func newChecker() *checker {
-	return &checker{attempts: map[string]*attemptRecord{}, outcomes: map[string]int{}}
+// newChecker returns a checker. With statements, it reports violations of what upstreams say of
+// themselves.
+func newChecker(withStatements bool) *checker {
+	return &checker{attempts: map[string]*attemptRecord{}, outcomes: map[string]int{}, statements: newStatements(withStatements)}
 }
 
 // countOutcome counts a request by its node and outcome.
@@ -66,10 +70,23 @@
 }
 
 // recordSent records a request. It is called before the request is sent.
-func (c *checker) recordSent(attempt, request string, once bool, key string) {
+func (c *checker) recordSent(n *node, attempt, request string, once bool, key string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.attempts[attempt] = &attemptRecord{once: once, request: request, key: key, sentAt: time.Now()}
+	c.attempts[attempt] = &attemptRecord{once: once, request: request, key: key, sentAt: time.Now(), node: n.name}
+}
+
+// recordArrival records that an attempt has reached an incarnation of an upstream.
+func (c *checker) recordArrival(attempt, stamp string) {
+	c.mu.Lock()
+	e := c.attempts[attempt]
+	c.mu.Unlock()
+	if e == nil {
+		return // recordRun reports it.
+	}
+	if late := c.statements.arrived(stamp, e.node, e.sentAt); late > 0 {
+		c.violate("DRAIN: %s got %s, sent to %s %v after the drain time since that node passed on that it leaves", stamp, attempt, e.node, late)
+	}
 }
 
 // recordRun records that an upstream runs an attempt and compares the request with the
--- a/bench/soak/cost_test.go
+++ b/bench/soak/cost_test.go
@@ -25,7 +25,7 @@
 func BenchmarkNode(b *testing.B) {
 	dir := b.TempDir()
 	program := build(b, dir, "eiderfold/cmd/eiderfold")
-	s := &soak{options: Options{Program: program, Dir: dir, Seed: 1, Nodes: 1}, store: standin.NewMetadata(), faultProxy: standin.NewFaultProxy(), checker: newChecker()}
+	s := &soak{options: Options{Program: program, Dir: dir, Seed: 1, Nodes: 1}, store: standin.NewMetadata(), faultProxy: standin.NewFaultProxy(), checker: newChecker(true)}
 	require.NoError(b, s.start(b.Context()))
 	defer s.killNodes()
 	n := s.nodes[0]
@@ -37,7 +37,7 @@
 func BenchmarkPassthrough(b *testing.B) {
 	dir := b.TempDir()
 	program := build(b, dir, "eiderfold/bench/cmd/passthrough")
-	u, err := startUpstream(b.Context(), "127.0.0.1:0", "127.0.0.1:1", newChecker())
+	u, err := startUpstream(b.Context(), "127.0.0.1:0", "127.0.0.1:1", newChecker(true))
 	require.NoError(b, err)
 	p, address, err := fleet.StartStandin(b.Context(), "passthrough", dir, program, u.address)
 	require.NoError(b, err)
--- a/bench/soak/crashing.go
+++ b/bench/soak/crashing.go
@@ -88,7 +88,7 @@
 	r.Host = "soak.example"
 	r.Header.Set("Attempt-Id", attempt)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(callDeadline.Milliseconds(), 10))
-	s.checker.recordSent(attempt, e.method+" "+e.path+" ", e.method == http.MethodPost, "")
+	s.checker.recordSent(n, attempt, e.method+" "+e.path+" ", e.method == http.MethodPost, "")
 	resp, err := client.Do(r)
 	if err != nil {
 		return // The node may be down; runCaller checks for that.
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -35,6 +35,9 @@
 	if s.options.Ending {
 		faultKinds = append(faultKinds, faultKind{s.killAll, allNodes})
 	}
+	if s.options.Limits {
+		faultKinds = append(faultKinds, faultKind{s.limitUpstream, noNode}, faultKind{s.limitUpstream, noNode}, faultKind{s.limitUpstream, noNode}, faultKind{s.leaveByAnswers, noNode})
+	}
 	if s.options.Operator {
 		faultKinds = append(faultKinds, faultKind{s.evacuate, noNode}, faultKind{s.evacuate, noNode}, faultKind{s.restoreStore, allNodes})
 	}
--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -39,6 +39,7 @@
 	disruptedAt                               atomic.Int64 // Time of the last kill, pause or unexpected exit, in Unix nanoseconds.
 	stops                                     stops
 	connectivity                              connectivity
+	forget                                    func() // Called when its process has started or was resumed.
 }
 
 // newNode starts an upstream and the node beside it.
@@ -47,6 +48,7 @@
 	first, _ := s.programs()
 	n := &node{name: name, ip: s.block.host(i), program: first, dir: s.options.Dir}
 	n.dataCentre = dataCentreName(i % dataCentres)
+	n.forget = func() { s.checker.statements.forget(name) }
 	if err := s.prepare(ctx, n); err != nil {
 		return nil, err
 	}
@@ -83,6 +85,7 @@
 	p, err := fleet.StartProgram(n.name, n.dir, n.program, "mesh", "--settings", n.settings)
 	n.process = p
 	n.starts.Add(1)
+	n.forget()
 	return err
 }
 
@@ -108,6 +111,7 @@
 	_ = n.process.Signal(syscall.SIGSTOP) // The process may have exited.
 	time.Sleep(d)
 	_ = n.process.Signal(syscall.SIGCONT)
+	n.forget()
 	n.disruptedAt.Store(time.Now().UnixNano())
 }
 
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -62,6 +62,9 @@
 	// Ending adds requests that crash (end) the upstreams which run them, and faults that kill
 	// all nodes at once.
 	Ending bool
+	// Limits adds upstreams that name limits in their answers, or that they leave. With an earlier
+	// build beside today's, whether that is kept is not checked.
+	Limits bool
 }
 
 // Report is the result of a run.
@@ -97,7 +100,7 @@
 
 // Run runs the soak for o.Seed and returns the violations found.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: standin.NewMetadata(), faultProxy: standin.NewFaultProxy(), checker: newChecker(), kernel: readKernelCounters(), evacuations: evacuations{start: map[string]time.Time{}}}
+	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: standin.NewMetadata(), faultProxy: standin.NewFaultProxy(), checker: newChecker(o.Previous == ""), kernel: readKernelCounters(), evacuations: evacuations{start: map[string]time.Time{}}}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if o.Ending {
@@ -136,6 +139,7 @@
 	clients.Wait()
 	s.checker.settle()
 	s.checker.checkLimit()
+	s.checker.statements.checkLimits(s.checker)
 	return &Report{Seed: o.Seed, Asked: s.asked.Load(), Served: s.served.Load(), Faults: s.faults, Violations: s.checker.violations()}, nil
 }
 
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -43,8 +43,14 @@
 	runSeed(t, Options{Seed: 21, Nodes: 6, For: 12 * time.Second, Uploads: true, Operator: true})
 }
 
+// TestLimits makes upstreams name limits in their answers, or that they leave, while nodes are
+// stopped, killed, paused and cut off.
+func TestLimits(t *testing.T) {
+	runSeed(t, Options{Seed: 46, Nodes: 5, For: 14 * time.Second, Limits: true})
+}
+
 // previousCommit is the commit whose build TestUpgrade runs beside today's.
-const previousCommit = "694d83d1"
+const previousCommit = "ee95dbe5"
 
 // TestUpgrade replaces the nodes of an earlier build by today's, one after the other, while nodes of
 // both are stopped, killed and cut off.
@@ -54,7 +60,7 @@
 	}
 	previous, err := BuildCommit(t.TempDir(), previousCommit)
 	require.NoError(t, err)
-	runSeed(t, Options{Seed: 36, Nodes: 5, For: 12 * time.Second, Previous: previous})
+	runSeed(t, Options{Seed: 36, Nodes: 5, For: 12 * time.Second, Previous: previous, Limits: true})
 }
 
 // runSeed runs the soak and checks that it finds no violation. It keeps the nodes' logs on
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -41,12 +41,14 @@
 	checker          *checker
 	failing          atomic.Bool
 	draining         sync.Mutex // Held while it drains.
+	limiting         sync.Mutex // Held while it names limits.
 	mu               sync.Mutex
 	id               string
 	generation       int
 	startedAt        int64 // Start of the incarnation, in Unix milliseconds.
 	state            string
 	seq              int
+	said             said
 	drainingSince    time.Time                   // When the draining state was acknowledged; zero if it was not.
 	server           *http.Server                // nil while the upstream is down.
 	crashingRequests map[string]*crashingRequest // Requests that crash it, by path.
@@ -87,15 +89,16 @@
 	}
 	u.id = "i-" + u.address + "-" + strconv.Itoa(u.generation)
 	u.startedAt = time.Now().UnixMilli()
-	u.state, u.seq, u.drainingSince = "ready", 0, time.Time{}
+	u.state, u.seq, u.drainingSince, u.said = "ready", 0, time.Time{}, said{}
 }
 
 // ServeHTTP implements http.Handler.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
-	id, state, drainingSince := u.id, u.state, u.drainingSince
+	id, stamp, state, drainingSince := u.id, u.stamp(), u.state, u.drainingSince
 	u.mu.Unlock()
 	if r.URL.Path == "/health" {
+		u.writeStatements(w.Header())
 		w.Header().Set("Instance-Id", id)
 		if state != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -115,6 +118,7 @@
 	if !drainingSince.IsZero() && time.Since(drainingSince) > drainGrace {
 		u.checker.violate("DRAIN: %s got %s %v after its acknowledgement", id, attempt, time.Since(drainingSince))
 	}
+	u.checker.recordArrival(attempt, stamp)
 	broken := u.failing.Load() && rand.Float64() < failShare
 	if broken && rand.Float64() < 0.5 {
 		panic(http.ErrAbortHandler)
@@ -139,7 +143,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Attempt-Id", attempt)
-	w.Header().Set("Response-Stamp", id)
+	w.Header().Set("Response-Stamp", stamp)
+	u.writeStatements(w.Header())
 	_, _ = io.WriteString(w, expectedBody(attempt)) // The node may have closed the connection.
 }
 
