mesh, gate: a test with all upstreams limited, the limit in the dump, a benchmark of a gate's steps

Change: TestAllUpstreamsLimited with real nodes; /dump shows the limit that the own upstream names; BenchmarkStep; an ingress reads the latest refusal by a limit without a lock.

--- a/gate/namedlimit_test.go
+++ b/gate/namedlimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -233,3 +234,17 @@
 		assert.InDelta(t, wanted, count, 1+0.2*wanted, "rate %v", rate)
 	}
 }
+
+// BenchmarkStep measures five milliseconds of a gate with more offers than it can take, with and
+// without a limit that the upstream names.
+func BenchmarkStep(b *testing.B) {
+	for _, limited := range []bool{false, true} {
+		b.Run(fmt.Sprintf("limited=%t", limited), func(b *testing.B) {
+			u := newLimitedUpstream(1)
+			u.rate, u.limited = 2.5, limited
+			for range b.N {
+				u.step(80)
+			}
+		})
+	}
+}
--- a/ingress/limitrefusal.go
+++ b/ingress/limitrefusal.go
@@ -1,7 +1,7 @@
 package ingress
 
 import (
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -9,9 +9,12 @@
 // upstream. Queued offers that start elsewhere can free it much sooner than it estimated.
 const maxLimitRefusal = 1 * time.Second
 
-// limitRefusal is a gate's latest refusal of an offer by the limit that its upstream names.
-type limitRefusal struct {
-	mu       sync.Mutex
+// limitRefusal is a gate's latest refusal of an offer by the limit that its upstream names; nil if
+// there is none.
+type limitRefusal struct{ latest atomic.Pointer[limitNote] }
+
+// limitNote is one refusal.
+type limitNote struct {
 	until    time.Time // The gate is not asked before,
 	priority int       // for this priority and less urgent ones.
 	room     time.Time // When the gate expected to have room for another offer.
@@ -19,25 +22,18 @@
 
 // note records a refusal of an offer of a priority.
 func (l *limitRefusal) note(retryAfter time.Duration, priority int, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.until, l.priority, l.room = now.Add(min(retryAfter, maxLimitRefusal)), priority, now.Add(retryAfter)
+	l.latest.Store(&limitNote{until: now.Add(min(retryAfter, maxLimitRefusal)), priority: priority, room: now.Add(retryAfter)})
 }
 
 // clear forgets the refusal, as the limit was raised or has ended.
-func (l *limitRefusal) clear() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.until = time.Time{}
-}
+func (l *limitRefusal) clear() { l.latest.Store(nil) }
 
 // roomAt returns when the gate expects to have room for an offer of a priority; the zero time if
 // it may be asked now.
 func (l *limitRefusal) roomAt(priority int, now time.Time) time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !now.Before(l.until) || priority < l.priority {
+	n := l.latest.Load()
+	if n == nil || !now.Before(n.until) || priority < n.priority {
 		return time.Time{}
 	}
-	return l.room
+	return n.room
 }
--- a/mesh/dump.go
+++ b/mesh/dump.go
@@ -31,6 +31,8 @@
 	Slots     int     `json:"slots"`
 	InFlight  int     `json:"in_hand"` // Offers that have not ended.
 	Suspicion float64 `json:"suspicion"`
+	// Limit is the limit that the upstream names, in requests per second; nil for none.
+	Limit *float64 `json:"limit,omitempty"`
 }
 
 type peerDump struct {
@@ -51,6 +53,9 @@
 		Evacuated:     n.evacuation.list(),
 		Gate:          gateDump{Mode: s.Mode.String(), Upstream: s.Upstream, Slots: s.Slots, InFlight: n.gate.ActiveOffers(), Suspicion: s.Suspicion},
 	}
+	if s.Limited {
+		d.Gate.Limit = &s.Limit
+	}
 	for _, p := range n.links.all() {
 		e := p.currentEndpoint()
 		s := e.Status()
--- a/mesh/statements_test.go
+++ b/mesh/statements_test.go
@@ -178,6 +178,31 @@
 	}
 }
 
+// When all upstreams of a service name limits, none may get more, and each refused caller must be
+// told when to come back.
+func TestAllUpstreamsLimited(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	b.addBirths(4)
+	b.awaitReady()
+	l := b.startLoad(http.MethodGet, "/look/x")
+	for _, n := range b.nodes {
+		n.upstream.setStatements("3", false)
+	}
+	named := time.Now()
+	time.Sleep(limitSettles + limitWindow + limitWindow/2)
+	l.end()
+	sum := 0
+	for _, n := range b.nodes {
+		most := mostInWindow(l.counted(n.upstream), named.Add(limitSettles))
+		assert.LessOrEqual(t, most, allowedBy(3), n.self.Name)
+		sum += most
+	}
+	t.Logf("%d requests in %v, allowed %d without any excess", sum, limitWindow, int(4*3*limitWindow.Seconds()))
+	assert.NotEmpty(t, l.refused)
+	assert.NotContains(t, l.refused, "")
+}
+
 // The process beside a limited upstream is replaced twice under load. Neither the limit nor what
 // was used of it may be lost with it.
 func TestNamedLimitSurvivesRestartOfItsNode(t *testing.T) {
