--- a/cmd/eiderctl/losses.go
+++ b/cmd/eiderctl/losses.go
@@ -24,6 +24,7 @@
 	gateClosed           cause = "gates closed"
 	notReached           cause = "node or link lost"
 	noConfiguration      cause = "no configuration"
+	upstreamsLimited     cause = "upstreams' limits used up"
 	overAccountLimit     cause = "over the account's limit"
 	limitUnconfirmed     cause = "limit unconfirmed"
 	crashesUpstreams     cause = "upstreams end under it" // Quarantined, since upstreams crashed while running it.
@@ -147,6 +148,8 @@
 		return gatesOnTrial
 	case "busy", "expired":
 		return noSlot
+	case "limited":
+		return upstreamsLimited
 	case "budget":
 		return budgetExhausted
 	case "closed", "misdirected":
