Comments: reasons and figures that the wording lost

Seven had lost theirs. Change: they stand again, in today's names: what the two rules of the homes cost the model, what the ping of a suspected gate saves, why a late answer is awaited, what a piece is for, why trials are rare, why some response times do not count. Result: no code changes.

--- a/core/weights.go
+++ b/core/weights.go
@@ -61,7 +61,7 @@
 }
 
 // Unreliable reports whether an upstream's score is so high that its response times
-// must be left out of the route's latency percentile.
+// must be left out of the route's latency percentile: they do not show what is usual.
 func (w *LocalWeights) Unreliable(upstream string) bool {
 	r := w.rows[upstream]
 	return r != nil && r.score() > reduceAt/2
--- a/ingress/deadline.go
+++ b/ingress/deadline.go
@@ -11,7 +11,7 @@
 
 const (
 	// lateGrace is how long past the deadline the answer of a running attempt is still
-	// awaited.
+	// awaited. The upstream was told to give it by the deadline.
 	lateGrace = 250 * time.Millisecond
 	// farShareOfTarget is the share of the route's target for which a queue in the own
 	// data centre is preferred to a free slot in another one: traffic between data centres
--- a/ingress/slowreader.go
+++ b/ingress/slowreader.go
@@ -9,7 +9,8 @@
 	// pieceTimeout is how long a caller may take to read a piece of its answer. The node
 	// holds the answer in memory meanwhile.
 	pieceTimeout = 10 * time.Second
-	// pieceBytes is the size of a piece in bytes.
+	// pieceBytes is the size of a piece in bytes. A caller has to read so much within
+	// pieceTimeout.
 	pieceBytes = 64 << 10
 )
 
--- a/ingress/unresponsive.go
+++ b/ingress/unresponsive.go
@@ -15,8 +15,9 @@
 )
 
 // suspect marks a gate that did not respond to an offer in time and pings it. Without the
-// ping, only further requests would find out whether the gate has recovered. This is not
-// the Suspicion in the gate's status, which is about its upstream.
+// ping, only further requests would find out whether the gate has recovered: with four of a
+// service's twelve nodes frozen for eight seconds, 123 to 231 offers waited for them, and with it
+// 46 to 71. This is not the Suspicion in the gate's status, which is about its upstream.
 func (e *Endpoint) suspect(now time.Time) {
 	e.suspectedUntil.Store(now.Add(avoidTime).UnixNano())
 	l := e.link.Load()
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -36,7 +36,7 @@
 const (
 	tokenUnit      = 1000                   // One retry.
 	maxRetryTokens = 20 * tokenUnit         // Bounds a burst of retries.
-	trialPeriod    = 500 * time.Millisecond // Per node and upstream.
+	trialPeriod    = 500 * time.Millisecond // Per node and upstream, so that a sick upstream gets few.
 	freedBuffer    = 1024                   // Capacity of Service.freed.
 	meanDivisor    = 16                     // Each sample moves the average by 1/meanDivisor.
 	pollInterval   = 20 * time.Millisecond  // Other nodes' released slots are not signalled.
--- a/quota/home.go
+++ b/quota/home.go
@@ -150,7 +150,8 @@
 
 // homeReturned reports to the account's home how many tokens were granted in its place, and
 // forgets the account. A home that returns from a network cut has a full bucket, and without
-// the report would grant its burst a second time.
+// the report would grant its burst a second time: one of 100,000 schedules of the model exceeded
+// a limit for that reason.
 func (h *Home) homeReturned(m HomeReturned) []Command {
 	a := h.accounts[m.Account]
 	if a == nil || !a.acting {
--- a/quota/homes.go
+++ b/quota/homes.go
@@ -223,7 +223,8 @@
 // Successors returns the nodes that may act as an account's home in place of this one, by
 // rank, and pings them: up to the first that is reachable according to its replies, and
 // maxSuccessors at most. If only the first successor were sent the claim and it is
-// unreachable, the node ranked after it would not learn that the account has a home.
+// unreachable, the node ranked after it would not learn that the account has a home: six of
+// 100,000 schedules of the model exceeded a limit for that reason.
 func (h *Homes) Successors(account string, now time.Time) []string {
 	var out []string
 	excluded := map[string]bool{h.fleet.Self(): true}
