ingress: a stopping node refuses calls that it could not finish

Cause: since a stopping node refuses what arrives, but for calls of requests that still run beside it, up to the moment of its end. Evidence: TestStoppingNodeRefusesCallsThatItCannotFinish fails before.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -48,8 +48,8 @@
 	limits    Limits
 	tracker   *quarantine.SharedTracker // Tracks requests that crash upstreams.
 	table     atomic.Pointer[route.Table]
-	stopping  atomic.Bool
-	origin    uint64 // Identifies this process's offers; differs after a restart.
+	finishAt  atomic.Pointer[time.Time] // When Finish ends what is in flight; nil while the node is not stopping.
+	origin    uint64                    // Identifies this process's offers; differs after a restart.
 	number    atomic.Uint64
 	latencies sync.Map // *core.LatencyPercentile by route name.
 	mu        sync.Mutex
@@ -139,13 +139,15 @@
 	return f.outgoing(response)
 }
 
-// Refuse makes Serve refuse new requests, as the node stops, but for calls of requests that still
-// run on the upstream beside this node: nobody else takes these.
-func (f *Forwarder) Refuse() { f.stopping.Store(true) }
+// Refuse makes Serve refuse new requests, as the node stops and will call Finish at a time. Calls of
+// requests that still run on the upstream beside this node are served, since nobody else takes
+// them, unless they might not be answered by then.
+func (f *Forwarder) Refuse(finishAt time.Time) { f.finishAt.Store(&finishAt) }
 
 // checkStopping returns the refusal of a request that arrived after Refuse.
 func (f *Forwarder) checkStopping(req *inFlightRequest) *Response {
-	if !f.stopping.Load() || req.nested {
+	finishAt := f.finishAt.Load()
+	if finishAt == nil || req.nested && req.arrived.Add(req.latency.StallThreshold()).Before(*finishAt) {
 		return nil
 	}
 	return refusal(result.New(result.Stopping, "").WithRetryAfter(shortRetryAfter))
--- /dev/null
+++ b/ingress/stopping_test.go
@@ -0,0 +1,38 @@
+package ingress
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"eiderfold/core"
+)
+
+// A call that arrives just before a stopping node ends what is in flight must be refused: taken, it
+// would be broken off while an upstream works on it.
+func TestStoppingNodeRefusesCallsThatItCannotFinish(t *testing.T) {
+	finishAt := time.Unix(1000, 0)
+	f := newTestForwarder()
+	f.Refuse(finishAt)
+	latency := &core.LatencyPercentile{}
+	for range 1000 {
+		latency.Add(50 * time.Millisecond)
+	}
+	usual := latency.StallThreshold()
+	for _, c := range []struct {
+		left   time.Duration
+		nested bool
+		taken  bool
+	}{{2 * usual, true, true}, {usual / 2, true, false}, {-time.Second, true, false}, {2 * usual, false, false}} {
+		refused := f.checkStopping(&inFlightRequest{nested: c.nested, latency: latency, arrived: finishAt.Add(-c.left)})
+		if c.taken {
+			assert.Nil(t, refused, "%+v", c)
+			continue
+		}
+		require.NotNil(t, refused, "%+v", c)
+		assert.Equal(t, http.StatusServiceUnavailable, refused.Status)
+	}
+}
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -33,7 +33,7 @@
 	n.stopping.Store(true)
 	n.server.Stop()
 	time.Sleep(min(unreadyTime, n.settings.Load().Grace()/2))
-	n.forwarder.Refuse()
+	n.forwarder.Refuse(kill)
 	n.gate.Stop()
 	for time.Now().Before(kill) && (n.server.Busy() > 0 || n.gate.ActiveOffers() > 0) {
 		n.server.CloseIdle()
