gate: an answer that says that the upstream is cold counts as its report does

A health answer is all that a gate has of its upstream while the store is out after a restart, and its first load then came before the first report said that it is cold. Change: the statement of an answer carries it to the admission; only for the current incarnation, and an answer without it changes nothing. Result: cold-by-answer.yaml fails without it (key 2 is granted at once).

--- a/gate/confirm.go
+++ b/gate/confirm.go
@@ -90,7 +90,7 @@
 	if answer.upstream != upstream.ID {
 		return true, "health check", nil // Another incarnation has its address.
 	}
-	g.update(Stated{At: time.Now(), HeardAt: answer.said.at, Upstream: upstream, Limit: answer.said.limit, Leaving: answer.said.leaving})
+	g.update(answer.said.message(upstream))
 	if !answer.healthy && !answer.said.leaving {
 		return false, "", errors.New("health check: not healthy")
 	}
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -83,6 +83,9 @@
 func (a *Admission) stated(m Stated) []Command {
 	if m.Upstream == a.upstream {
 		a.named.hear(m.At, m.HeardAt, m.Limit)
+		if m.ColdLeft > 0 {
+			a.cold.setRemaining(m.HeardAt, m.ColdLeft)
+		}
 	}
 	if !m.Leaving || m.Upstream.ID == "" || slices.Contains(a.leaving, m.Upstream) {
 		return nil
--- a/gate/message.go
+++ b/gate/message.go
@@ -92,6 +92,7 @@
 	Upstream port.Incarnation
 	Limit    port.NamedLimit
 	Leaving  bool
+	ColdLeft time.Duration // How much longer the upstream is cold; 0 if the answer does not say so.
 }
 
 // Evacuated reports whether the upstream's data centre is evacuated and gets no new work.
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -82,6 +82,7 @@
 	Limit    *float64      `yaml:"limit"` // nil if the answer names none.
 	Age      time.Duration `yaml:"age"`   // How long ago another node heard it.
 	Leaving  bool          `yaml:"leaving"`
+	Cold     time.Duration `yaml:"cold"` // How much longer the upstream is cold.
 }
 
 type confirmStep struct {
@@ -161,7 +162,7 @@
 	if s.Limit != nil {
 		limit = port.NamedLimit{State: port.LimitNamed, Rate: *s.Limit}
 	}
-	return Stated{At: now, HeardAt: now.Add(-s.Age), Upstream: port.Incarnation{ID: s.Upstream}, Limit: limit, Leaving: s.Leaving}
+	return Stated{At: now, HeardAt: now.Add(-s.Age), Upstream: port.Incarnation{ID: s.Upstream}, Limit: limit, Leaving: s.Leaving, ColdLeft: s.Cold}
 }
 
 func (o offerStep) message(now time.Time) Offered {
--- a/gate/statement.go
+++ b/gate/statement.go
@@ -13,14 +13,15 @@
 	at    time.Time // When the answer's header was read.
 	limit port.NamedLimit
 	// leaving is set if the upstream leaves.
-	leaving bool
+	leaving  bool
+	coldLeft time.Duration // 0 if the answer does not say that it is cold.
 }
 
 // statementOf returns what an answer says of the upstream. An answer of another incarnation, or
 // one that names no request, says nothing. Only an answer that is marked as the upstream's own
 // shows that there is no limit.
 func statementOf(a *answer, meta port.ResponseMetadata) statement {
-	s := statement{at: a.readAt, limit: meta.Limit, leaving: meta.Leaving}
+	s := statement{at: a.readAt, limit: meta.Limit, leaving: meta.Leaving, coldLeft: meta.ColdLeft}
 	switch {
 	case a.status == http.StatusMisdirectedRequest || meta.Attempt == "" && !meta.NotRun:
 		return statement{}
@@ -40,10 +41,15 @@
 		said = f.said
 	}
 	if !said.at.IsZero() {
-		g.update(Stated{At: time.Now(), HeardAt: said.at, Upstream: upstream, Limit: said.limit, Leaving: said.leaving})
+		g.update(said.message(upstream))
 	}
 }
 
+// message returns the statement of an incarnation for the admission.
+func (s statement) message(upstream port.Incarnation) Stated {
+	return Stated{At: time.Now(), HeardAt: s.at, Upstream: upstream, Limit: s.limit, Leaving: s.leaving, ColdLeft: s.coldLeft}
+}
+
 // noteKnownLimit uses what the sender of an offer knows of the upstream's limit. A process that
 // replaced another one has not heard it yet.
 func (g *Gate) noteKnownLimit(now time.Time, o *link.Offer) {
