Names: the limit that an upstream names is a named limit everywhere

Cause: a newcomer meets two limits, that of a client account (package quota, link.LimitRequest) and that of an upstream, under one word. Change: link.NamedLimit, namedLimitRefusal, Endpoint.namedLimit, namedLimitNotice; files named alike in gate and ingress. Result: no behaviour changes; tests of gate, ingress and link pass.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -57,7 +57,7 @@
 	evacuated   bool // The data centre gets no new work.
 	cold        coldLimiter
 	named       namedLimiter
-	notice      limitNotice
+	namedNotice namedLimitNotice
 	leaving     []port.Incarnation // Incarnations that are leaving or have left.
 	replaced    []port.Incarnation // Incarnations that were replaced.
 	entries     map[link.Key]*entry
--- a/gate/namedlimit.go
+++ b/gate/namedlimit.go
@@ -17,9 +17,9 @@
 	// maxTokenDebt bounds by how many requests the starts may exceed the limit for a moment, when
 	// it is named while slots are already granted.
 	maxTokenDebt = 1.0
-	// limitNoticeEvery is the shortest interval between two announcements of a changed limit: an
+	// namedNoticeEvery is the shortest interval between two announcements of a changed limit: an
 	// upstream may name another one in each answer.
-	limitNoticeEvery = 500 * time.Millisecond
+	namedNoticeEvery = 500 * time.Millisecond
 )
 
 // namedLimiter limits the starts to the rate that the upstream names in its answers. Since this
@@ -99,18 +99,18 @@
 	return time.Duration(math.Round(max(missing, 0)/l.rate*1e6)) * time.Microsecond
 }
 
-// limitNotice decides when a changed limit is announced.
-type limitNotice struct {
+// namedLimitNotice decides when a changed limit is announced.
+type namedLimitNotice struct {
 	limited bool // As last announced.
 	rate    float64
 	next    time.Time // The earliest time for the next announcement.
 }
 
 // due reports whether the limit is to be announced now, and assumes that it then is.
-func (n *limitNotice) due(at time.Time, l *namedLimiter) bool {
+func (n *namedLimitNotice) due(at time.Time, l *namedLimiter) bool {
 	if n.limited == l.limited && (!l.limited || n.rate == l.rate) || at.Before(n.next) {
 		return false
 	}
-	n.limited, n.rate, n.next = l.limited, l.rate, at.Add(limitNoticeEvery)
+	n.limited, n.rate, n.next = l.limited, l.rate, at.Add(namedNoticeEvery)
 	return true
 }
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -25,7 +25,7 @@
 
 // offer registers an offer and passes it to the admission.
 func (g *Gate) offer(now time.Time, from Sink, o *link.Offer) {
-	g.noteKnownLimit(now, o)
+	g.noteNamedLimit(now, o)
 	g.mu.Lock()
 	if g.active[o.Key] != nil {
 		g.mu.Unlock()
--- a/gate/reconcile.go
+++ b/gate/reconcile.go
@@ -72,7 +72,7 @@
 		a.queue = slices.DeleteFunc(a.queue, func(o *entry) bool { return o == e })
 		out = append(out, a.admit(at, e)...)
 	}
-	limitChanged := a.notice.due(at, &a.named)
+	limitChanged := a.namedNotice.due(at, &a.named)
 	if mode != a.mode {
 		a.mode = mode
 		out = append(out, Announce{Why: mode.String()})
--- a/gate/statement.go
+++ b/gate/statement.go
@@ -50,9 +50,9 @@
 	return Stated{At: time.Now(), HeardAt: s.at, Upstream: upstream, Limit: s.limit, Leaving: s.leaving, ColdLeft: s.coldLeft}
 }
 
-// noteKnownLimit uses what the sender of an offer knows of the upstream's limit. A process that
+// noteNamedLimit uses what the sender of an offer knows of the upstream's limit. A process that
 // replaced another one has not heard it yet.
-func (g *Gate) noteKnownLimit(now time.Time, o *link.Offer) {
+func (g *Gate) noteNamedLimit(now time.Time, o *link.Offer) {
 	if o.Limit == nil {
 		return
 	}
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -87,7 +87,7 @@
 		if mode == link.ModeOpen && !unresponsive {
 			open++
 		}
-		if room := n.limit.roomAt(crit.priority, now); !unresponsive && !room.IsZero() {
+		if room := n.namedLimit.roomAt(crit.priority, now); !unresponsive && !room.IsZero() {
 			limited++
 			if c.room.IsZero() || room.Before(c.room) {
 				c.room = room
--- a/ingress/endpoint.go
+++ b/ingress/endpoint.go
@@ -40,7 +40,7 @@
 	noTrialUntil   atomic.Int64 // UnixNano until which the gate refuses trial requests.
 	busyUntil      atomic.Int64 // UnixNano until which its queue is full,
 	busyPriority   atomic.Int32 // for this priority and less urgent ones.
-	limit          limitRefusal
+	namedLimit     namedLimitRefusal
 }
 
 // noteRefusal records why the gate refused an offer of a priority.
@@ -53,7 +53,7 @@
 		e.busyPriority.Store(int32(priority))
 		e.busyUntil.Store(at)
 	case link.ReasonLimited:
-		e.limit.note(m.RetryAfter, priority, now)
+		e.namedLimit.note(m.RetryAfter, priority, now)
 	}
 }
 
@@ -79,7 +79,7 @@
 func (e *Endpoint) SetStatus(s link.Status, now time.Time) {
 	before := e.status.Swap(&s)
 	if before.Limited && (!s.Limited || s.Limit > before.Limit) {
-		e.limit.clear()
+		e.namedLimit.clear()
 	}
 	e.responseTime.note(s.MeanResponseTime, now)
 }
--- a/ingress/limitrefusal.go
+++ b/ingress/namedlimit.go
@@ -9,28 +9,30 @@
 // upstream. Queued offers that start elsewhere can free it much sooner than it estimated.
 const maxLimitRefusal = 1 * time.Second
 
-// limitRefusal is a gate's latest refusal of an offer by the limit that its upstream names; nil if
-// there is none.
-type limitRefusal struct{ latest atomic.Pointer[limitNote] }
+// namedLimitRefusal is a gate's latest refusal of an offer by the limit that its upstream names;
+// the pointer is nil if there is none.
+type namedLimitRefusal struct {
+	latest atomic.Pointer[namedLimitNote]
+}
 
-// limitNote is one refusal.
-type limitNote struct {
+// namedLimitNote is one refusal.
+type namedLimitNote struct {
 	until    time.Time // The gate is not asked before,
 	priority int       // for this priority and less urgent ones.
 	room     time.Time // When the gate expected to have room for another offer.
 }
 
 // note records a refusal of an offer of a priority.
-func (l *limitRefusal) note(retryAfter time.Duration, priority int, now time.Time) {
-	l.latest.Store(&limitNote{until: now.Add(min(retryAfter, maxLimitRefusal)), priority: priority, room: now.Add(retryAfter)})
+func (l *namedLimitRefusal) note(retryAfter time.Duration, priority int, now time.Time) {
+	l.latest.Store(&namedLimitNote{until: now.Add(min(retryAfter, maxLimitRefusal)), priority: priority, room: now.Add(retryAfter)})
 }
 
 // clear forgets the refusal, as the limit was raised or has ended.
-func (l *limitRefusal) clear() { l.latest.Store(nil) }
+func (l *namedLimitRefusal) clear() { l.latest.Store(nil) }
 
 // roomAt returns when the gate expects to have room for an offer of a priority; the zero time if
 // it may be asked now.
-func (l *limitRefusal) roomAt(priority int, now time.Time) time.Time {
+func (l *namedLimitRefusal) roomAt(priority int, now time.Time) time.Time {
 	n := l.latest.Load()
 	if n == nil || !now.Before(n.until) || priority < n.priority {
 		return time.Time{}
--- a/ingress/limitrefusal_test.go
+++ b/ingress/namedlimit_test.go
@@ -83,7 +83,7 @@
 		}
 		first.handle(event{frame: &link.Frame{Answer: &link.Answer{Key: o.key, Status: http.StatusOK, Header: header}}, key: o.key.Number}, now)
 	}
-	limitOf := func(s link.Status, at time.Time) *link.KnownLimit {
+	limitOf := func(s link.Status, at time.Time) *link.NamedLimit {
 		sink := &sentFrames{}
 		req.forwarder.Connected(all[0], sink, 2)
 		all[0].SetStatus(s, at)
@@ -93,7 +93,7 @@
 	}
 	assert.Nil(t, limitOf(status, now))
 	say("2.5")
-	assert.Equal(t, &link.KnownLimit{StartedAt: 7, Rate: 2.5, Age: time.Second}, limitOf(status, now.Add(time.Second)))
+	assert.Equal(t, &link.NamedLimit{StartedAt: 7, Rate: 2.5, Age: time.Second}, limitOf(status, now.Add(time.Second)))
 	say("nonsense")
 	assert.Equal(t, 2.5, limitOf(status, now).Rate, "what cannot be read changes nothing")
 	heard, later, other := status, status, status
--- a/ingress/statement.go
+++ b/ingress/statement.go
@@ -95,7 +95,7 @@
 
 // limitFor returns the limit to send with an offer to a gate; nil if none is known, or the gate
 // has itself heard from its upstream.
-func (s *statements) limitFor(gate link.Status, now time.Time) *link.KnownLimit {
+func (s *statements) limitFor(gate link.Status, now time.Time) *link.NamedLimit {
 	if gate.Heard {
 		return nil
 	}
@@ -105,7 +105,7 @@
 	if !ok {
 		return nil
 	}
-	return &link.KnownLimit{StartedAt: gate.StartedAt, Rate: l.rate, Age: now.Sub(l.at)}
+	return &link.NamedLimit{StartedAt: gate.StartedAt, Rate: l.rate, Age: now.Sub(l.at)}
 }
 
 // incarnationOf returns the incarnation of the upstream beside a gate.
--- a/link/message.go
+++ b/link/message.go
@@ -46,11 +46,11 @@
 	Record *quarantine.Record `cbor:"15,keyasint,omitempty"`
 	// Limit is the limit that the intended upstream last named to the sender. It is only sent to a
 	// gate that has heard nothing from the upstream yet, as after a restart.
-	Limit *KnownLimit `cbor:"16,keyasint,omitempty"`
+	Limit *NamedLimit `cbor:"16,keyasint,omitempty"`
 }
 
-// KnownLimit is the limit that an upstream has named to the sender.
-type KnownLimit struct {
+// NamedLimit is the limit that an upstream has named to the sender.
+type NamedLimit struct {
 	StartedAt int64         `cbor:"1,keyasint,omitempty"` // When the incarnation started; see port.Incarnation.
 	Rate      float64       `cbor:"2,keyasint"`           // Requests per second.
 	Age       time.Duration `cbor:"3,keyasint"`           // How long ago it was named.
