--- a/result/result.go
+++ b/result/result.go
@@ -105,7 +105,7 @@
 	Quarantined:        {"quarantined", http.StatusServiceUnavailable, NotRun, "upstreams ended under this request; it is not sent to further ones"},
 	KeyReused:          {"key-reused", http.StatusUnprocessableEntity, NotRun, "the Idempotency-Key names an operation with another body"},
 	NoConfiguration:    {"no-configuration", http.StatusServiceUnavailable, NotRun, "the node holds no configuration yet"},
-	Overloaded:         {"overloaded", http.StatusServiceUnavailable, NotRun, "no slot comes free within the deadline"},
+	Overloaded:         {"overloaded", http.StatusServiceUnavailable, NotRun, "no slot comes free within the deadline, or the limits that the upstreams name are used up"},
 	Stopping:           {"stopping", http.StatusServiceUnavailable, NotRun, "the node is stopping; another one takes the request"},
 	DeadlineBeforeSend: {"deadline-before-send", http.StatusGatewayTimeout, NotRun, "the deadline passed before anything was sent"},
 	NoUpstream:         {"no-upstream", http.StatusServiceUnavailable, NotRun, "no upstream of the service is known or live"},
