gate: a rejected health check does not close the gate for good

Callers would have seen: an upstream without requests until its end, if its node restarts while the store is out and it rejects the first health check. Cause: compared the id before the status, and a rejection (503 Not-Executed) names no id, so it counted as the answer of another incarnation. Change: an answer that is neither well nor says that the upstream leaves decides nothing, as before. A name for the condition in offerNext.

--- a/gate/confirm.go
+++ b/gate/confirm.go
@@ -87,12 +87,12 @@
 	if checkErr != nil {
 		return false, "", checkErr
 	}
-	if answer.upstream != upstream.ID {
-		return true, "health check", nil // Another incarnation has its address.
+	same := answer.upstream == upstream.ID
+	if same {
+		g.update(answer.said.message(upstream))
 	}
-	g.update(answer.said.message(upstream))
 	if !answer.healthy && !answer.said.leaving {
 		return false, "", errors.New("health check: not healthy")
 	}
-	return answer.said.leaving, "health check", nil
+	return !same || answer.said.leaving, "health check", nil // Another incarnation may have its address.
 }
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -96,7 +96,7 @@
 		// Waiting for another round would only delay the caller's retry elsewhere.
 		f.end(refusal(result.New(result.NoUpstream, f.service).WithRetryAfter(f.retryAfter())))
 		return
-	case !c.room.IsZero() && len(f.offers) == 0 && c.room.After(f.requirements.AwaitRoomUntil(now, f.runs > 0, f.saturated())):
+	case len(f.offers) == 0 && f.isTooLate(c.room, now):
 		f.lastRefusal = link.ReasonLimited
 		f.noteRetryAfter(c.room.Sub(now))
 		f.end(f.final(now))
@@ -108,6 +108,11 @@
 	f.send(c, now)
 }
 
+// isTooLate reports whether the request should not wait until the limits of upstreams have room.
+func (f *inFlightRequest) isTooLate(room, now time.Time) bool {
+	return room.After(f.requirements.AwaitRoomUntil(now, f.runs > 0, f.saturated()))
+}
+
 // criteria returns what is required of the next gate.
 func (f *inFlightRequest) criteria(now time.Time) criteria {
 	return criteria{
