ingress: the calls that a stopping node still takes end before it does

Cause: takes a call if its kind usually fits; this one had half a second more until its deadline than the node had left.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -144,10 +144,18 @@
 // them, unless they might not be answered by then.
 func (f *Forwarder) Refuse(finishAt time.Time) { f.finishAt.Store(&finishAt) }
 
-// checkStopping returns the refusal of a request that arrived after Refuse.
+// checkStopping returns the refusal of a request that arrived after Refuse. The deadline of a call
+// that is served is moved so that its upstream answers before Finish breaks it off.
 func (f *Forwarder) checkStopping(req *inFlightRequest) *Response {
 	finishAt := f.finishAt.Load()
-	if finishAt == nil || req.nested && req.arrived.Add(req.latency.StallThreshold()).Before(*finishAt) {
+	if finishAt == nil {
+		return nil
+	}
+	last := finishAt.Add(-lateGrace)
+	if req.nested && req.arrived.Add(req.latency.StallThreshold()).Before(last) {
+		if last.Before(req.deadline) {
+			req.deadline = last
+		}
 		return nil
 	}
 	return refusal(result.New(result.Stopping, "").WithRetryAfter(shortRetryAfter))
--- a/ingress/stopping_test.go
+++ b/ingress/stopping_test.go
@@ -11,8 +11,8 @@
 	"eiderfold/core"
 )
 
-// A call that arrives just before a stopping node ends what is in flight must be refused: taken, it
-// would be broken off while an upstream works on it.
+// A call that arrives just before a stopping node ends what is in flight must be refused, and an
+// earlier one must end before: otherwise it is broken off while an upstream works on it.
 func TestStoppingNodeRefusesCallsThatItCannotFinish(t *testing.T) {
 	finishAt := time.Unix(1000, 0)
 	f := newTestForwarder()
@@ -26,10 +26,12 @@
 		left   time.Duration
 		nested bool
 		taken  bool
-	}{{2 * usual, true, true}, {usual / 2, true, false}, {-time.Second, true, false}, {2 * usual, false, false}} {
-		refused := f.checkStopping(&inFlightRequest{nested: c.nested, latency: latency, arrived: finishAt.Add(-c.left)})
+	}{{lateGrace + 2*usual, true, true}, {lateGrace + usual/2, true, false}, {usual / 2, true, false}, {-time.Second, true, false}, {2 * usual, false, false}} {
+		req := &inFlightRequest{nested: c.nested, latency: latency, arrived: finishAt.Add(-c.left), deadline: finishAt.Add(time.Second)}
+		refused := f.checkStopping(req)
 		if c.taken {
 			assert.Nil(t, refused, "%+v", c)
+			assert.Equal(t, finishAt.Add(-lateGrace), req.deadline)
 			continue
 		}
 		require.NotNil(t, refused, "%+v", c)
