gate: the status of a gate without a limit shows none

Cause: after a limit had ended, status, log and dump went on with its rate beside limited=false. Found by reading the diff. Change: the rate is 0 without a limit. Result: TestEndedLimitIsNotInTheStatus failed before (2.5 for 0).

--- a/gate/namedlimit.go
+++ b/gate/namedlimit.go
@@ -27,7 +27,7 @@
 // token bucket.
 type namedLimiter struct {
 	limited  bool
-	rate     float64   // Requests per second.
+	rate     float64   // Requests per second; 0 without a limit.
 	heardAt  time.Time // When the latest statement was made; the zero time if none is known.
 	tokens   float64   // Requests that may start now; negative if too many did.
 	filledAt time.Time // When tokens was last updated.
@@ -41,7 +41,7 @@
 	}
 	l.heardAt = heardAt
 	if n.State == port.LimitNone {
-		l.limited = false
+		l.limited, l.rate = false, 0
 		return
 	}
 	if !l.limited {
--- a/gate/namedlimit_test.go
+++ b/gate/namedlimit_test.go
@@ -235,6 +235,18 @@
 	}
 }
 
+// Once an answer names no limit, the status shows none.
+func TestEndedLimitIsNotInTheStatus(t *testing.T) {
+	u := newLimitedUpstream(1)
+	for _, limit := range []port.NamedLimit{{State: port.LimitNamed, Rate: 2.5}, {State: port.LimitNone}} {
+		u.update(Stated{At: u.now, HeardAt: u.now, Upstream: port.Incarnation{ID: "i-1"}, Limit: limit})
+		s := u.admission.Status()
+		assert.True(t, s.Heard)
+		assert.Equal(t, limit.State == port.LimitNamed, s.Limited)
+		assert.Equal(t, limit.Rate, s.Limit)
+	}
+}
+
 // BenchmarkStep measures five milliseconds of a gate with more offers than it can take, with and
 // without a limit that the upstream names.
 func BenchmarkStep(b *testing.B) {
