Soak: a run closes what it opens

Cause: a run closed the reservation of its addresses, but not the listeners of its fault proxy, and those of its upstreams only some time later. The next run with its seed in one process got the same block and ended at once, "bind: address already in use ... cutter". In the same place, two more: the supervisor started nodes again that the end of the run had killed, until the context ended a moment later, and BenchmarkNode had no block of addresses at all since, so that it panicked. Change: FaultProxy.Close; a run's end cancels its context first, then kills the nodes, closes upstreams and links, and frees the block last. An upstream that is about to start again after a crash stays closed. The benchmark uses the same constructor; programs are built in one place. TestRunsInOneProcess starts and closes two runs of one seed; it calls functions that are new, so it was not run on the old code. No check of the soak changed.

--- a/bench/soak/build.go
+++ b/bench/soak/build.go
@@ -9,7 +9,7 @@
 )
 
 // Build builds the node's program from the working tree and returns its path in dir.
-func Build(dir string) (string, error) { return buildFrom(dir, "") }
+func Build(dir string) (string, error) { return buildProgram(dir, "", nodeProgram) }
 
 // BuildCommit builds the node's program from a commit of the repository's history, in a folder
 // of its own in dir, and returns its path.
@@ -31,13 +31,17 @@
 			return "", errors.Wrapf(err, "source of %s: %s", commit, output)
 		}
 	}
-	return buildFrom(source, source)
+	return buildProgram(source, source, nodeProgram)
 }
 
-// buildFrom builds the program of the source in a folder, "" for the working tree.
-func buildFrom(dir, source string) (string, error) {
-	program := filepath.Join(dir, "eiderfold")
-	command := exec.Command("go", "build", "-o", program, "eiderfold/cmd/eiderfold")
+// nodeProgram is the package of the node's program.
+const nodeProgram = "eiderfold/cmd/eiderfold"
+
+// buildProgram builds a program into dir from the source in a folder, "" for the working tree, and
+// returns its path.
+func buildProgram(dir, source, name string) (string, error) {
+	program := filepath.Join(dir, filepath.Base(name))
+	command := exec.Command("go", "build", "-o", program, name)
 	command.Dir = source
 	if output, err := command.CombinedOutput(); err != nil {
 		return "", errors.Wrapf(err, "build: %s", output)
--- a/bench/soak/cost_test.go
+++ b/bench/soak/cost_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -14,7 +12,6 @@
 	"github.com/stretchr/testify/require"
 
 	"eiderfold/bench/fleet"
-	"eiderfold/bench/standin"
 )
 
 // costCallers is the number of concurrent callers, each with a persistent connection.
@@ -24,10 +21,14 @@
 // through its own gate.
 func BenchmarkNode(b *testing.B) {
 	dir := b.TempDir()
-	program := build(b, dir, "eiderfold/cmd/eiderfold")
-	s := &soak{options: Options{Program: program, Dir: dir, Seed: 1, Nodes: 1}, store: standin.NewMetadata(), faultProxy: standin.NewFaultProxy(), checker: newChecker(true)}
-	require.NoError(b, s.start(b.Context()))
-	defer s.killNodes()
+	program, err := Build(dir)
+	require.NoError(b, err)
+	s, err := newSoak(Options{Program: program, Dir: dir, Seed: 1, Nodes: 1})
+	require.NoError(b, err)
+	ctx, cancel := context.WithCancel(b.Context())
+	defer s.close()
+	defer cancel()
+	require.NoError(b, s.start(ctx))
 	n := s.nodes[0]
 	require.Eventually(b, func() bool { return get(http.DefaultClient, n.callers, "warm") == http.StatusOK }, 10*time.Second, 20*time.Millisecond)
 	measureCPU(b, n.process.PID(), n.callers)
@@ -36,7 +37,8 @@
 // BenchmarkPassthrough measures the same for a minimal net/http proxy.
 func BenchmarkPassthrough(b *testing.B) {
 	dir := b.TempDir()
-	program := build(b, dir, "eiderfold/bench/cmd/passthrough")
+	program, err := buildProgram(dir, "", "eiderfold/bench/cmd/passthrough")
+	require.NoError(b, err)
 	u, err := startUpstream(b.Context(), "127.0.0.1:0", "127.0.0.1:1", newChecker(true))
 	require.NoError(b, err)
 	p, address, err := fleet.StartStandin(b.Context(), "passthrough", dir, program, u.address)
@@ -46,14 +48,6 @@
 	measureCPU(b, p.PID(), address)
 }
 
-func build(b *testing.B, dir, source string) string {
-	b.Helper()
-	program := filepath.Join(dir, filepath.Base(source))
-	output, err := exec.Command("go", "build", "-o", program, source).CombinedOutput()
-	require.NoError(b, err, string(output))
-	return program
-}
-
 func measureCPU(b *testing.B, pid int, address string) {
 	b.Helper()
 	before, _ := fleet.Usage(pid)
--- a/bench/soak/node_test.go
+++ b/bench/soak/node_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"net"
 	"os"
 	"strconv"
@@ -47,3 +48,21 @@
 		assert.Less(t, n, first)
 	}
 }
+
+// TestRunsInOneProcess guards against a run that leaves its listeners open: the next one with its
+// seed gets the same addresses and cannot start.
+func TestRunsInOneProcess(t *testing.T) {
+	program, err := Build(t.TempDir())
+	require.NoError(t, err)
+	blocks := map[string]bool{}
+	for range 2 {
+		s, err := newSoak(Options{Program: program, Dir: t.TempDir(), Seed: 5800, Nodes: 2})
+		require.NoError(t, err)
+		blocks[s.block.prefix] = true
+		ctx, cancel := context.WithCancel(t.Context())
+		assert.NoError(t, s.start(ctx))
+		cancel()
+		s.close()
+	}
+	assert.Len(t, blocks, 1, "the block is free again")
+}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -100,21 +100,16 @@
 
 // Run runs the soak for o.Seed and returns the violations found.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: standin.NewMetadata(), faultProxy: standin.NewFaultProxy(), checker: newChecker(o.Previous == ""), kernel: readKernelCounters(), evacuations: evacuations{start: map[string]time.Time{}}}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if o.Ending {
-		s.crashingRequests = newCrashingRequests()
-	}
-	var err error
-	if s.block, err = reserveBlock(o.Seed); err != nil {
+	s, err := newSoak(o)
+	if err != nil {
 		return nil, err
 	}
-	defer s.block.Close() //nolint:errcheck // Nothing was accepted on it.
+	ctx, cancel := context.WithCancel(ctx)
+	defer s.close()
+	defer cancel()
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
-	defer s.killNodes()
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	var clients sync.WaitGroup
@@ -143,6 +138,30 @@
 	return &Report{Seed: o.Seed, Asked: s.asked.Load(), Served: s.served.Load(), Faults: s.faults, Violations: s.checker.violations()}, nil
 }
 
+// newSoak returns a run that has reserved its addresses and started nothing.
+func newSoak(o Options) (*soak, error) {
+	block, err := reserveBlock(o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), block: block, store: standin.NewMetadata(), faultProxy: standin.NewFaultProxy(), checker: newChecker(o.Previous == ""), kernel: readKernelCounters(), evacuations: evacuations{start: map[string]time.Time{}}}
+	if o.Ending {
+		s.crashingRequests = newCrashingRequests()
+	}
+	return s, nil
+}
+
+// close frees the addresses of the run, and last their block. The context of start must have ended
+// before, so that no process that is killed here is started again.
+func (s *soak) close() {
+	s.killNodes()
+	for _, n := range s.nodes {
+		n.upstream.close()
+	}
+	s.faultProxy.Close()
+	_ = s.block.Close() // Nothing was accepted on it.
+}
+
 // start serves the store, publishes a configuration and starts the nodes.
 func (s *soak) start(ctx context.Context) error {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -51,6 +51,7 @@
 	said             said
 	drainingSince    time.Time                   // When the draining state was acknowledged; zero if it was not.
 	server           *http.Server                // nil while the upstream is down.
+	closed           bool                        // The run has ended.
 	crashingRequests map[string]*crashingRequest // Requests that crash it, by path.
 	nodeConnected    func() bool                 // Reports whether the node beside it is connected.
 	// evacuatedSince returns when the evacuation of its data centre began; the zero time
@@ -72,12 +73,26 @@
 
 // serve runs the upstream's server until it is closed or ctx ends.
 func (u *upstream) serve(ctx context.Context, listener net.Listener) {
-	server := &http.Server{Handler: u, ReadHeaderTimeout: time.Minute, BaseContext: func(net.Listener) context.Context { return ctx }}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed {
+		_ = listener.Close() // Nothing was accepted on it.
+		return
+	}
+	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Minute, BaseContext: func(net.Listener) context.Context { return ctx }}
+	server := u.server
 	go server.Serve(listener) //nolint:errcheck // Closed at the end of the run.
 	context.AfterFunc(ctx, func() { _ = server.Close() })
+}
+
+// close closes the upstream's server for good, also if the upstream is about to start again.
+func (u *upstream) close() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.server = server
+	u.closed = true
+	if u.server != nil {
+		_ = u.server.Close() // Its connections may be in use.
+	}
 }
 
 // newIncarnation starts a new incarnation, with the previous id if sameID is set.
--- a/bench/standin/faultproxy.go
+++ b/bench/standin/faultproxy.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -34,7 +35,9 @@
 
 // FaultProxy is a proxy that injects faults into links, by source and direction.
 type FaultProxy struct {
-	rules atomic.Pointer[[]Rule]
+	rules     atomic.Pointer[[]Rule]
+	mu        sync.Mutex  // Guards listeners.
+	listeners []io.Closer // Of all open links.
 }
 
 const (
@@ -71,6 +74,7 @@
 	if err != nil {
 		return "", err
 	}
+	p.register(listener)
 	go func() {
 		for {
 			client, err := listener.Accept()
@@ -83,6 +87,24 @@
 	return listener.Addr().String(), nil
 }
 
+// register keeps the listener of a link for Close.
+func (p *FaultProxy) register(listener io.Closer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listeners = append(p.listeners, listener)
+}
+
+// Close closes the listeners of all links, so that their addresses are free again. Connections
+// that are open go on.
+func (p *FaultProxy) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.listeners {
+		_ = l.Close() // Nothing else closes it.
+	}
+	p.listeners = nil
+}
+
 func ipAddr(a net.Addr) netip.Addr {
 	addr, err := netip.ParseAddrPort(a.String())
 	if err != nil {
@@ -169,6 +191,7 @@
 	if err != nil {
 		return "", err
 	}
+	p.register(conn)
 	go p.forwardUDP(conn, target, l)
 	return conn.LocalAddr().String(), nil
 }
