gate: a trial after attempts that hang takes as many good answers as attempts hung

What callers saw: orders at an upstream that leaves three quarters of its work unanswered hung for five seconds each, several times in a row. Cause: a trial takes as many good answers in a row as there were bad outcomes, three at most. Attempts that hang were counted as one, however many had shown it, so that the next answer, which such an upstream gives to one request in four, opened all slots for orders. Change: each attempt that was evidence of the hang counts. The pauses between attempts of a trial stay. Why it works: an upstream that answers one in four passes three in a row once in 64 tries, not once in four. Result: hung-orders.yaml fails without the change (the gate opens at its first answer and grants an order).

--- a/gate/health.go
+++ b/gate/health.go
@@ -53,6 +53,7 @@
 	trial            bool
 	goodStreak       int
 	badCount         int       // Since the trial began.
+	unanswered       int       // Attempts that showed that the upstream hangs, beside the one in badCount.
 	nextTrialAt      time.Time // The earliest time for the next trial attempt.
 	reopened         time.Time // When the last trial ended with good answers.
 	lastTrialEvent   time.Time // When the trial began or last had an outcome.
@@ -107,7 +108,7 @@
 	}
 	h.lastTrialEvent = at
 	h.goodStreak++
-	if h.goodStreak < min(h.badCount, maxTrialGoods) {
+	if h.goodStreak < min(h.badCount+h.unanswered, maxTrialGoods) {
 		return
 	}
 	h.trial = false
@@ -144,6 +145,7 @@
 	h.trialStarted = at
 	h.reset(false)
 	h.badCount = h.initialBadCount(at)
+	h.unanswered = 0
 	h.lastTrialEvent = at
 	h.nextTrialAt = at
 }
@@ -203,10 +205,13 @@
 
 // beginHangTrial begins a trial because attempts are not answered.
 func (h *health) beginHangTrial(at time.Time) {
+	unanswered := 0
 	for _, b := range h.samples {
 		if h.sampleEvidence(at, b) > 0 {
 			h.badRatio += badRatioGain * (1 - h.badRatio)
+			unanswered++
 		}
 	}
 	h.bad(at, trialThreshold)
+	h.unanswered = max(unanswered-1, 0)
 }
