mesh: one function records an upstream that leaves, for reports and for answers

Cause: recordLeaving (reports) and RecordLeaving (answers) each wrote the record, marked it as known and looped, with names that differ in a letter. Change: putLeaving writes and marks once; the two loops differ in what they wait for, and the name of the first says that it serves a report.

--- a/mesh/leaving.go
+++ b/mesh/leaving.go
@@ -78,15 +78,23 @@
 	}
 }
 
-// recordLeaving records that an incarnation leaves, retrying until ctx ends.
-func (d *directory) recordLeaving(ctx context.Context, upstream port.Incarnation) error {
+// putLeaving records once that an incarnation leaves.
+func (d *directory) putLeaving(ctx context.Context, upstream port.Incarnation) error {
 	if d.isLeaving(upstream) {
 		return nil
 	}
+	err := d.node.platform.Store.Put(ctx, d.leavingKey(upstream), []byte(d.node.self.Name))
+	if err == nil {
+		d.markLeaving(keySegment(upstream))
+	}
+	return err
+}
+
+// recordLeavingReport records an incarnation that leaves by its report, retrying until ctx ends.
+func (d *directory) recordLeavingReport(ctx context.Context, upstream port.Incarnation) error {
 	for {
-		err := d.node.platform.Store.Put(ctx, d.leavingKey(upstream), []byte(d.node.self.Name))
+		err := d.putLeaving(ctx, upstream)
 		if err == nil {
-			d.markLeaving(keySegment(upstream))
 			return nil
 		}
 		select {
@@ -97,15 +105,14 @@
 	}
 }
 
-// RecordLeaving records that an incarnation leaves which says so in its answers. Unlike a report,
-// an answer is passed on without waiting for the record.
+// RecordLeaving records an incarnation that leaves by its answers. Unlike a report, an answer is
+// passed on without waiting for the record.
 func (d *directory) RecordLeaving(ctx context.Context, upstream port.Incarnation) {
 	pause := backoff{min: recordRetry, max: recordRetryMax}
 	for !d.isLeaving(upstream) && d.node.gate.Upstream() == upstream {
-		err := d.node.platform.Store.Put(ctx, d.leavingKey(upstream), []byte(d.node.self.Name))
+		err := d.putLeaving(ctx, upstream)
 		d.node.log.Info("upstream leaves", zap.Stringer("upstream", upstream), zap.Bool("recorded", err == nil), zap.NamedError("cause", err))
 		if err == nil {
-			d.markLeaving(keySegment(upstream))
 			return
 		}
 		select {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -341,8 +341,8 @@
 	b.awaitReady()
 	ctx := context.Background()
 	d := one.directory
-	require.NoError(t, d.recordLeaving(ctx, port.Incarnation{ID: "i-old/1"}))
-	require.NoError(t, d.recordLeaving(ctx, port.Incarnation{ID: "i-one"}))
+	require.NoError(t, d.recordLeavingReport(ctx, port.Incarnation{ID: "i-old/1"}))
+	require.NoError(t, d.recordLeavingReport(ctx, port.Incarnation{ID: "i-one"}))
 	records := func() []port.Entry {
 		require.NoError(t, d.check(ctx))
 		entries, _, err := b.store.Range(ctx, d.leavingPrefix())
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -70,7 +70,7 @@
 func (n *Node) recordLeaving(ctx context.Context, r port.Report) bool {
 	ctx, cancel := context.WithTimeout(ctx, min(ackTimeout, n.settings.Load().AcknowledgeTimeout()))
 	defer cancel()
-	err := n.directory.recordLeaving(ctx, r.Incarnation)
+	err := n.directory.recordLeavingReport(ctx, r.Incarnation)
 	n.log.Info("upstream leaves", zap.Stringer("upstream", r.Incarnation), zap.Bool("final", r.Final), zap.Bool("recorded", err == nil), zap.NamedError("cause", err))
 	return err == nil
 }
