port: what a response says of its upstream is a type of its own, which knows who may end a limit

Cause: that only an answer marked as the upstream's own shows that there is no limit stood in gate (statementOf) and in ingress (note). The ingress decoded all headers of each answer, load and incarnation included, for the two that it needs. Change: port.Statement with KnownLimit, embedded in ResponseMetadata; Dialect.Statement decodes only that.

--- a/gate/statement.go
+++ b/gate/statement.go
@@ -18,17 +18,12 @@
 }
 
 // statementOf returns what an answer says of the upstream. An answer of another incarnation, or
-// one that names no request, says nothing. Only an answer that is marked as the upstream's own
-// shows that there is no limit.
+// one that names no request, says nothing.
 func statementOf(a *answer, meta port.ResponseMetadata) statement {
-	s := statement{at: a.readAt, limit: meta.Limit, leaving: meta.Leaving, coldLeft: meta.ColdLeft}
-	switch {
-	case a.status == http.StatusMisdirectedRequest || meta.Attempt == "" && !meta.NotRun:
+	if a.status == http.StatusMisdirectedRequest || meta.Attempt == "" && !meta.NotRun {
 		return statement{}
-	case meta.Limit.State == port.LimitNone && !meta.Genuine:
-		s.limit = port.NamedLimit{}
 	}
-	return s
+	return statement{at: a.readAt, limit: meta.KnownLimit(), leaving: meta.Leaving, coldLeft: meta.ColdLeft}
 }
 
 // noteStatement passes on what the upstream said in its answer or refusal.
--- a/ingress/namedlimit_test.go
+++ b/ingress/namedlimit_test.go
@@ -114,7 +114,7 @@
 	status := link.Status{Mode: link.ModeOpen, Slots: 4, Upstream: "i-1", StartedAt: 7}
 	all[0].SetStatus(status, now)
 	endpoints := req.forwarder.endpoints
-	endpoints.statements.note(incarnationOf(status), port.ResponseMetadata{Leaving: true}, now)
+	endpoints.statements.note(incarnationOf(status), port.Statement{Leaving: true}, now)
 	for range 100 {
 		assert.Equal(t, all[1], endpoints.choose(criteria{service: "a"}, now).endpoint)
 	}
--- a/ingress/outcome.go
+++ b/ingress/outcome.go
@@ -31,7 +31,7 @@
 func (f *inFlightRequest) answered(o *offer, a *link.Answer, now time.Time) *Response {
 	f.removeOffer(o)
 	o.endpoint.responseTime.note(a.MeanResponseTime, now)
-	f.forwarder.endpoints.statements.note(o.upstream, f.forwarder.dialect.Answer(a.Status, a.Header), now)
+	f.forwarder.endpoints.statements.note(o.upstream, f.forwarder.dialect.Statement(a.Header), now)
 	r := &Response{Status: a.Status, Header: a.Header, Body: a.Body}
 	if a.Status < http.StatusInternalServerError {
 		f.latency.Add(now.Sub(o.started))
--- a/ingress/statement.go
+++ b/ingress/statement.go
@@ -33,19 +33,19 @@
 }
 
 // note records what an answer of an upstream says.
-func (s *statements) note(upstream port.Incarnation, m port.ResponseMetadata, now time.Time) {
+func (s *statements) note(upstream port.Incarnation, said port.Statement, now time.Time) {
 	if upstream.ID == "" {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m.Leaving {
+	if said.Leaving {
 		s.noteLeaving(upstream, now)
 	}
-	switch {
-	case m.Limit.State == port.LimitNamed:
-		s.noteLimit(upstream, heardLimit{rate: m.Limit.Rate, at: now})
-	case m.Limit.State == port.LimitNone && m.Genuine:
+	switch limit := said.KnownLimit(); limit.State {
+	case port.LimitNamed:
+		s.noteLimit(upstream, heardLimit{rate: limit.Rate, at: now})
+	case port.LimitNone:
 		delete(s.limits, upstream)
 	}
 }
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -102,11 +102,25 @@
 	Attempt  string // The attempt it responds to, as in RequestMetadata; "" if not sent.
 	Upstream string // ID of the upstream that responded; "" if not sent.
 	NotRun   bool   // The request was refused and has not run.
-	Genuine  bool   // The response is marked as an upstream's own.
 	Load     Load
+	Statement
+}
+
+// Statement is what a response says of the upstream itself.
+type Statement struct {
+	Genuine  bool          // The response is marked as an upstream's own.
 	ColdLeft time.Duration // How much longer the upstream is cold.
-	Limit    NamedLimit
-	Leaving  bool // The upstream leaves and accepts no new requests.
+	Limit    NamedLimit    // As the headers have it; see KnownLimit.
+	Leaving  bool          // The upstream leaves and accepts no new requests.
+}
+
+// KnownLimit returns what the response shows of the upstream's limit. Only a response that is marked
+// as the upstream's own shows that there is none.
+func (s Statement) KnownLimit() NamedLimit {
+	if s.Limit.State == LimitNone && !s.Genuine {
+		return NamedLimit{}
+	}
+	return s.Limit
 }
 
 // LimitState tells what a response says about the upstream's limit.
@@ -142,6 +156,8 @@
 	SetOutgoing(h http.Header, m OutgoingMetadata)
 	// Answer reads the metadata of an upstream's response.
 	Answer(status int, h http.Header) ResponseMetadata
+	// Statement reads only what an upstream's response says of the upstream.
+	Statement(h http.Header) Statement
 }
 
 // Incarnation identifies one run of an upstream, from start to exit. A later run may have
