--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -112,7 +112,7 @@
 		f.explain(r, nil, refused)
 		return refused
 	}
-	if refused := f.checkStopping(req); refused != nil {
+	if refused := f.boundByStop(req); refused != nil {
 		f.explain(r, req, refused)
 		return refused
 	}
@@ -144,9 +144,9 @@
 // them, unless they might not be answered by then.
 func (f *Forwarder) Refuse(finishAt time.Time) { f.finishAt.Store(&finishAt) }
 
-// checkStopping returns the refusal of a request that arrived after Refuse. The deadline of a call
+// boundByStop returns the refusal of a request that arrived after Refuse. The deadline of a call
 // that is served is moved so that its upstream answers before Finish breaks it off.
-func (f *Forwarder) checkStopping(req *inFlightRequest) *Response {
+func (f *Forwarder) boundByStop(req *inFlightRequest) *Response {
 	finishAt := f.finishAt.Load()
 	if finishAt == nil {
 		return nil
--- a/ingress/stopping_test.go
+++ b/ingress/stopping_test.go
@@ -28,7 +28,7 @@
 		taken  bool
 	}{{lateGrace + 2*usual, true, true}, {lateGrace + usual/2, true, false}, {usual / 2, true, false}, {-time.Second, true, false}, {2 * usual, false, false}} {
 		req := &inFlightRequest{nested: c.nested, latency: latency, arrived: finishAt.Add(-c.left), deadline: finishAt.Add(time.Second)}
-		refused := f.checkStopping(req)
+		refused := f.boundByStop(req)
 		if c.taken {
 			assert.Nil(t, refused, "%+v", c)
 			assert.Equal(t, finishAt.Add(-lateGrace), req.deadline)
--- a/mesh/statements_test.go
+++ b/mesh/statements_test.go
@@ -156,28 +156,35 @@
 	return int(limitFactor*rate*limitWindow.Seconds()) + limitExcess
 }
 
-// An upstream that names a limit must not get more requests than that allows, from all nodes
-// together, whether the requests may be repeated or not.
-func TestUpstreamGetsNoMoreThanTheLimitItNames(t *testing.T) {
-	t.Parallel()
+// withLookupsAndOrders runs a test with requests that may be repeated, and with others.
+func withLookupsAndOrders(t *testing.T, test func(t *testing.T, method, path string)) {
 	for _, route := range []struct{ method, path string }{{http.MethodGet, "/look/x"}, {http.MethodPost, "/write/x"}} {
 		t.Run(route.method, func(t *testing.T) {
 			t.Parallel()
-			b := newTestCluster(t)
-			b.addBirths(4)
-			b.awaitReady()
-			l := b.startLoad(route.method, route.path)
-			limited := b.nodes[0].upstream
-			limited.setStatements("2.5", false)
-			named := time.Now()
-			time.Sleep(limitSettles + limitWindow + limitWindow/2)
-			l.end()
-			assert.LessOrEqual(t, mostInWindow(l.counted(limited), named.Add(limitSettles)), allowedBy(2.5))
-			assert.Positive(t, l.served)
+			test(t, route.method, route.path)
 		})
 	}
 }
 
+// An upstream that names a limit must not get more requests than that allows, from all nodes
+// together, whether the requests may be repeated or not.
+func TestUpstreamGetsNoMoreThanTheLimitItNames(t *testing.T) {
+	t.Parallel()
+	withLookupsAndOrders(t, func(t *testing.T, method, path string) {
+		b := newTestCluster(t)
+		b.addBirths(4)
+		b.awaitReady()
+		l := b.startLoad(method, path)
+		limited := b.nodes[0].upstream
+		limited.setStatements("2.5", false)
+		named := time.Now()
+		time.Sleep(limitSettles + limitWindow + limitWindow/2)
+		l.end()
+		assert.LessOrEqual(t, mostInWindow(l.counted(limited), named.Add(limitSettles)), allowedBy(2.5))
+		assert.Positive(t, l.served)
+	})
+}
+
 // When all upstreams of a service name limits, none may get more, and each refused caller must be
 // told when to come back.
 func TestAllUpstreamsLimited(t *testing.T) {
@@ -207,33 +214,30 @@
 // was used of it may be lost with it.
 func TestNamedLimitSurvivesRestartOfItsNode(t *testing.T) {
 	t.Parallel()
-	for _, route := range []struct{ method, path string }{{http.MethodGet, "/look/x"}, {http.MethodPost, "/write/x"}} {
-		t.Run(route.method, func(t *testing.T) {
-			t.Parallel()
-			b := newTestCluster(t)
-			b.addBirths(4)
-			one := b.nodes[0]
-			for _, n := range b.nodes {
-				n.upstream.slots = manySlots
-				n.upstream.setWork(func(*http.Request) { time.Sleep(slowWork) })
-				n.report(2, false)
-			}
-			b.awaitReady()
-			l := b.startLoad(route.method, route.path)
-			one.upstream.setStatements("1", false)
-			named := time.Now()
-			time.Sleep(limitSettles)
-			for range 2 {
-				one.stopNode()
-				l.forget(one)
-				one.start()
-				one.report(3, false)
-				time.Sleep(limitWindow / 2)
-			}
-			l.end()
-			assert.LessOrEqual(t, mostInWindow(l.counted(one.upstream), named.Add(limitSettles)), allowedBy(1))
-		})
-	}
+	withLookupsAndOrders(t, func(t *testing.T, method, path string) {
+		b := newTestCluster(t)
+		b.addBirths(4)
+		one := b.nodes[0]
+		for _, n := range b.nodes {
+			n.upstream.slots = manySlots
+			n.upstream.setWork(func(*http.Request) { time.Sleep(slowWork) })
+			n.report(2, false)
+		}
+		b.awaitReady()
+		l := b.startLoad(method, path)
+		one.upstream.setStatements("1", false)
+		named := time.Now()
+		time.Sleep(limitSettles)
+		for range 2 {
+			one.stopNode()
+			l.forget(one)
+			one.start()
+			one.report(3, false)
+			time.Sleep(limitWindow / 2)
+		}
+		l.end()
+		assert.LessOrEqual(t, mostInWindow(l.counted(one.upstream), named.Add(limitSettles)), allowedBy(1))
+	})
 }
 
 // An upstream whose answers say that it leaves must get no new requests, although its reports do
