--- a/port/mesh.go
+++ b/port/mesh.go
@@ -102,7 +102,6 @@
 	Attempt  string // The attempt it responds to, as in RequestMetadata; "" if not sent.
 	Upstream string // ID of the upstream that responded; "" if not sent.
 	NotRun   bool   // The request was refused and has not run.
-	Load     Load
 	Statement
 }
 
@@ -140,9 +139,6 @@
 	Rate  float64 // Requests per second from all nodes together; set if State is LimitNamed.
 }
 
-// Load is the load that an upstream reports, in requests; Slots is 0 if it reports none.
-type Load struct{ Running, Waiting, Slots int }
-
 // Dialect reads and writes the platform's headers of requests and responses.
 type Dialect interface {
 	// AttemptHeader returns the canonical name of the header that identifies the attempt.
