ingress: failing test, calls of repeated runs exceed the repeat budget of the service called

Replays now count as the rule does: arrivals at upstreams by request, and calls of a repeated run as repeats; every replay checks the bound. Their upstreams can answer with an error, and the processes of their gates can be replaced again and again.

--- a/ingress/replay_test.go
+++ b/ingress/replay_test.go
@@ -45,6 +45,7 @@
 	gates    []*replayGate
 	nodes    []*replayNode
 	parents  map[string]overload.Parent
+	arrivals arrivals
 	totals   map[string]*totals
 	kinds    map[uint32]routeLoad
 }
@@ -60,6 +61,7 @@
 	replay    *replay
 	centre    string
 	forwarder *Forwarder
+	endpoints map[*replayGate]*Endpoint
 	requests  map[uint64]*replayRequest // By the offer's number.
 }
 
@@ -85,7 +87,7 @@
 		return nil, err
 	}
 	begin := time.Unix(1_000_000, 0)
-	p := &replay{scenario: l, random: rand.New(rand.NewPCG(seed, 7)), now: begin, begin: begin, parents: map[string]overload.Parent{}, totals: map[string]*totals{}, kinds: map[uint32]routeLoad{}}
+	p := &replay{scenario: l, random: rand.New(rand.NewPCG(seed, 7)), now: begin, begin: begin, parents: map[string]overload.Parent{}, arrivals: arrivals{}, totals: map[string]*totals{}, kinds: map[uint32]routeLoad{}}
 	table, err := route.New(l.document())
 	if err != nil {
 		return nil, err
@@ -104,6 +106,9 @@
 		}
 	}
 	p.totals[limitedStarts] = &totals{}
+	for _, r := range l.Restarts {
+		p.after(r.From, func() { p.restart(r) })
+	}
 	for _, r := range l.Routes {
 		p.totals[r.Name] = &totals{}
 		matched, _ := table.Match(replayHost, r.path())
@@ -119,7 +124,7 @@
 	endpoints := NewEndpoints(centre, 0.7)
 	endpoints.SetSwitches(set)
 	endpoints.draw = p.random.Float64
-	n := &replayNode{replay: p, centre: centre, requests: map[uint64]*replayRequest{}}
+	n := &replayNode{replay: p, centre: centre, endpoints: map[*replayGate]*Endpoint{}, requests: map[uint64]*replayRequest{}}
 	n.forwarder = NewForwarder("caller", endpoints, platform.Headers{}, zap.NewNop(), noCounts{},
 		WithParents(func(attempt string) (overload.Parent, bool) {
 			parent, ok := p.parents[attempt]
@@ -165,6 +170,7 @@
 		panic("request of the scenario was refused: " + string(refused.Body))
 	}
 	arrived := p.now
+	p.arrivals.request(r.Service, attempt, p.elapsed(), req.inRepeat)
 	f := &replayRequest{inFlightRequest: req, node: n}
 	f.done = func(ok bool) {
 		if counted {
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"net/http"
 	"slices"
@@ -19,33 +20,65 @@
 // replayGate is a gate with its upstream.
 type replayGate struct {
 	replay    *replay
+	process   uint64 // Grows with each restart.
 	service   string
 	centre    string
 	admission *gate.Admission
 	slots     int
 	index     int
+	switches  switches.Set
 	runs      map[link.Key]*replayRun
 }
 
 // replayRun is an offer at a gate, and its run once it has started.
 type replayRun struct {
-	node  *replayNode
-	offer *link.Offer
-	over  bool
+	node   *replayNode
+	offer  *link.Offer
+	repeat bool // It repeats another run, or is nested in one that does.
+	over   bool
 }
 
 func (p *replay) newGate(service string, s serviceLoad, i int, set switches.Set) *replayGate {
-	b := budget.New(replayRatio, float64(replaySlack*s.Gates), time.Time{})
-	b.ObserveGates(s.Gates)
-	g := &replayGate{replay: p, service: service, centre: p.scenario.centres()[i%p.scenario.Centres], slots: s.Slots, index: i, runs: map[link.Key]*replayRun{}}
-	g.admission = gate.NewAdmission(service, b)
-	g.admission.SetSwitches(set)
-	g.update(gate.Reported{At: p.now, Report: port.Report{Incarnation: port.Incarnation{ID: "i-" + g.name()}, Service: service, Slots: s.Slots, Sequence: 1}})
-	g.update(gate.Confirmed{At: p.now, Upstream: port.Incarnation{ID: "i-" + g.name()}})
+	g := &replayGate{replay: p, service: service, centre: p.scenario.centres()[i%p.scenario.Centres], slots: s.Slots, index: i, switches: set}
+	g.start(time.Time{})
 	p.after(replayTick, g.tick)
 	return g
 }
 
+// start starts a process without any state, which takes the place of the previous one.
+func (g *replayGate) start(at time.Time) {
+	gates := g.replay.scenario.Services[g.service].Gates
+	b := budget.New(replayRatio, g.replay.scenario.slack(g.service), at)
+	b.ObserveGates(gates)
+	b.SetRank((float64(g.index) + 0.5) / float64(gates))
+	g.process++
+	g.runs = map[link.Key]*replayRun{}
+	g.admission = gate.NewAdmission(g.service, b)
+	g.admission.SetSwitches(g.switches)
+	g.update(gate.Reported{At: g.replay.now, Report: port.Report{Incarnation: port.Incarnation{ID: "i-" + g.name()}, Service: g.service, Slots: g.slots, Sequence: 1}})
+	g.update(gate.Confirmed{At: g.replay.now, Upstream: port.Incarnation{ID: "i-" + g.name()}})
+}
+
+// restart replaces the processes of a share of a service's gates. What their upstreams run ends with
+// them, and their nodes do not learn its outcome.
+func (p *replay) restart(r restart) {
+	for _, g := range p.gates {
+		if g.service != r.Service || float64(g.index) >= r.Gates*float64(p.scenario.Services[g.service].Gates) {
+			continue
+		}
+		for _, n := range p.nodes {
+			n.disconnect(g)
+		}
+		g.start(p.now)
+		for _, n := range p.nodes {
+			n.connect(g)
+		}
+	}
+	if p.elapsed()+r.Every < r.To {
+		p.after(r.Every, func() { p.restart(r) })
+	}
+}
+
 func (g *replayGate) name() string { return fmt.Sprintf("%s-%03d", g.service, g.index) }
 
 func (g *replayGate) tick() {
@@ -56,19 +89,44 @@
 // addEndpoint adds a gate to the node's endpoints.
 func (n *replayNode) addEndpoint(g *replayGate) {
 	endpoint := NewEndpoint(link.Member{Name: g.name(), Service: g.service, DataCentre: g.centre})
-	endpoint.SetStatus(g.admission.Status(), n.replay.now)
+	n.endpoints[g] = endpoint
 	n.forwarder.endpoints.Add(endpoint)
-	n.forwarder.Connected(endpoint, replaySink{node: n, gate: g}, 1)
+	n.connect(g)
+}
+
+// connect opens a link to a gate.
+func (n *replayNode) connect(g *replayGate) {
+	endpoint := n.endpoints[g]
+	endpoint.SetStatus(g.admission.Status(), n.replay.now)
+	n.forwarder.Connected(endpoint, replaySink{node: n, gate: g, process: g.process}, g.process)
+}
+
+// disconnect breaks the link to a gate, and ends its requests' offers there.
+func (n *replayNode) disconnect(g *replayGate) {
+	endpoint := n.endpoints[g]
+	n.forwarder.Disconnected(endpoint, replaySink{node: n, gate: g, process: g.process})
+	for _, k := range slices.Sorted(maps.Keys(n.requests)) {
+		f := n.requests[k]
+		if f.ended || !slices.ContainsFunc(f.offers, func(o *offer) bool { return o.endpoint == endpoint }) {
+			continue
+		}
+		f.step(f.handle(event{lost: true, endpoint: endpoint}, n.replay.now))
+	}
 }
 
 // replaySink sends a node's messages to a gate.
 type replaySink struct {
-	node *replayNode
-	gate *replayGate
+	node    *replayNode
+	gate    *replayGate
+	process uint64 // Of the gate; messages to an earlier one are lost.
 }
 
 func (w replaySink) Send(f *link.Frame) bool {
-	w.node.replay.after(w.delay(), func() { w.gate.handle(w.node, f) })
+	w.node.replay.after(w.delay(), func() {
+		if w.gate.process == w.process {
+			w.gate.handle(w.node, f)
+		}
+	})
 	return true
 }
 
@@ -88,11 +146,14 @@
 	switch {
 	case f.Offer != nil:
 		o := f.Offer
-		g.runs[o.Key] = &replayRun{node: from, offer: o}
+		g.runs[o.Key] = &replayRun{node: from, offer: o, repeat: o.AttemptKind != budget.First}
 		deadline := now.Add(o.TimeLeft)
 		g.update(gate.Offered{At: now, Key: o.Key, Service: o.Service, Upstream: o.Upstream, Deadline: deadline, TargetDeadline: g.admission.TargetDeadline(now, deadline, o.Target),
 			Priority: o.Priority, Retryable: o.Retryable, Force: o.Force, Ready: o.Content != nil, Kind: o.Kind, AttemptKind: o.AttemptKind})
 	case f.Commit != nil:
+		if r := g.runs[f.Commit.Key]; r != nil {
+			r.repeat = f.Commit.Repeat
+		}
 		g.update(gate.Committed{At: now, Key: f.Commit.Key})
 	case f.Withdraw != nil:
 		g.update(gate.Withdrawn{At: now, Key: f.Withdraw.Key})
@@ -112,7 +173,7 @@
 		case gate.Warn:
 			g.send(c.Key, &link.Frame{Overdue: &link.Overdue{Key: c.Key}})
 		case gate.Start:
-			g.start(c.Key)
+			g.run(c.Key)
 		case gate.Abort:
 			g.finish(c.Key, gate.NoEvidence, 0)
 		case gate.Announce:
@@ -125,10 +186,8 @@
 func (g *replayGate) announce() {
 	s := g.admission.Status()
 	for _, n := range g.replay.nodes {
-		for _, e := range n.forwarder.endpoints.Of(g.service) {
-			if e.Member().Name == g.name() {
-				e.SetStatus(s, g.replay.now)
-			}
+		if e := n.endpoints[g]; e != nil {
+			e.SetStatus(s, g.replay.now)
 		}
 	}
 }
@@ -141,11 +200,12 @@
 	g.replay.after(replaySink{node: r.node, gate: g}.delay(), func() { r.node.deliver(f) })
 }
 
-// start runs a request on the upstream. By the scenario's faults, the upstream may shed
-// it, break it or hang.
-func (g *replayGate) start(k link.Key) {
+// run runs a request on the upstream. By the scenario's faults, the upstream may shed
+// it, break it, hang or answer with an error.
+func (g *replayGate) run(k link.Key) {
 	p, r := g.replay, g.runs[k]
 	began := p.now
+	p.arrivals.arrive(g.service, r.offer.Attempt, p.elapsed())
 	if r.offer.Content != nil && r.offer.Retryable {
 		g.send(k, &link.Frame{Granted: &link.Granted{Key: k, Started: true}})
 	}
@@ -162,8 +222,10 @@
 		p.after(replayShed, func() { g.finish(k, gate.Broken, replayShed) })
 	case "hang":
 		p.after(replayHang, func() { g.finish(k, gate.NoEvidence, replayHang) })
+	case "error":
+		p.after(work, func() { g.worked(k, kind, began, gate.Erred) })
 	default:
-		p.after(work, func() { g.worked(k, kind, began) })
+		p.after(work, func() { g.worked(k, kind, began, gate.Good) })
 	}
 }
 
@@ -172,15 +234,15 @@
 	return g.replay.scenario.limit(g.service, g.index, g.replay.elapsed())
 }
 
-// worked ends a run, after its nested requests if the route makes any.
-func (g *replayGate) worked(k link.Key, kind routeLoad, began time.Time) {
+// worked ends a run, after its nested requests if the route makes any and if they are answered.
+func (g *replayGate) worked(k link.Key, kind routeLoad, began time.Time, o gate.Outcome) {
 	p, r := g.replay, g.runs[k]
 	if r == nil || r.over || kind.CallTimes == 0 {
-		g.finish(k, gate.Good, p.now.Sub(began))
+		g.finish(k, o, p.now.Sub(began))
 		return
 	}
 	name := r.offer.Attempt
-	p.parents[name] = overload.Parent{Priority: r.offer.Priority, TargetDeadline: began.Add(r.offer.Target), Deadline: began.Add(r.offer.TimeLeft)}
+	p.parents[name] = overload.Parent{Priority: r.offer.Priority, TargetDeadline: began.Add(r.offer.Target), Deadline: began.Add(r.offer.TimeLeft), Repeat: r.repeat}
 	node := p.nodes[slices.Index(p.scenario.centres(), g.centre)]
 	left := kind.CallTimes
 	for range kind.CallTimes {
@@ -191,7 +253,7 @@
 			case !ok:
 				g.finish(k, gate.NestedFailed, p.now.Sub(began))
 			case left == 0:
-				g.finish(k, gate.Good, p.now.Sub(began))
+				g.finish(k, o, p.now.Sub(began))
 			}
 			if left == 0 {
 				delete(p.parents, name)
@@ -217,7 +279,7 @@
 		}
 		g.update(said)
 		g.send(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusOK, Header: header, MeanResponseTime: g.admission.Status().MeanResponseTime}})
-	case gate.NestedFailed:
+	case gate.Erred, gate.NestedFailed:
 		g.send(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusInternalServerError, MeanResponseTime: g.admission.Status().MeanResponseTime}})
 	case gate.Shed:
 		g.send(k, &link.Frame{Refused: &link.Refused{Key: k, Reason: link.ReasonShed}})
--- a/ingress/scenario_test.go
+++ b/ingress/scenario_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -26,7 +28,10 @@
 	Routes   []routeLoad            `yaml:"routes"`
 	Bursts   []burst                `yaml:"bursts"`
 	Faults   []fault                `yaml:"faults"`
-	Count    Span                   `yaml:"count"` // Only requests that arrive in this span are counted.
+	Count    Span                   `yaml:"count"`    // Only requests that arrive in this span are counted.
+	Attempts int                    `yaml:"attempts"` // Upstreams that a request may be sent to; 0 for 2.
+	Slack    float64                `yaml:"slack"`    // Repeats of each service in a window beyond the ratio; 0 for replaySlack a gate.
+	Restarts []restart              `yaml:"restarts"`
 	Want     []expectation          `yaml:"want"`
 }
 
@@ -67,10 +72,18 @@
 	Service string  `yaml:"service"`
 	Gates   float64 `yaml:"gates"`
 	Work    float64 `yaml:"work"`
-	How     string  `yaml:"how"`  // shed, break, hang or limit
+	How     string  `yaml:"how"`  // shed, break, hang, error or limit
 	Rate    float64 `yaml:"rate"` // Named by each upstream with how: limit, in requests per second.
 }
 
+// restart replaces a share of a service's gates, again and again in a span.
+type restart struct {
+	Span    `yaml:",inline"`
+	Service string        `yaml:"service"`
+	Gates   float64       `yaml:"gates"`
+	Every   time.Duration `yaml:"every"`
+}
+
 // expectation bounds the results of the requests of some routes, as shares of them, and
 // how much worse they are with a mechanism switched off.
 type expectation struct {
@@ -100,11 +113,16 @@
 	}
 	for _, r := range l.Routes {
 		d.Routes = append(d.Routes, route.Route{Name: r.Name, Host: replayHost, Prefix: "/" + r.Name + "/", Retryable: r.Retryable, Priority: r.Priority,
-			Timeout: r.Timeout, Target: r.Target, Attempts: 2, Shares: []route.Share{{Service: r.Service, Weight: 1}}})
+			Timeout: r.Timeout, Target: r.Target, Attempts: cmp.Or(l.Attempts, 2), Shares: []route.Share{{Service: r.Service, Weight: 1}}})
 	}
 	return d
 }
 
+// slack returns the repeats of a service in a window that are allowed beyond the ratio.
+func (l scenario) slack(service string) float64 {
+	return cmp.Or(l.Slack, float64(replaySlack*l.Services[service].Gates))
+}
+
 func (l scenario) route(name string) routeLoad {
 	return l.Routes[slices.IndexFunc(l.Routes, func(r routeLoad) bool { return r.Name == name })]
 }
@@ -161,7 +179,8 @@
 // outcome holds the results of a scenario's requests by route.
 type outcome map[string]*totals
 
-// runScenario runs a scenario with each of its seeds and sums the results.
+// runScenario runs a scenario with each of its seeds and sums the results. It is an error if a service
+// gets more repeats than the fleet's limit allows.
 func runScenario(l scenario, off ...string) (outcome, error) {
 	sum := outcome{}
 	for _, r := range l.Routes {
@@ -174,6 +193,9 @@
 			return nil, err
 		}
 		p.run()
+		if excess := p.arrivals.excess(l); excess != "" {
+			return nil, errors.Errorf("seed %d: %s", seed, excess)
+		}
 		for name, t := range p.totals {
 			sum[name].merge(t)
 		}
@@ -195,27 +217,39 @@
 	return float64(all.inTime) / float64(all.total), float64(all.inTime+all.late) / float64(all.total), refusedWithin
 }
 
-// TestReplays runs each scenario of testdata/replays. Its bounds must hold with every
-// mechanism on, and the results must be worse without the mechanism that it covers.
-func TestReplays(t *testing.T) {
-	files, err := filepath.Glob("testdata/replays/*.yaml")
+// readScenario reads a scenario from its file.
+func readScenario(t *testing.T, file string) scenario {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	var l scenario
+	require.NoError(t, yaml.UnmarshalWithOptions(text, &l, yaml.Strict()))
+	return l
+}
+
+// forEachScenario runs a test with each scenario of a folder.
+func forEachScenario(t *testing.T, pattern string, test func(t *testing.T, l scenario)) {
+	t.Helper()
+	files, err := filepath.Glob(pattern)
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
 	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			text, err := os.ReadFile(file)
-			require.NoError(t, err)
-			var l scenario
-			require.NoError(t, yaml.UnmarshalWithOptions(text, &l, yaml.Strict()))
-			with, err := runScenario(l)
-			require.NoError(t, err)
-			for _, w := range l.Want {
-				w.check(t, l, with)
-			}
-		})
+		t.Run(filepath.Base(file), func(t *testing.T) { test(t, readScenario(t, file)) })
 	}
 }
 
+// TestReplays runs each scenario of testdata/replays. Its bounds must hold with every
+// mechanism on, and the results must be worse without the mechanism that it covers.
+func TestReplays(t *testing.T) {
+	forEachScenario(t, "testdata/replays/*.yaml", func(t *testing.T, l scenario) {
+		with, err := runScenario(l)
+		require.NoError(t, err)
+		for _, w := range l.Want {
+			w.check(t, l, with)
+		}
+	})
+}
+
 func (w expectation) check(t *testing.T, l scenario, with outcome) {
 	t.Helper()
 	inTime, served, refusedWithin := with.shares(w.Routes)
