budget, gate, ingress: calls of repeated runs need budget, and what fails by such a call is not repeated

Cause: a call of a repeated run counts as a repeat at the service called, but was never refused there. The service's own repeats came first and used the budget, and the calls of its callers' repeats came on top. Class: the budget is kept for each service, and the load that one service's repeats put on the next was in nobody's budget.

Change: such a call needs budget at the gate where it arrives, like any repeat. A repeat whose call is refused runs in vain, so only the level next to the fault repeats while budget is short: the node where the call arrived knows why it failed, its gate passes that on with the answer of the run (BudgetSpent), and the request is answered instead of repeated.

TestBudgetHoldsOverAnyWindow gets many calls of repeats instead of one in a thousand steps, now refused without budget; its bound is as it was. TestChargedRequestsUseTheBudget asked that they are never refused, which was the fault; TestNestedRequestsUseTheBudget asks for the budget's use and the refusal.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -21,11 +21,10 @@
 )
 
 const (
-	// ratioShare and slackShare are the parts of the limit's ratio and slack that gates use.
-	// The rest covers nested requests of repeated runs, which are counted but never refused,
-	// and what a process used before it restarted. TestBudgetHoldsOverAnyWindow checks that the
-	// limit holds with these values.
-	ratioShare = 0.85
+	// ratioShare and slackShare are the parts of the limit's ratio and slack that gates use. The
+	// rest covers the time from a repeat's slot to its arrival, and what a process used before it
+	// restarted. TestBudgetHoldsOverAnyWindow checks that the limit holds with these values.
+	ratioShare = 0.9
 	slackShare = 0.65
 	// startupShare is the part of its slack that a process may use until it has run for a
 	// window. It is reached gradually: the usable part grows linearly from 0, so that all processes
@@ -45,13 +44,13 @@
 // Kinds of attempt.
 const (
 	First        AttemptKind = iota // It repeats nothing.
-	Charged                         // A nested request of a repeated run: counted, but never refused.
+	Charged                         // The first attempt of a nested request of a repeated run, which counts as a repeat.
 	FailureRetry                    // A repeat after a failed attempt.
 	Hedge                           // A repeat beside an attempt that takes long.
 )
 
 // NeedsBudget reports whether the attempt needs budget to start.
-func (k AttemptKind) NeedsBudget() bool { return k == FailureRetry || k == Hedge }
+func (k AttemptKind) NeedsBudget() bool { return k != First }
 
 // reserve returns the part of the budget that this kind may not use.
 func (k AttemptKind) reserve() float64 {
@@ -114,13 +113,6 @@
 	b.firsts.add(now)
 }
 
-// CountCharged counts a nested request of a repeated run, which is never refused.
-func (b *Budget) CountCharged(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.repeats.add(now)
-}
-
 // TryTake counts a repeat and returns true if the budget allows it.
 func (b *Budget) TryTake(now time.Time, k AttemptKind) bool {
 	b.mu.Lock()
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -18,6 +18,15 @@
 	returned int
 }
 
+// nestedRequests reports whether a gate gets a nested request of a repeated run in a step: in half of
+// the time one in three steps of each gate, and hardly any otherwise.
+func (f *simulatedFleet) nestedRequests(at time.Duration) bool {
+	if at/(budgetLength/4)%2 == 0 {
+		return f.random.IntN(1000) == 0
+	}
+	return f.random.IntN(3) == 0
+}
+
 const (
 	budgetGates  = 7
 	budgetRatio  = 0.2
@@ -54,8 +63,9 @@
 			b.CountFirst(now)
 			f.requests = append(f.requests, at)
 		}
-		if f.random.IntN(1000) == 0 {
-			b.CountCharged(now)
+		if f.nestedRequests(at) && b.TryTake(now, Charged) {
+			b.CountFirst(now)
+			f.requests = append(f.requests, at)
 			f.repeats = append(f.repeats, at)
 		}
 		for range 5 {
@@ -146,15 +156,16 @@
 	assert.True(t, b.TryTake(now.Add(window+bucket), Hedge), "the budget is full again one bucket after the window")
 }
 
-// Charged requests must reduce the budget, although they are never refused.
-func TestChargedRequestsUseTheBudget(t *testing.T) {
+// Nested requests of repeated runs must use the budget, and be refused without it.
+func TestNestedRequestsUseTheBudget(t *testing.T) {
 	b := New(0, 10/slackShare, time.Time{})
 	now := time.Unix(1000, 0)
 	for range 9 {
-		b.CountCharged(now)
+		assert.True(t, b.TryTake(now, Charged))
 	}
 	assert.True(t, b.TryTake(now, FailureRetry))
 	assert.False(t, b.TryTake(now, FailureRetry))
+	assert.False(t, b.TryTake(now, Charged))
 }
 
 // A fleet that restarts after it used all of its slack must not exceed the slack in total.
--- a/gate/admission.go
+++ b/gate/admission.go
@@ -294,14 +294,10 @@
 	return []Command{Start{Key: e.Key}}
 }
 
-// countStart counts the start of an attempt that needs no budget.
+// countStart counts the start of a request's first attempt.
 func (a *Admission) countStart(at time.Time, k budget.AttemptKind) {
-	if k.NeedsBudget() {
-		return
-	}
-	a.budget.CountFirst(at)
-	if k == budget.Charged {
-		a.budget.CountCharged(at)
+	if k == budget.First || k == budget.Charged {
+		a.budget.CountFirst(at)
 	}
 }
 
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -59,6 +59,7 @@
 	g.updateQuarantine(ao, frame, outcome, upstream, started, f)
 	if outcome == Erred && g.switches.On(switches.NestedRequests) && g.nestedRequestFailed(started, time.Now()) {
 		outcome = NestedFailed
+		frame.Answer.BudgetSpent = g.budgetSpent(ao.offer.Attempt)
 	}
 	g.log.Debug("attempt ended", zap.String("attempt", ao.offer.Attempt), zap.Stringer("upstream", upstream),
 		zap.String("outcome", outcome.String()), zap.Duration("took", took))
--- a/gate/nested.go
+++ b/gate/nested.go
@@ -1,6 +1,11 @@
 package gate
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"eiderfold/overload"
+)
 
 const (
 	// nestedErrorWindow is how soon after a failed nested request an upstream returns its own
@@ -13,18 +18,18 @@
 // localFailure is a failed request from this instance: possibly a nested request that the
 // upstream made for an attempt, possibly a request of another caller.
 type localFailure struct {
-	arrived time.Time
-	ended   time.Time
+	overload.Failure
+	ended time.Time
 }
 
-// RecordFailure records that a request from this instance has just failed, and when it arrived.
-func (g *Gate) RecordFailure(arrived time.Time) {
+// RecordFailure records that a request from this instance has just failed.
+func (g *Gate) RecordFailure(f overload.Failure) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.failures) >= maxFailures {
 		g.failures = append(g.failures[:0], g.failures[1:]...)
 	}
-	g.failures = append(g.failures, localFailure{arrived: arrived, ended: time.Now()})
+	g.failures = append(g.failures, localFailure{Failure: f, ended: time.Now()})
 }
 
 // nestedRequestFailed reports whether an error of the upstream follows from a failed nested
@@ -34,9 +39,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, f := range g.failures {
-		if !f.arrived.Before(started) && now.Sub(f.ended) <= nestedErrorWindow {
+		if !f.Arrived.Before(started) && now.Sub(f.ended) <= nestedErrorWindow {
 			return true
 		}
 	}
 	return false
 }
+
+// budgetSpent reports whether a nested request of the attempt has failed because no budget was left
+// to repeat it.
+func (g *Gate) budgetSpent(attempt string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(g.failures, func(f localFailure) bool {
+		return f.BudgetSpent && f.Parent != "" && f.Parent == attempt
+	})
+}
--- a/gate/nested_test.go
+++ b/gate/nested_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"eiderfold/link"
+	"eiderfold/overload"
 	"eiderfold/platform"
 	"eiderfold/port"
 )
@@ -52,7 +53,7 @@
 					began := time.Now()
 					g.Handle(discardSink{}, &link.Frame{Offer: &link.Offer{Key: link.Key{Number: i + 1}, Service: "a", TimeLeft: 5 * time.Second, Retryable: true, Content: &link.Content{}}})
 					time.Sleep(c.fails)
-					g.RecordFailure(began.Add(c.arrives))
+					g.RecordFailure(overload.Failure{Arrived: began.Add(c.arrives)})
 					time.Sleep(work)
 				}
 				assert.Equal(t, c.want, g.Status().Mode)
@@ -60,3 +61,43 @@
 		})
 	}
 }
+
+// recordingSink records the answers sent to an ingress.
+type recordingSink struct{ answers chan *link.Answer }
+
+func (r recordingSink) Send(f *link.Frame) bool {
+	if f.Answer != nil {
+		r.answers <- f.Answer
+	}
+	return true
+}
+
+// A request must not be repeated because of a nested request that no budget was left for: the repeat
+// would make it again. The budget of another attempt's nested request is no such reason.
+func TestErrorAfterNestedRequestWithoutBudgetSaysSo(t *testing.T) {
+	const work = 500 * time.Millisecond
+	for name, c := range map[string]struct {
+		failure overload.Failure
+		want    bool
+	}{
+		"its own":          {overload.Failure{Parent: "a1", BudgetSpent: true}, true},
+		"another reason":   {overload.Failure{Parent: "a1"}, false},
+		"another attempt":  {overload.Failure{Parent: "a2", BudgetSpent: true}, false},
+		"another caller's": {overload.Failure{BudgetSpent: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
+				g.client = failingClient{work: work}
+				g.Report(port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: "a", Slots: 4, Sequence: 1})
+				synctest.Wait()
+				sink := recordingSink{answers: make(chan *link.Answer, 1)}
+				g.Handle(sink, &link.Frame{Offer: &link.Offer{Key: link.Key{Number: 1}, Attempt: "a1", Service: "a", TimeLeft: 5 * time.Second, Retryable: true, Content: &link.Content{}}})
+				time.Sleep(work - nestedErrorWindow/2)
+				c.failure.Arrived = time.Now()
+				g.RecordFailure(c.failure)
+				assert.Equal(t, c.want, (<-sink.answers).BudgetSpent)
+			})
+		})
+	}
+}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -44,7 +44,7 @@
 	counters  Counters
 	saturated func() bool                                  // Reports whether the upstream beside this node has no free slot.
 	parents   func(attempt string) (overload.Parent, bool) // Finds an attempt that runs on the upstream beside this node.
-	failed    func(arrived time.Time)                      // Called for each failed request.
+	failed    func(overload.Failure)                       // Called for each failed request.
 	limits    Limits
 	tracker   *quarantine.SharedTracker // Tracks requests that crash upstreams.
 	table     atomic.Pointer[route.Table]
@@ -71,9 +71,8 @@
 	return func(to *Forwarder) { to.saturated = f }
 }
 
-// WithFailures sets the function that is called with the arrival time of each failed
-// request.
-func WithFailures(f func(arrived time.Time)) Option {
+// WithFailures sets the function that is called for each failed request.
+func WithFailures(f func(overload.Failure)) Option {
 	return func(to *Forwarder) { to.failed = f }
 }
 
@@ -87,7 +86,7 @@
 		counters:  counters,
 		saturated: func() bool { return true },
 		parents:   func(string) (overload.Parent, bool) { return overload.Parent{}, false },
-		failed:    func(time.Time) {},
+		failed:    func(overload.Failure) {},
 		limits:    noLimits{},
 		tracker:   quarantine.NewSharedTracker(func([]quarantine.Command) {}),
 		origin:    rand.Uint64(),
@@ -134,7 +133,7 @@
 		return nil
 	}
 	if response.Status >= http.StatusInternalServerError {
-		f.failed(r.Arrived)
+		f.failed(overload.Failure{Arrived: r.Arrived, Parent: req.parent, BudgetSpent: req.lacksBudget()})
 	}
 	return f.outgoing(response)
 }
@@ -152,7 +151,7 @@
 		return nil
 	}
 	last := finishAt.Add(-lateGrace)
-	if req.nested && req.arrived.Add(req.latency.StallThreshold()).Before(last) {
+	if req.parent != "" && req.arrived.Add(req.latency.StallThreshold()).Before(last) {
 		if last.Before(req.deadline) {
 			req.deadline = last
 		}
@@ -178,6 +177,9 @@
 		return nil, refusal(result.New(result.NoRoute, path))
 	}
 	parent, isNested := f.parents(metadata.Parent)
+	if !isNested {
+		metadata.Parent = ""
+	}
 	account, refused := identify(table, matched, metadata.AccountKey, isNested)
 	if refused != nil {
 		return nil, refused
@@ -207,7 +209,7 @@
 		requirements: requirements,
 		saturated:    f.saturated,
 		inRepeat:     parent.Repeat,
-		nested:       isNested,
+		parent:       metadata.Parent,
 		events:       make(chan event, eventBuffer),
 	}, nil
 }
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -43,9 +43,10 @@
 	offersMade     int                // Offers made, in all rounds.
 	runs           int                // Attempts that may have run.
 	deliveries     int                // Attempts that may have reached an upstream: runs, and those refused as shed or misdirected.
-	nested         bool               // Sent by a request that runs on the upstream beside this node.
+	parent         string             // The attempt on the upstream beside this node that made it, "" for none.
 	inRepeat       bool               // Nested in a repeated attempt.
 	budgetDenials  int                // Gates that had no budget for the current repeat.
+	budgetSpent    bool               // A nested request of an attempt found no budget left.
 	far            bool               // Offered to other data centres after a long wait.
 	nextRoundAt    time.Time          // When a new round of offers may begin.
 	pause          time.Duration      // Pause before the latest round.
--- a/ingress/inflight_test.go
+++ b/ingress/inflight_test.go
@@ -155,3 +155,26 @@
 		}
 	}
 }
+
+// A lookup whose nested request found no budget must be answered at once: its repeat would make the
+// same nested request. Any other error is repeated elsewhere.
+func TestLookupWhoseNestedRequestFoundNoBudgetIsNotRepeated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, spent := range []bool{false, true} {
+		req, _, sinks := orderInFlight(t, now, 2)
+		req.route.Retryable = true
+		before := len(sinks[0].frames) + len(sinks[1].frames)
+		answer := &link.Answer{Key: req.offers[0].key, Status: http.StatusInternalServerError, BudgetSpent: spent}
+		r := req.handle(event{frame: &link.Frame{Answer: answer}, key: answer.Key.Number}, now)
+		offers := len(sinks[0].frames) + len(sinks[1].frames) - before
+		assert.Equal(t, spent, req.lacksBudget())
+		if spent {
+			require.NotNil(t, r)
+			assert.Equal(t, http.StatusInternalServerError, r.Status)
+			assert.Zero(t, offers)
+			continue
+		}
+		assert.Nil(t, r)
+		assert.Equal(t, 1, offers)
+	}
+}
--- a/ingress/outcome.go
+++ b/ingress/outcome.go
@@ -39,6 +39,10 @@
 	}
 	f.fallback = r
 	f.repeatCause = causeError
+	if a.BudgetSpent {
+		f.budgetSpent = true
+		f.forwarder.count("nested_budget_spent")
+	}
 	if !f.mayRepeat(now) {
 		return f.unlessBusy(r)
 	}
--- a/ingress/repeat.go
+++ b/ingress/repeat.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"time"
 
 	"eiderfold/budget"
@@ -28,6 +29,7 @@
 	causeUnresponsive = "silent"
 	causeError        = "after_error"
 	causeFailure      = "after_failure"
+	causeNested       = "nested" // No repeat itself, but nested in one.
 )
 
 // attemptKind returns the budget's kind of the next attempt.
@@ -51,7 +53,7 @@
 	}
 	f.budgetDenials++
 	f.forwarder.endpoints.noteBudgetExhausted(f.service, now)
-	f.forwarder.count("no_budget_" + f.repeatCause)
+	f.forwarder.count("no_budget_" + cmp.Or(f.repeatCause, causeNested))
 }
 
 // mayHedge reports whether a granted slot may be used in addition to a running attempt.
@@ -116,11 +118,16 @@
 	return false
 }
 
-// mayRepeat reports whether the request may run once more, regardless of the budget.
+// mayRepeat reports whether the request may run once more, regardless of the budget of its own
+// service. If a service that it calls has none, a repeat would be in vain.
 func (f *inFlightRequest) mayRepeat(now time.Time) bool {
-	return f.route.Retryable && f.runs < f.route.Attempts && now.Before(f.deadline)
+	return f.route.Retryable && f.runs < f.route.Attempts && now.Before(f.deadline) && !f.budgetSpent
 }
 
+// lacksBudget reports whether the current repeat of the request, or of a request nested in it, was
+// refused for want of budget.
+func (f *inFlightRequest) lacksBudget() bool { return f.budgetDenials > 0 || f.budgetSpent }
+
 // tryNext tries the next gate, or ends the request if waiting for another round is of no
 // use.
 func (f *inFlightRequest) tryNext(now time.Time) *Response {
--- a/ingress/replay_test.go
+++ b/ingress/replay_test.go
@@ -70,7 +70,7 @@
 	*inFlightRequest
 	node  *replayNode
 	wakes uint64 // Number of the latest wake-up; earlier ones are ignored.
-	done  func(ok bool)
+	done  func(f *replayRequest, ok bool)
 	ended bool
 }
 
@@ -156,13 +156,13 @@
 	p.after(time.Duration(gap*float64(time.Second)), func() {
 		p.number++
 		n := p.nodes[p.random.IntN(len(p.nodes))]
-		p.ask(n, r, "a"+strconv.FormatUint(p.number, 10), nil, func(bool) {})
+		p.ask(n, r, "a"+strconv.FormatUint(p.number, 10), nil, func(*replayRequest, bool) {})
 		p.arrive(r)
 	})
 }
 
-// ask sends a request. done gets whether it was answered.
-func (p *replay) ask(n *replayNode, r routeLoad, attempt string, caller *replayGate, done func(ok bool)) {
+// ask sends a request. done gets it and whether it was answered.
+func (p *replay) ask(n *replayNode, r routeLoad, attempt string, caller *replayGate, done func(f *replayRequest, ok bool)) {
 	counted := p.elapsed() >= p.scenario.Count.From && p.elapsed() < p.scenario.Count.To
 	req, refused := n.forwarder.prepare(&Request{Method: http.MethodGet, RequestURI: r.path(), URL: &url.URL{Path: r.path()}, Host: replayHost,
 		Header: http.Header{"Attempt-Id": {attempt}, "Deadline-Ms": {strconv.FormatInt(r.Timeout.Milliseconds(), 10)}}, Arrived: p.now})
@@ -172,11 +172,11 @@
 	arrived := p.now
 	p.arrivals.request(r.Service, attempt, p.elapsed(), req.inRepeat)
 	f := &replayRequest{inFlightRequest: req, node: n}
-	f.done = func(ok bool) {
+	f.done = func(f *replayRequest, ok bool) {
 		if counted {
 			p.totals[r.Name].add(f, ok, p.now.Sub(arrived), r.Target)
 		}
-		done(ok)
+		done(f, ok)
 	}
 	if caller != nil {
 		req.saturated = caller.admission.Saturated
@@ -245,7 +245,7 @@
 func (f *replayRequest) end(r *Response) {
 	f.ended = true
 	f.withdrawAll()
-	f.done(r.Status < http.StatusInternalServerError)
+	f.done(f, r.Status < http.StatusInternalServerError)
 }
 
 // deliver passes a gate's message to its request.
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -35,6 +35,7 @@
 	node   *replayNode
 	offer  *link.Offer
 	repeat bool // It repeats another run, or is nested in one that does.
+	spent  bool // A nested request failed for want of budget.
 	over   bool
 }
 
@@ -247,8 +248,9 @@
 	left := kind.CallTimes
 	for range kind.CallTimes {
 		p.number++
-		p.ask(node, p.scenario.route(kind.Calls), name+"."+strconv.FormatUint(p.number, 10), g, func(ok bool) {
+		p.ask(node, p.scenario.route(kind.Calls), name+"."+strconv.FormatUint(p.number, 10), g, func(f *replayRequest, ok bool) {
 			left--
+			r.spent = r.spent || !ok && f.lacksBudget()
 			switch {
 			case !ok:
 				g.finish(k, gate.NestedFailed, p.now.Sub(began))
@@ -280,7 +282,7 @@
 		g.update(said)
 		g.send(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusOK, Header: header, MeanResponseTime: g.admission.Status().MeanResponseTime}})
 	case gate.Erred, gate.NestedFailed:
-		g.send(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusInternalServerError, MeanResponseTime: g.admission.Status().MeanResponseTime}})
+		g.send(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusInternalServerError, BudgetSpent: r.spent, MeanResponseTime: g.admission.Status().MeanResponseTime}})
 	case gate.Shed:
 		g.send(k, &link.Frame{Refused: &link.Refused{Key: k, Reason: link.ReasonShed}})
 	default:
--- a/ingress/stopping_test.go
+++ b/ingress/stopping_test.go
@@ -24,10 +24,10 @@
 	usual := latency.StallThreshold()
 	for _, c := range []struct {
 		left   time.Duration
-		nested bool
+		parent string
 		taken  bool
-	}{{lateGrace + 2*usual, true, true}, {lateGrace + usual/2, true, false}, {usual / 2, true, false}, {-time.Second, true, false}, {2 * usual, false, false}} {
-		req := &inFlightRequest{nested: c.nested, latency: latency, arrived: finishAt.Add(-c.left), deadline: finishAt.Add(time.Second)}
+	}{{lateGrace + 2*usual, "a1", true}, {lateGrace + usual/2, "a1", false}, {usual / 2, "a1", false}, {-time.Second, "a1", false}, {2 * usual, "", false}} {
+		req := &inFlightRequest{parent: c.parent, latency: latency, arrived: finishAt.Add(-c.left), deadline: finishAt.Add(time.Second)}
 		refused := f.boundByStop(req)
 		if c.taken {
 			assert.Nil(t, refused, "%+v", c)
--- a/link/message.go
+++ b/link/message.go
@@ -124,6 +124,9 @@
 	Header           map[string][]string `cbor:"3,keyasint"`
 	Body             []byte              `cbor:"4,keyasint,omitempty"`
 	MeanResponseTime time.Duration       `cbor:"5,keyasint,omitempty"` // At the gate.
+	// BudgetSpent is set on an error that follows from a nested request for which no budget for
+	// repeats was left: a repeat would make the same nested request and fail too.
+	BudgetSpent bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Failed reports that the request may have run and that no response was received.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -70,7 +70,7 @@
 		ingress.WithSaturation(func() bool { return n.gate.Saturated() }),
 		ingress.WithLimits(n.limits),
 		ingress.WithQuarantine(n.quarantine.tracker),
-		ingress.WithFailures(func(arrived time.Time) { n.gate.RecordFailure(arrived) }))
+		ingress.WithFailures(func(f overload.Failure) { n.gate.RecordFailure(f) }))
 	n.server = ingress.NewServer(n.forwarder.Serve, n.callerLimits,
 		ingress.WithBodyMemory(s.BodyMemory(), func() { metrics.Count("body_without_room") }))
 	n.directory = newDirectory(n)
--- a/overload/requirements.go
+++ b/overload/requirements.go
@@ -24,6 +24,13 @@
 	Repeat         bool // Its run repeats another.
 }
 
+// Failure is a request that failed on the node where it arrived.
+type Failure struct {
+	Arrived     time.Time
+	Parent      string // The attempt that made it, if that runs on the upstream beside the node; otherwise "".
+	BudgetSpent bool   // No budget was left to repeat it.
+}
+
 // Requirements are what a request needs: its priority, its target deadline, after which an
 // answer loses most of its value, and its deadline.
 type Requirements struct {
