mesh: failing test, a configuration that changes while all watchers are suspended arrives late

The test: four nodes, one of which watches; its watch does not return, its links stay up. The others do not have the next version after 20 s.

--- a/mesh/configuration_test.go
+++ b/mesh/configuration_test.go
@@ -103,6 +103,24 @@
 	b.awaitVersion(6)
 }
 
+// All watchers may be suspended at once, while their links still count as up: the others must notice
+// that nobody watches the store, and get the next version.
+func TestConfigurationArrivesWhileWatchersAreSuspended(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	b.watchers = 1
+	b.addBirths(4)
+	b.awaitReady()
+	b.awaitVersion(3)
+	for _, n := range b.nodes {
+		if n.links.amongFirst(b.watchers) {
+			n.store.frozen.Store(true)
+		}
+	}
+	b.configure(5, "/five/")
+	b.awaitVersion(5)
+}
+
 // Only a node that watches or has no configuration may read the current state; one that
 // receives changes from its peers must use the cheaper stale read.
 func TestStaleReadWithoutWatch(t *testing.T) {
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -13,6 +13,7 @@
 type nodeStore struct {
 	*memory.Directory
 	denied atomic.Bool  // The store refuses the node's calls.
+	frozen atomic.Bool  // Watches do not return, as if the node were suspended.
 	peeks  atomic.Int64 // Number of calls of StaleRange.
 	calls  atomic.Int64 // Number of all calls except watches.
 }
@@ -59,6 +60,10 @@
 		return nil, port.StoreRevision{}, port.ErrUnavailable
 	}
 	events, at, err := s.Directory.Watch(ctx, prefix, after, wait)
+	if s.frozen.Load() {
+		<-ctx.Done()
+		return nil, port.StoreRevision{}, ctx.Err()
+	}
 	if s.denied.Load() {
 		return nil, port.StoreRevision{}, port.ErrUnavailable // A watch pending when refusals begin must not deliver changes.
 	}
