mesh: watchers send heartbeats, and who hears none watches the store

Cause: twelve nodes watch the store for all others, who take over only when their links show that those are gone. A link to a process without power, suspended or cut off is found 2.5 s after an unanswered ping, and one without requests is pinged after 15 s; a change has 2 s. Class: the loss of a role is noticed by a means that is made for something else and is slower than what the role owes.

Change: nodes that watch tell those that they are linked to so, one each 0.6 s, by a message that also names their version. A node that does not watch and hears none for two turns and 0.1 s (1.3 s) watches for 5 s as if it had been asked. A watcher that cannot reach the store sends them too, since its delegates watch: a store that is out for all brings nobody else to it. Where nodes do not dial all others a new heartbeat is passed on in the data centre, told apart by process and number, so that it ends. A node whose watch ends sends one even if another one takes over, which may still be starting (TestStartNeedsFewCalls failed in one trial without that).

--- a/link/message.go
+++ b/link/message.go
@@ -219,6 +219,15 @@
 	// WatchFor asks the receiver to watch the store for this long, as the sender cannot reach it; 0 for no request.
 	WatchFor time.Duration `cbor:"4,keyasint,omitempty"`
 	Watching bool          `cbor:"5,keyasint,omitempty"` // The sender, asked to watch the store, has reached it.
+	// Heartbeat is a heartbeat of a node that watches the store: the sender, or one that the sender
+	// has heard.
+	Heartbeat *Heartbeat `cbor:"6,keyasint,omitempty"`
+}
+
+// Heartbeat identifies a heartbeat of a node that watches the store.
+type Heartbeat struct {
+	Process  uint64 `cbor:"1,keyasint"` // Of the watching node.
+	Sequence uint64 `cbor:"2,keyasint"` // Increases with each heartbeat of the process.
 }
 
 // Ping requests a ping reply, or is one.
--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -23,11 +23,12 @@
 	watchers       int           // How many nodes of the fleet watch; tests set fewer.
 	watchRequested chan struct{} // Signals a request from another node to watch.
 	delegation     delegation
+	heartbeats     heartbeats
 }
 
 func newConfiguration(n *Node) *configuration {
 	return &configuration{node: n, watchers: watchers, watchRequested: make(chan struct{}, 1),
-		delegation: delegation{broadPause: backoff{min: broadPauseMin, max: broadPauseMax}}}
+		delegation: delegation{broadPause: backoff{min: broadPauseMin, max: broadPauseMax}}, heartbeats: heartbeats{last: time.Now()}}
 }
 
 // apply puts a configuration in force if it is newer than the current one. An invalid one
--- a/mesh/configuration_test.go
+++ b/mesh/configuration_test.go
@@ -121,6 +121,26 @@
 	b.awaitVersion(5)
 }
 
+// A heartbeat that arrives again must not count: nodes that pass it on to each other would otherwise
+// hear of a watcher that has ended for ever.
+func TestHeartbeatCountsOnce(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	one := b.add("one", "births")
+	one.stopNode() // It sends no more heartbeats of its own.
+	c := one.config
+	start := c.heartbeats.last
+	c.noteHeartbeat(&link.Heartbeat{Process: 1, Sequence: 2})
+	first := c.heartbeats.last
+	assert.True(t, first.After(start))
+	for _, sequence := range []uint64{2, 1} {
+		c.noteHeartbeat(&link.Heartbeat{Process: 1, Sequence: sequence})
+		assert.Equal(t, first, c.heartbeats.last)
+	}
+	c.noteHeartbeat(&link.Heartbeat{Process: 2, Sequence: 1})
+	assert.True(t, c.heartbeats.last.After(first))
+}
+
 // Only a node that watches or has no configuration may read the current state; one that
 // receives changes from its peers must use the cheaper stale read.
 func TestStaleReadWithoutWatch(t *testing.T) {
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -128,6 +128,13 @@
 	return out
 }
 
+// dialsAll reports whether this node dials all others that it knows.
+func (l *links) dialsAll() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.peers) >= l.view.Fleet()-1
+}
+
 // check pings idle dialed links, closes unresponsive ones and drained ones without requests,
 // closes silent inbound links, and sends these the status if that is due.
 func (l *links) check(now time.Time) {
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -104,16 +104,20 @@
 	if len(records) == 0 {
 		return
 	}
-	remaining := l.gossipFanout()
+	for _, to := range l.randomNearLinks(l.gossipFanout()) {
+		sendRecords(to, records)
+	}
+}
+
+// randomNearLinks returns links to at most count random nodes of the own data centre.
+func (l *links) randomNearLinks(count int) []*link.Link {
+	var out []*link.Link
 	for _, p := range l.shuffled() {
-		if remaining == 0 {
-			return
-		}
-		if to := p.currentLink(); to != nil && l.isNear(p.currentEndpoint().Member()) {
-			sendRecords(to, records)
-			remaining--
+		if to := p.currentLink(); to != nil && l.isNear(p.currentEndpoint().Member()) && len(out) < count {
+			out = append(out, to)
 		}
 	}
+	return out
 }
 
 // gossipFanout returns the number of random nodes to send gossip to so that it reaches all:
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -28,6 +28,9 @@
 	if m.Watching {
 		c.noteDelegate(from)
 	}
+	if m.Heartbeat != nil {
+		c.noteHeartbeat(m.Heartbeat)
+	}
 	version, packed := c.current()
 	switch {
 	case m.Want && version > m.Version:
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -52,6 +52,9 @@
 		err := c.follow(ctx, &pause, at)
 		at = port.StoreRevision{}
 		if err != nil && ctx.Err() == nil {
+			if c.watches() {
+				c.sendHeartbeat() // It may be one of few that try; delegates watch meanwhile.
+			}
 			c.node.log.Info("configuration not followed", zap.Error(err))
 			c.dropDelegation()
 			c.delegateWatch(time.Now())
@@ -96,6 +99,7 @@
 			c.awaitPoll(ctx)
 			return nil
 		}
+		c.sendHeartbeat()
 		events, next, err := store.Watch(ctx, operator, at, wait)
 		if errors.Is(err, port.ErrCompacted) {
 			return nil
@@ -106,6 +110,7 @@
 		at = next
 		c.node.applyOperatorEvents(events, at)
 		c.confirmDelegation()
+		c.sendHeartbeat() // Also if it no longer watches, as the node that takes over may only be starting.
 	}
 }
 
@@ -164,7 +169,7 @@
 }
 
 // awaitPoll waits, without calls to the store, until the next poll is due or the node has
-// become a watcher or been asked to watch.
+// become a watcher, been asked to watch, or heard no watcher for too long.
 func (c *configuration) awaitPoll(ctx context.Context) {
 	until := time.Now().Add(jitter(pollPause(c.node.links.fleetSize())))
 	for time.Now().Before(until) && !c.watches() {
@@ -173,6 +178,7 @@
 			return
 		case <-c.watchRequested:
 		case <-time.After(watcherCheckEvery):
+			c.watchUnlessWatched(time.Now())
 		}
 	}
 }
