--- a/gate/health.go
+++ b/gate/health.go
@@ -128,7 +128,11 @@
 }
 
 // bad raises the suspicion by a weight. It begins a trial, or delays the next attempt of one.
-func (h *health) bad(at time.Time, weight float64) {
+func (h *health) bad(at time.Time, weight float64) { h.badBeside(at, weight, 0) }
+
+// badBeside is bad for an outcome beside which other attempts hang. If it begins a trial, each of them
+// makes the trial longer.
+func (h *health) badBeside(at time.Time, weight float64, hanging int) {
 	h.suspicion = min(h.suspicion+weight, maxSuspicion)
 	h.badRatio += badRatioGain * (1 - h.badRatio)
 	h.goodStreak = 0
@@ -145,7 +149,7 @@
 	h.trialStarted = at
 	h.reset(false)
 	h.badCount = h.initialBadCount(at)
-	h.unanswered = 0
+	h.unanswered = hanging
 	h.lastTrialEvent = at
 	h.nextTrialAt = at
 }
@@ -212,6 +216,5 @@
 			unanswered++
 		}
 	}
-	h.bad(at, trialThreshold)
-	h.unanswered = max(unanswered-1, 0)
+	h.badBeside(at, trialThreshold, max(unanswered-1, 0))
 }
