--- a/gate/confirm.go
+++ b/gate/confirm.go
@@ -91,8 +91,8 @@
 	if same {
 		g.update(answer.said.message(upstream))
 	}
-	if !answer.healthy && !answer.said.leaving {
+	if !answer.healthy && !answer.said.Leaving {
 		return false, "", errors.New("health check: not healthy")
 	}
-	return !same || answer.said.leaving, "health check", nil // Another incarnation may have its address.
+	return !same || answer.said.Leaving, "health check", nil // Another incarnation may have its address.
 }
--- a/gate/message.go
+++ b/gate/message.go
@@ -90,9 +90,7 @@
 	At       time.Time
 	HeardAt  time.Time // When the answer arrived, at this node or at another one.
 	Upstream port.Incarnation
-	Limit    port.NamedLimit
-	Leaving  bool
-	ColdLeft time.Duration // How much longer the upstream is cold; 0 if the answer does not say so.
+	port.Statement
 }
 
 // Evacuated reports whether the upstream's data centre is evacuated and gets no new work.
--- a/gate/namedlimit_test.go
+++ b/gate/namedlimit_test.go
@@ -104,7 +104,7 @@
 			if n := len(u.named); n == 0 || u.named[n-1].rate != u.rate {
 				u.named = append(u.named, namedAt{u.now, u.rate})
 			}
-			u.known = Stated{HeardAt: u.now, Upstream: port.Incarnation{ID: "i-1"}, Limit: port.NamedLimit{State: port.LimitNamed, Rate: u.rate}}
+			u.known = Stated{HeardAt: u.now, Upstream: port.Incarnation{ID: "i-1"}, Statement: port.Statement{Limit: port.NamedLimit{State: port.LimitNamed, Rate: u.rate}}}
 			said := u.known
 			said.At = u.now
 			u.update(said)
@@ -239,7 +239,7 @@
 func TestEndedLimitIsNotInTheStatus(t *testing.T) {
 	u := newLimitedUpstream(1)
 	for _, limit := range []port.NamedLimit{{State: port.LimitNamed, Rate: 2.5}, {State: port.LimitNone}} {
-		u.update(Stated{At: u.now, HeardAt: u.now, Upstream: port.Incarnation{ID: "i-1"}, Limit: limit})
+		u.update(Stated{At: u.now, HeardAt: u.now, Upstream: port.Incarnation{ID: "i-1"}, Statement: port.Statement{Limit: limit}})
 		s := u.admission.Status()
 		assert.True(t, s.Heard)
 		assert.Equal(t, limit.State == port.LimitNamed, s.Limited)
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -162,7 +162,7 @@
 	if s.Limit != nil {
 		limit = port.NamedLimit{State: port.LimitNamed, Rate: *s.Limit}
 	}
-	return Stated{At: now, HeardAt: now.Add(-s.Age), Upstream: port.Incarnation{ID: s.Upstream}, Limit: limit, Leaving: s.Leaving, ColdLeft: s.Cold}
+	return Stated{At: now, HeardAt: now.Add(-s.Age), Upstream: port.Incarnation{ID: s.Upstream}, Statement: port.Statement{Limit: limit, Leaving: s.Leaving, ColdLeft: s.Cold}}
 }
 
 func (o offerStep) message(now time.Time) Offered {
--- a/gate/statement.go
+++ b/gate/statement.go
@@ -10,11 +10,8 @@
 
 // statement is what an answer says of the upstream itself. The zero statement says nothing.
 type statement struct {
-	at    time.Time // When the answer's header was read.
-	limit port.NamedLimit
-	// leaving is set if the upstream leaves.
-	leaving  bool
-	coldLeft time.Duration // 0 if the answer does not say that it is cold.
+	port.Statement
+	at time.Time // When the answer's header was read.
 }
 
 // statementOf returns what an answer says of the upstream. An answer of another incarnation, or
@@ -23,7 +20,9 @@
 	if a.status == http.StatusMisdirectedRequest || meta.Attempt == "" && !meta.NotRun {
 		return statement{}
 	}
-	return statement{at: a.readAt, limit: meta.KnownLimit(), leaving: meta.Leaving, coldLeft: meta.ColdLeft}
+	said := statement{Statement: meta.Statement, at: a.readAt}
+	said.Limit = meta.KnownLimit()
+	return said
 }
 
 // noteStatement passes on what the upstream said in its answer or refusal.
@@ -42,7 +41,7 @@
 
 // message returns the statement of an incarnation for the admission.
 func (s statement) message(upstream port.Incarnation) Stated {
-	return Stated{At: time.Now(), HeardAt: s.at, Upstream: upstream, Limit: s.limit, Leaving: s.leaving, ColdLeft: s.coldLeft}
+	return Stated{At: time.Now(), HeardAt: s.at, Upstream: upstream, Statement: s.Statement}
 }
 
 // noteNamedLimit uses what the sender of an offer knows of the upstream's limit. A process that
@@ -52,5 +51,6 @@
 		return
 	}
 	upstream := port.Incarnation{ID: o.Upstream, StartedAt: o.Limit.StartedAt}
-	g.update(Stated{At: now, HeardAt: now.Add(-max(o.Limit.Age, 0)), Upstream: upstream, Limit: port.NamedLimit{State: port.LimitNamed, Rate: o.Limit.Rate}})
+	said := port.Statement{Limit: port.NamedLimit{State: port.LimitNamed, Rate: o.Limit.Rate}}
+	g.update(Stated{At: now, HeardAt: now.Add(-max(o.Limit.Age, 0)), Upstream: upstream, Statement: said})
 }
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -134,9 +134,9 @@
 		return nil, err
 	}
 	meta := c.dialect.Answer(a.status, a.header)
-	said := statement{at: a.readAt, leaving: meta.Leaving, coldLeft: meta.ColdLeft}
-	if meta.Limit.State == port.LimitNamed {
-		said.limit = meta.Limit // A health answer without a limit does not show that there is none.
+	said := statement{Statement: meta.Statement, at: a.readAt}
+	if meta.Limit.State == port.LimitNone {
+		said.Limit = port.NamedLimit{} // A health answer without a limit does not show that there is none.
 	}
 	return &healthAnswer{upstream: meta.Upstream, healthy: a.status == http.StatusOK, said: said}, nil
 }
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -274,7 +274,7 @@
 	switch o {
 	case gate.Good:
 		header := http.Header{"Response-Stamp": {g.name()}}
-		said := gate.Stated{At: g.replay.now, HeardAt: g.replay.now, Upstream: port.Incarnation{ID: "i-" + g.name()}, Limit: port.NamedLimit{State: port.LimitNone}}
+		said := gate.Stated{At: g.replay.now, HeardAt: g.replay.now, Upstream: port.Incarnation{ID: "i-" + g.name()}, Statement: port.Statement{Limit: port.NamedLimit{State: port.LimitNone}}}
 		if limit := g.limit(); limit > 0 {
 			header.Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
 			said.Limit = port.NamedLimit{State: port.LimitNamed, Rate: limit}
