--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -144,7 +144,16 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), block: block, store: standin.NewMetadata(), faultProxy: standin.NewFaultProxy(), checker: newChecker(o.Previous == ""), kernel: readKernelCounters(), evacuations: evacuations{start: map[string]time.Time{}}}
+	s := &soak{
+		options:     o,
+		random:      rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		block:       block,
+		store:       standin.NewMetadata(),
+		faultProxy:  standin.NewFaultProxy(),
+		checker:     newChecker(o.Previous == ""),
+		kernel:      readKernelCounters(),
+		evacuations: evacuations{start: map[string]time.Time{}},
+	}
 	if o.Ending {
 		s.crashingRequests = newCrashingRequests()
 	}
