mesh: a watcher without the store asks again once nobody is heard that reaches it

Cause: watchers that cannot reach the store ask others to watch, and ask again after 5 s. Class: a role that a process was given ends with the process, and who gave it does not notice.

Change: a heartbeat says whether its sender reaches the store. A watcher that fails and has heard of nobody who does for 1.3 s asks again, then after twice that time each, up to 5 s, so that an outage for all brings no more nodes to the store than now. Who watches for others waits at most 1.2 s for a change, so that its heartbeats are close enough.

TestWatcherDelegatesAgainWhenDelegatesFallSilent reads state that is new here; without the condition on who is heard its second request comes after 5 s, as before.

--- a/link/message.go
+++ b/link/message.go
@@ -228,6 +228,8 @@
 type Heartbeat struct {
 	Process  uint64 `cbor:"1,keyasint"` // Of the watching node.
 	Sequence uint64 `cbor:"2,keyasint"` // Increases with each heartbeat of the process.
+	// Unreached is set if the node's last call to the store failed.
+	Unreached bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Ping requests a ping reply, or is one.
--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -27,8 +27,10 @@
 }
 
 func newConfiguration(n *Node) *configuration {
-	return &configuration{node: n, watchers: watchers, watchRequested: make(chan struct{}, 1),
-		delegation: delegation{broadPause: backoff{min: broadPauseMin, max: broadPauseMax}}, heartbeats: heartbeats{last: time.Now()}}
+	c := &configuration{node: n, watchers: watchers, watchRequested: make(chan struct{}, 1),
+		delegation: delegation{broadPause: backoff{min: broadPauseMin, max: broadPauseMax}}, heartbeats: heartbeats{last: time.Now(), lastReached: time.Now()}}
+	c.delegation.silentPause = backoff{min: c.heartbeatTimeout(), max: delegationTime}
+	return c
 }
 
 // apply puts a configuration in force if it is newer than the current one. An invalid one
--- a/mesh/configuration_test.go
+++ b/mesh/configuration_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -184,6 +185,32 @@
 	b.awaitVersion(5)
 }
 
+// The only node that reaches the store for others may end: a watcher that reaches it no more must ask
+// again as soon as it hears of nobody who does, not only when the last request expires.
+func TestWatcherDelegatesAgainWhenDelegatesFallSilent(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	b.watchers = 1
+	b.addBirths(3)
+	b.awaitReady()
+	watcher := b.nodes[slices.IndexFunc(b.nodes, func(n *testNode) bool { return n.links.amongFirst(1) })]
+	c := watcher.config
+	now := time.Now().Add(time.Hour)
+	asks := func(after time.Duration) bool {
+		before := c.delegation.next
+		c.delegateWatch(now.Add(after))
+		return c.delegation.next != before
+	}
+	assert.True(t, asks(0))
+	assert.False(t, asks(time.Second))
+	assert.True(t, asks(delegationTime/2), "nobody has been heard since")
+	c.mu.Lock()
+	c.heartbeats.lastReached = now.Add(delegationTime)
+	c.mu.Unlock()
+	assert.False(t, asks(delegationTime+time.Second), "a delegate reaches the store")
+	assert.True(t, asks(2*delegationTime))
+}
+
 // Guards against a fleet of which every node retries its calls while the store is down: after a
 // failed call only watchers may retry before the next poll is due.
 func TestOnlyWatchersRetry(t *testing.T) {
--- a/mesh/delegation.go
+++ b/mesh/delegation.go
@@ -19,6 +19,9 @@
 	// broadDelegationTime is how long a node tries at such a request, unless it reaches the store:
 	// for one call, as many nodes are asked.
 	broadDelegationTime = 1 * time.Second
+	// delegateWait is the longest wait of a watch at the request of others: two heartbeats of the
+	// delegate are less than heartbeatTimeout apart.
+	delegateWait = 2 * watchTurn
 	// The pause between two requests to all linked nodes grows from broadPauseMin to
 	// broadPauseMax while no node confirms: the store may be down for hours.
 	broadPauseMin = delegationTime
@@ -26,9 +29,11 @@
 )
 
 // delegation is the state of requests to watch the store for others, in both directions. The
-// lock of configuration guards it, except for next.
+// lock of configuration guards it, except for what only run uses.
 type delegation struct {
 	next        time.Time    // When this node may next ask others to watch; accessed by run only.
+	nextSilent  time.Time    // The same while it hears of no node that reaches the store.
+	silentPause backoff      // Pause until nextSilent; accessed by run only.
 	delegates   []*link.Link // Nodes that confirmed the last request.
 	confirmedAt time.Time    // When one last confirmed.
 	nextBroad   time.Time    // When all linked nodes may be asked.
@@ -41,18 +46,31 @@
 // delegateWatch asks other nodes to watch the store if this node, whose call to it has failed, is
 // a watcher. Watchers are selected by rank and reachability from other nodes, not by access to
 // the store, so no other node would take over without a request. A request goes to those that
-// confirmed the last one and to random nodes. It is repeated only after the previous one has
-// expired. If none confirms, hardly any node may be left that reaches the store, and all linked
-// nodes are asked.
+// confirmed the last one and to random nodes. It is repeated after the previous one has expired, or
+// sooner if nobody is heard that reaches the store, as the delegates may have ended. If none
+// confirms, hardly any node may be left that reaches the store, and all linked nodes are asked.
 func (c *configuration) delegateWatch(now time.Time) {
-	if !c.node.links.amongFirst(c.watchers) || now.Before(c.delegation.next) {
+	if !c.node.links.amongFirst(c.watchers) || !c.mayDelegate(now) {
 		return
 	}
 	c.delegation.next = now.Add(delegationTime)
+	c.delegation.nextSilent = now.Add(c.delegation.silentPause.next())
 	c.requestWatch(c.chooseDelegates(), delegationTime)
 	time.AfterFunc(confirmTimeout, func() { c.delegateBroadly(now) })
 }
 
+// mayDelegate reports whether this node may ask others to watch now.
+func (c *configuration) mayDelegate(now time.Time) bool {
+	c.mu.Lock()
+	silent := now.Sub(c.heartbeats.lastReached) >= c.heartbeatTimeout()
+	c.mu.Unlock()
+	if !silent {
+		c.delegation.silentPause.reset()
+		return !now.Before(c.delegation.next)
+	}
+	return !now.Before(c.delegation.nextSilent)
+}
+
 // chooseDelegates returns links to the nodes that confirmed the last request, and to random ones.
 func (c *configuration) chooseDelegates() []*link.Link {
 	c.mu.Lock()
@@ -170,5 +188,5 @@
 		return watchWait(now, s.before, min(s.fleet, c.watchers)), true
 	}
 	left := c.delegationEnd().Sub(now)
-	return max(left, watchTurn/2), left > 0
+	return min(max(left, watchTurn/2), delegateWait), left > 0
 }
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -24,22 +24,36 @@
 
 // heartbeats is what a node knows of the watchers' heartbeats. The lock of configuration guards it.
 type heartbeats struct {
-	last     time.Time         // When the node last sent or received one, or started.
-	sequence uint64            // Of the last one that it sent.
-	received map[uint64]uint64 // The highest sequence by the sender's process.
+	last        time.Time         // When the node last sent or received one, or started.
+	lastReached time.Time         // The same for those of nodes that reach the store.
+	sequence    uint64            // Of the last one that it sent.
+	received    map[uint64]uint64 // The highest sequence by the sender's process.
 }
 
-// sendHeartbeat tells all linked nodes that this one watches the store, unless there has just been
-// another heartbeat.
-func (c *configuration) sendHeartbeat() {
+// note records a heartbeat that is sent or received now.
+func (h *heartbeats) note(reached bool, now time.Time) {
+	h.last = now
+	if reached {
+		h.lastReached = now
+	}
+}
+
+// sendHeartbeat tells all linked nodes that this one watches the store, and whether it reaches it,
+// unless there has just been another such heartbeat.
+func (c *configuration) sendHeartbeat(reached bool) {
 	now := time.Now()
 	c.mu.Lock()
-	due := now.Sub(c.heartbeats.last) >= heartbeatEvery
+	last := c.heartbeats.last
+	if reached {
+		last = c.heartbeats.lastReached
+	}
+	due := now.Sub(last) >= heartbeatEvery
 	if due {
-		c.heartbeats.last = now
+		c.heartbeats.note(reached, now)
 		c.heartbeats.sequence++
 	}
-	m := &link.Configuration{Version: c.version, Heartbeat: &link.Heartbeat{Process: c.node.process, Sequence: c.heartbeats.sequence}}
+	h := &link.Heartbeat{Process: c.node.process, Sequence: c.heartbeats.sequence, Unreached: !reached}
+	m := &link.Configuration{Version: c.version, Heartbeat: h}
 	c.mu.Unlock()
 	if due {
 		c.passHeartbeat(c.node.links.allLinks(), m)
@@ -56,7 +70,7 @@
 			c.heartbeats.received = map[uint64]uint64{}
 		}
 		c.heartbeats.received[h.Process] = h.Sequence
-		c.heartbeats.last = time.Now()
+		c.heartbeats.note(!h.Unreached, time.Now())
 	}
 	m := &link.Configuration{Version: c.version, Heartbeat: h}
 	c.mu.Unlock()
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -53,7 +53,7 @@
 		at = port.StoreRevision{}
 		if err != nil && ctx.Err() == nil {
 			if c.watches() {
-				c.sendHeartbeat() // It may be one of few that try; delegates watch meanwhile.
+				c.sendHeartbeat(false)
 			}
 			c.node.log.Info("configuration not followed", zap.Error(err))
 			c.dropDelegation()
@@ -99,7 +99,7 @@
 			c.awaitPoll(ctx)
 			return nil
 		}
-		c.sendHeartbeat()
+		c.sendHeartbeat(true)
 		events, next, err := store.Watch(ctx, operator, at, wait)
 		if errors.Is(err, port.ErrCompacted) {
 			return nil
@@ -110,7 +110,7 @@
 		at = next
 		c.node.applyOperatorEvents(events, at)
 		c.confirmDelegation()
-		c.sendHeartbeat() // Also if it no longer watches, as the node that takes over may only be starting.
+		c.sendHeartbeat(true) // Also if it no longer watches, as the node that takes over may only be starting.
 	}
 }
 
