gate: two tests of nested requests share the set-up of their gate

Cause: TestErrorAfterNestedRequestWithoutBudgetSaysSo wrote again what TestErrorAfterFailedNestedRequestIsIgnored has. Change: newFailingGate serves both; all cases and assertions are as they were, no product code changes. Measured: go test -count=1 ./gate passes.

--- a/gate/nested_test.go
+++ b/gate/nested_test.go
@@ -30,6 +30,16 @@
 }
 func (failingClient) closeIdle(bool) {}
 
+// newFailingGate returns an open gate whose upstream answers each request with status 500 after some
+// time. It must be called inside a synctest bubble.
+func newFailingGate(work time.Duration) *Gate {
+	g := New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
+	g.client = failingClient{work: work}
+	g.Report(port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: "a", Slots: 4, Sequence: 1})
+	synctest.Wait()
+	return g
+}
+
 // An error that follows from a failed nested request must not count against the upstream. A
 // failure that ended earlier, or of a request from before the attempt, is no such reason.
 func TestErrorAfterFailedNestedRequestIsIgnored(t *testing.T) {
@@ -45,10 +55,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
-				g.client = failingClient{work: work}
-				g.Report(port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: "a", Slots: 4, Sequence: 1})
-				synctest.Wait()
+				g := newFailingGate(work)
 				for i := range uint64(3) {
 					began := time.Now()
 					g.Handle(discardSink{}, &link.Frame{Offer: &link.Offer{Key: link.Key{Number: i + 1}, Service: "a", TimeLeft: 5 * time.Second, Retryable: true, Content: &link.Content{}}})
@@ -87,10 +94,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
-				g.client = failingClient{work: work}
-				g.Report(port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: "a", Slots: 4, Sequence: 1})
-				synctest.Wait()
+				g := newFailingGate(work)
 				sink := recordingSink{answers: make(chan *link.Answer, 1)}
 				g.Handle(sink, &link.Frame{Offer: &link.Offer{Key: link.Key{Number: 1}, Attempt: "a1", Service: "a", TimeLeft: 5 * time.Second, Retryable: true, Content: &link.Content{}}})
 				time.Sleep(work - nestedErrorWindow/2)
