--- a/link/message.go
+++ b/link/message.go
@@ -47,6 +47,14 @@
 	// Limit is the limit that the intended upstream last named to the sender. It is only sent to a
 	// gate that has heard nothing from the upstream yet, as after a restart.
 	Limit *NamedLimit `cbor:"16,keyasint,omitempty"`
+	// Weight is the account's weight among the accounts that compete for the gate's slots; 0 for 1.
+	Weight float64 `cbor:"17,keyasint,omitempty"`
+}
+
+// Room is how much more work a gate has room for when it sends the message.
+type Room struct {
+	Free int           `cbor:"1,keyasint,omitempty"` // Free slots.
+	Wait time.Duration `cbor:"2,keyasint,omitempty"` // Expected wait of one more offer; 0 if a slot is free.
 }
 
 // NamedLimit is the limit that an upstream has named to the sender.
@@ -59,13 +67,15 @@
 // Granted reports that a slot is reserved for the offer. The gate waits for the
 // commit, or has started the request if the offer carried its content.
 type Granted struct {
-	Key     Key  `cbor:"1,keyasint"`
-	Started bool `cbor:"2,keyasint,omitempty"`
+	Key     Key   `cbor:"1,keyasint"`
+	Started bool  `cbor:"2,keyasint,omitempty"`
+	Room    *Room `cbor:"3,keyasint,omitempty"`
 }
 
 // Queued reports that the offer waits in the gate's queue for a slot.
 type Queued struct {
-	Key Key `cbor:"1,keyasint"`
+	Key  Key   `cbor:"1,keyasint"`
+	Room *Room `cbor:"2,keyasint,omitempty"`
 }
 
 // Reason is why an offer was refused.
@@ -85,9 +95,10 @@
 	ReasonBudget              // The offer is a retry or hedge, and the gate's retry budget is exhausted.
 	ReasonQuarantined         // The request is quarantined because upstreams crash while running it.
 	ReasonLimited             // The limit that the upstream names keeps the offer from starting in time.
+	ReasonNested              // The services that its nested requests lead to have no room for them.
 )
 
-var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget", "quarantined", "limited"}
+var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget", "quarantined", "limited", "nested"}
 
 // String returns the reason's name, or "unknown".
 func (r Reason) String() string {
@@ -102,6 +113,7 @@
 	Key        Key           `cbor:"1,keyasint"`
 	Reason     Reason        `cbor:"2,keyasint"`
 	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"` // When to retry, 0 for no advice.
+	Room       *Room         `cbor:"4,keyasint,omitempty"`
 }
 
 // Commit starts a granted offer.
@@ -126,7 +138,8 @@
 	MeanResponseTime time.Duration       `cbor:"5,keyasint,omitempty"` // At the gate.
 	// BudgetSpent is set on an error that follows from a nested request for which no budget for
 	// repeats was left: a repeat would make the same nested request and fail too.
-	BudgetSpent bool `cbor:"6,keyasint,omitempty"`
+	BudgetSpent bool  `cbor:"6,keyasint,omitempty"`
+	Room        *Room `cbor:"7,keyasint,omitempty"`
 }
 
 // Failed reports that the request may have run and that no response was received.
@@ -179,6 +192,7 @@
 	Heard            bool          `cbor:"7,keyasint,omitempty"` // The gate knows what the upstream says of itself in its answers.
 	Limited          bool          `cbor:"8,keyasint,omitempty"` // The upstream names a limit.
 	Limit            float64       `cbor:"9,keyasint,omitempty"` // That limit, in requests per second.
+	Room             *Room         `cbor:"10,keyasint,omitempty"`
 }
 
 // Hello is the first message of each side of a link.
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -111,6 +111,14 @@
 	ColdLeft time.Duration // How much longer the upstream is cold.
 	Limit    NamedLimit    // As the headers have it; see KnownLimit.
 	Leaving  bool          // The upstream leaves and accepts no new requests.
+	Load     Load          // The zero value if the response does not report it.
+}
+
+// Load is the load that an upstream reports in a response, over all of its callers.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int // 0 if the load is not known.
 }
 
 // KnownLimit returns what the response shows of the upstream's limit. Only a response that is marked
