--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -37,23 +37,25 @@
 
 // Forwarder forwards callers' requests to gates and returns the answers.
 type Forwarder struct {
-	service   string // Service of the upstream beside this node.
-	endpoints *Endpoints
-	dialect   port.Dialect
-	log       *zap.Logger
-	counters  Counters
-	saturated func() bool                                  // Reports whether the upstream beside this node has no free slot.
-	parents   func(attempt string) (overload.Parent, bool) // Finds an attempt that runs on the upstream beside this node.
-	failed    func(overload.Failure)                       // Called for each failed request.
-	limits    Limits
-	tracker   *quarantine.SharedTracker // Tracks requests that crash upstreams.
-	table     atomic.Pointer[route.Table]
-	finishAt  atomic.Pointer[time.Time] // When Finish ends what is in flight; nil while the node is not stopping.
-	origin    uint64                    // Identifies this process's offers; differs after a restart.
-	number    atomic.Uint64
-	latencies sync.Map // *core.LatencyPercentile by route name.
-	mu        sync.Mutex
-	requests  map[uint64]*inFlightRequest
+	service    string // Service of the upstream beside this node.
+	endpoints  *Endpoints
+	dialect    port.Dialect
+	log        *zap.Logger
+	counters   Counters
+	saturated  func() bool                                  // Reports whether the upstream beside this node has no free slot.
+	parents    func(attempt string) (overload.Parent, bool) // Finds an attempt that runs on the upstream beside this node.
+	failed     func(overload.Failure)                       // Called for each failed request.
+	limits     Limits
+	tracker    *quarantine.SharedTracker // Tracks requests that crash upstreams.
+	table      atomic.Pointer[route.Table]
+	configured chan struct{} // Closed once there is a configuration.
+	configure  sync.Once
+	finishAt   atomic.Pointer[time.Time] // When Finish ends what is in flight; nil while the node is not stopping.
+	origin     uint64                    // Identifies this process's offers; differs after a restart.
+	number     atomic.Uint64
+	latencies  sync.Map // *core.LatencyPercentile by route name.
+	mu         sync.Mutex
+	requests   map[uint64]*inFlightRequest
 }
 
 // Option configures a Forwarder in NewForwarder.
@@ -79,18 +81,19 @@
 // NewForwarder returns a forwarder without a configuration.
 func NewForwarder(service string, endpoints *Endpoints, dialect port.Dialect, log *zap.Logger, counters Counters, options ...Option) *Forwarder {
 	f := &Forwarder{
-		service:   service,
-		endpoints: endpoints,
-		dialect:   dialect,
-		log:       log,
-		counters:  counters,
-		saturated: func() bool { return true },
-		parents:   func(string) (overload.Parent, bool) { return overload.Parent{}, false },
-		failed:    func(overload.Failure) {},
-		limits:    noLimits{},
-		tracker:   quarantine.NewSharedTracker(func([]quarantine.Command) {}),
-		origin:    rand.Uint64(),
-		requests:  map[uint64]*inFlightRequest{},
+		service:    service,
+		endpoints:  endpoints,
+		dialect:    dialect,
+		log:        log,
+		counters:   counters,
+		saturated:  func() bool { return true },
+		parents:    func(string) (overload.Parent, bool) { return overload.Parent{}, false },
+		failed:     func(overload.Failure) {},
+		limits:     noLimits{},
+		tracker:    quarantine.NewSharedTracker(func([]quarantine.Command) {}),
+		configured: make(chan struct{}),
+		origin:     rand.Uint64(),
+		requests:   map[uint64]*inFlightRequest{},
 	}
 	for _, o := range options {
 		o(f)
@@ -99,13 +102,19 @@
 }
 
 // SetTable replaces the configuration.
-func (f *Forwarder) SetTable(t *route.Table) { f.table.Store(t) }
+func (f *Forwarder) SetTable(t *route.Table) {
+	f.table.Store(t)
+	f.configure.Do(func() { close(f.configured) })
+}
 
 // Table returns the current configuration, nil if there is none.
 func (f *Forwarder) Table() *route.Table { return f.table.Load() }
 
 // Serve answers a request. It returns nil if the caller has left.
 func (f *Forwarder) Serve(ctx context.Context, r *Request) *Response {
+	if !f.awaitTable(ctx, r.Arrived) && ctx.Err() != nil {
+		return nil
+	}
 	req, refused := f.prepare(r)
 	if refused != nil {
 		f.explain(r, nil, refused)
