--- a/mesh/leaving.go
+++ b/mesh/leaving.go
@@ -13,9 +13,11 @@
 const (
 	// maxUpstreamName keeps a key within the store's limit of 200 bytes.
 	maxUpstreamName = 150
-	// recordRetry is the pause between attempts to record a leaving upstream, whose report
-	// waits for the record.
+	// recordRetry is the first pause between attempts to record a leaving upstream.
 	recordRetry = 150 * time.Millisecond
+	// reportRetryMax is the longest pause between attempts while the upstream's report waits for
+	// the record. The store charges for refused calls too, and an upstream repeats its report.
+	reportRetryMax = 600 * time.Millisecond
 	// recordRetryMax is the longest pause between attempts to record an upstream that says in its
 	// answers that it leaves.
 	recordRetryMax = 5 * time.Second
@@ -92,6 +94,7 @@
 
 // recordLeavingReport records an incarnation that leaves by its report, retrying until ctx ends.
 func (d *directory) recordLeavingReport(ctx context.Context, upstream port.Incarnation) error {
+	pause := backoff{min: recordRetry, max: reportRetryMax}
 	for {
 		err := d.putLeaving(ctx, upstream)
 		if err == nil {
@@ -100,7 +103,7 @@
 		select {
 		case <-ctx.Done():
 			return err
-		case <-time.After(recordRetry):
+		case <-time.After(pause.next()):
 		}
 	}
 }
