gate: orders avoid an upstream that has just returned an error, where others have room

Two errors without a good answer between put a gate on trial, and the second one often hits an order, which cannot be repeated, while a retryable request would show the same. Change: after an error, orders wait for 60 ms at the gate, in which their ingress gets a slot elsewhere if there is one, until an attempt that started later is answered well, or for two seconds (gate/doubt.go, switch doubt).

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -229,14 +229,23 @@
 	}
 }
 
-// mustWait reports whether a non-retryable request has to wait because the upstream may not
-// answer it. While nothing else runs, one goes ahead: a service may have no other requests, and
-// without any attempt the evidence would never change.
+// mustWait reports whether a non-retryable request has to wait because the upstream may fail it
+// or not answer it.
 func (a *Admission) mustWait(at time.Time, e *entry) bool {
-	if e.Retryable || e.Force || a.busy() == 0 || !a.switches.On(switches.HoldUnresponsive) {
+	if e.Retryable || e.Force {
 		return false
 	}
-	return a.evidence(at) >= holdEvidence
+	if a.switches.On(switches.Doubt) && a.delays(at, e.At) {
+		return true
+	}
+	return a.holdsUnresponsive(at)
+}
+
+// holdsUnresponsive reports whether the upstream may be unresponsive. While nothing runs, one
+// request goes ahead: a service may have only non-retryable ones, and without any attempt the
+// evidence would never change.
+func (a *Admission) holdsUnresponsive(at time.Time) bool {
+	return a.busy() > 0 && a.switches.On(switches.HoldUnresponsive) && a.evidence(at) >= holdEvidence
 }
 
 // trialAttempts returns how many attempts of this trial may still succeed. Attempts that hang,
--- a/gate/health.go
+++ b/gate/health.go
@@ -61,6 +61,7 @@
 	trialStarted     time.Time
 	badRatio         float64 // Moving average of the share of bad outcomes.
 	hangDetector
+	doubt
 }
 
 // recordOutcome updates the health by an outcome. Outcomes not listed are no evidence.
@@ -68,8 +69,10 @@
 	switch o {
 	case Good:
 		h.updateMean(took)
+		h.clear(at.Add(-took))
 		h.good(at)
 	case Erred:
+		h.raise(at)
 		h.bad(at, suspicionErred)
 	case Broken:
 		h.bad(at, suspicionBroken)
