overload, gate: a step of priority follows the target

Once an upload had waited for its lag, it also took the slots from urgent work for as long as the slots were short. An offer that has to wait for longer than its lag, if more urgent work with short targets keeps coming, is refused at once; one may always wait. The admission of queued entries no longer takes time by the square of the queue's length. Both rules are switched off by target-steps.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -62,6 +62,7 @@
 	replaced    []port.Incarnation // Incarnations that were replaced.
 	entries     map[link.Key]*entry
 	queue       []*entry
+	startLog    startLog
 }
 
 // NewAdmission returns an admission that stays closed until its upstream has reported.
@@ -126,7 +127,7 @@
 	if reason := a.refusalReason(m); reason != link.ReasonNone {
 		return a.refuse(m, reason)
 	}
-	e := &entry{Offered: m, queueKey: overload.NewQueueKey(m.At, m.Priority, m.TargetDeadline, m.Deadline)}
+	e := &entry{Offered: m, queueKey: a.newQueueKey(m)}
 	expected := a.expectedTime(m.Kind, m.TargetDeadline.Sub(m.At))
 	if a.switches.On(switches.LateLast) {
 		e.queueKey.Update(m.At, expected)
@@ -146,6 +147,9 @@
 	if i >= maxQueuePerSlot*a.slots || m.At.Add(wait+expected).After(e.queueKey.Limit()) || !a.mayWait(e, wait) || a.cannotStart(m.At, e, i) {
 		return []Command{a.refuseWait(m.At, m.Key, i)}
 	}
+	if excess := a.excessWait(m.At, e, i); excess > 0 {
+		return []Command{Refuse{Key: m.Key, Reason: link.ReasonBusy, RetryAfter: excess, Yields: true}}
+	}
 	e.Ready = false // Another gate may get the request meanwhile; the commit decides.
 	a.entries[m.Key] = e
 	a.queue = slices.Insert(a.queue, i, e)
@@ -218,7 +222,7 @@
 func (a *Admission) canAdmit(at time.Time, e *entry) bool {
 	busy := a.busy()
 	switch {
-	case !a.cold.allows(at, a.awaitingCommit()), !a.named.allows(at):
+	case a.cold.limited(at) && !a.cold.allows(at, a.awaitingCommit()), !a.named.allows(at):
 		return false
 	case a.Mode() != link.ModeTrial:
 		return busy < a.slots && !a.mustWait(at, e)
@@ -258,6 +262,7 @@
 		return []Command{Refuse{Key: e.Key, Reason: link.ReasonBudget}}
 	}
 	e.admitted = at
+	a.startLog.add(e)
 	e.tokenTaken = a.named.take(at)
 	if e.Ready {
 		return a.start(at, e)
--- a/gate/message.go
+++ b/gate/message.go
@@ -140,6 +140,7 @@
 	Key        link.Key
 	Reason     link.Reason
 	RetryAfter time.Duration
+	Yields     bool // More urgent work leaves too little room for it.
 }
 
 // Warn sends an Overdue frame to the ingress: its running retryable attempt on trial is not
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"eiderfold/link"
+	"eiderfold/overload"
 	"eiderfold/switches"
 )
 
@@ -25,6 +26,15 @@
 	assumedResponseTime = 100 * time.Millisecond
 )
 
+// newQueueKey returns the queue key of an offer.
+func (a *Admission) newQueueKey(m Offered) overload.QueueKey {
+	step := overload.FixedStep
+	if a.switches.On(switches.TargetSteps) {
+		step = overload.PriorityStep(m.At, m.TargetDeadline, m.Deadline)
+	}
+	return overload.NewQueueKey(m.At, m.Priority, step, m.TargetDeadline, m.Deadline)
+}
+
 // compareQueued compares entries by their order in the queue.
 func compareQueued(a, b *entry) int { return a.queueKey.Compare(&b.queueKey) }
 
--- a/gate/reconcile.go
+++ b/gate/reconcile.go
@@ -65,13 +65,7 @@
 	if mode != link.ModeOpen {
 		out = a.refuseWaiting(mode)
 	}
-	for _, e := range slices.Clone(a.queue) {
-		if !a.canAdmit(at, e) {
-			continue // A later entry may be admissible.
-		}
-		a.queue = slices.DeleteFunc(a.queue, func(o *entry) bool { return o == e })
-		out = append(out, a.admit(at, e)...)
-	}
+	out = append(out, a.admitQueued(at)...)
 	limitChanged := a.namedNotice.due(at, &a.named)
 	if mode != a.mode {
 		a.mode = mode
@@ -82,6 +76,21 @@
 	return out
 }
 
+// admitQueued admits queued entries that have a slot.
+func (a *Admission) admitQueued(at time.Time) []Command {
+	var out []Command
+	for i := 0; i < len(a.queue) && !a.Saturated(); {
+		e := a.queue[i]
+		if !a.canAdmit(at, e) {
+			i++ // A later entry may be admissible.
+			continue
+		}
+		a.queue = slices.Delete(a.queue, i, i+1)
+		out = append(out, a.admit(at, e)...)
+	}
+	return out
+}
+
 // refuseWaiting refuses waiting entries when the gate is closed or on trial. On trial, entries
 // with a slot keep it, as their commits may already be on the way.
 func (a *Admission) refuseWaiting(mode link.Mode) []Command {
--- /dev/null
+++ b/gate/urgentload.go
@@ -0,0 +1,71 @@
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"eiderfold/switches"
+)
+
+const (
+	// maxStarts is how many starts show what the slots are used for: several times the slots of an
+	// upstream.
+	maxStarts = 64
+	// shortStepShare is the part of an entry's step of priority below which that of another one is
+	// short. Requests of equal targets differ by less, by how long they have waited elsewhere. They
+	// need no protection: the less urgent ones are late before the others.
+	shortStepShare = 0.5
+)
+
+// startLog holds the latest starts, in any order, with what decides how soon they were due.
+type startLog struct {
+	starts []start
+	oldest int // Once the log is full.
+}
+
+type start struct {
+	priority int
+	step     time.Duration
+}
+
+// add adds a start and evicts the oldest one when the log is full.
+func (l *startLog) add(e *entry) {
+	s := start{priority: e.Priority, step: e.queueKey.Step()}
+	if len(l.starts) < maxStarts {
+		l.starts = append(l.starts, s)
+		return
+	}
+	l.starts[l.oldest] = s
+	l.oldest = (l.oldest + 1) % maxStarts
+}
+
+// slowdown returns by what factor an entry waits longer because of work that is more urgent, has a
+// short target and takes as much of the slots as lately: 1 if there was none.
+func (l *startLog) slowdown(e *entry) float64 {
+	urgent := 0
+	for _, s := range l.starts {
+		if s.priority < e.Priority && float64(s.step) < shortStepShare*float64(e.queueKey.Step()) {
+			urgent++
+		}
+	}
+	return float64(max(len(l.starts), 1)) / float64(max(len(l.starts)-urgent, 1))
+}
+
+// excessWait returns how much longer than its lag an offer with this many entries before it would wait
+// if more urgent work kept coming, 0 if it may wait. Less urgent work with a long target can wait until
+// its lag puts it before urgent work that cannot. While there is no room for both, the queue would fill
+// with it, and the urgent work would be refused in its place. So no more of it is queued than starts
+// with what the urgent work leaves. One entry may always wait, so that its route does not starve.
+func (a *Admission) excessWait(at time.Time, e *entry, before int) time.Duration {
+	slowdown := a.startLog.slowdown(e)
+	if slowdown == 1 || !a.switches.On(switches.TargetSteps) || !a.othersWait(e) {
+		return 0
+	}
+	wait := time.Duration(slowdown * float64(a.wait(at, before)))
+	return max(wait-e.queueKey.Lag(), 0)
+}
+
+// othersWait reports whether an entry is queued that is no more urgent than the given one.
+func (a *Admission) othersWait(e *entry) bool {
+	return slices.ContainsFunc(a.queue, func(q *entry) bool { return q.Priority >= e.Priority })
+}
--- a/overload/doc.go
+++ b/overload/doc.go
@@ -16,6 +16,9 @@
 //   - A burst fills the queues. In order of arrival, all requests would miss their target
 //     deadlines, although the capacity would be enough for some. So those that can no longer
 //     meet theirs go last (QueueKey).
+//   - A route with a long target and urgent ones with short targets compete for the same slots.
+//     Each step of priority makes up for a part of the time until the target deadline, so that
+//     the former waits, as it can afford to (PriorityStep).
 //   - Many callers are refused at once. They get a retry-after by the wait that gates
 //     estimate, with random jitter, and shorter for higher priorities
 //     (Requirements.RetryAfter).
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -110,7 +110,8 @@
 		keys := map[string]*QueueKey{}
 		var names []string
 		for _, w := range q.Waiting {
-			k := NewQueueKey(begin.Add(w.Came), w.Priority, begin.Add(w.Aim), begin.Add(w.Deadline))
+			at, target, deadline := begin.Add(w.Came), begin.Add(w.Aim), begin.Add(w.Deadline)
+			k := NewQueueKey(at, w.Priority, PriorityStep(at, target, deadline), target, deadline)
 			k.Update(begin.Add(q.At), q.Likely)
 			keys[w.Name] = &k
 			names = append(names, w.Name)
