--- a/settings/meshcheck_test.go
+++ b/settings/meshcheck_test.go
@@ -51,7 +51,7 @@
 node.yaml: log.level: "loud" is none of debug, info, warn, error
 node.yaml: memory_mb: -1 is under 0
 node.yaml: node: is missing
-node.yaml: off: unknown mechanism luck; known are silence, hold, warnings, own-calls, kind-times, trials, forced, hedges, near, slow-last, priority, late-last, call-terms
+node.yaml: off: unknown mechanism luck; known are silence, hold, warnings, own-calls, kind-times, trials, forced, hedges, near, slow-last, priority, late-last, call-terms, target-steps, doubt, nested-room, fair-shares, room, urgent-repeats
 node.yaml: regions: "a": "" names no data centre or no region
 node.yaml: retries: ratio -1 and slack 20 must not be under 0
 node.yaml: stop.grace: 500ms is under 1s
