gate: orders wait after an error of the upstream

Cause: a trial begins with the second error in a row, and what starts between the two is often an order, which cannot be repeated. Change: after an error, unforced orders wait in the queue until an attempt that started after it is answered well, for two seconds at most; retryable requests pass them. After half a second, one order at a time starts while nothing else runs. Whether orders wait is decided once for a whole queue. Switch: doubt.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -153,7 +153,7 @@
 	e.Ready = false // Another gate may get the request meanwhile; the commit decides.
 	a.entries[m.Key] = e
 	a.queue = slices.Insert(a.queue, i, e)
-	return []Command{Queue{Key: m.Key}}
+	return []Command{Queue{Key: m.Key, Doubted: !a.Saturated() && a.mustWait(m.At, e)}}
 }
 
 // refuse refuses an offer for any reason other than its wait in the queue.
@@ -217,7 +217,7 @@
 func (a *Admission) Saturated() bool { return a.busy() >= a.slots }
 
 // canAdmit reports whether the entry may get a slot now. While the upstream may be
-// unresponsive, non-retryable requests stay in the queue until another attempt is answered, or
+// unresponsive or fail, non-retryable requests stay in the queue until another attempt is answered, or
 // go to another gate.
 func (a *Admission) canAdmit(at time.Time, e *entry) bool {
 	busy := a.busy()
@@ -234,15 +234,22 @@
 }
 
 // mustWait reports whether a non-retryable request has to wait because the upstream may not
-// answer it. While nothing else runs, one goes ahead: a service may have no other requests, and
-// without any attempt the evidence would never change.
+// answer it, or with an error. While nothing else runs, one goes ahead: a service may have no other
+// requests, and without any attempt the evidence would never change.
 func (a *Admission) mustWait(at time.Time, e *entry) bool {
-	if e.Retryable || e.Force || a.busy() == 0 || !a.switches.On(switches.HoldUnresponsive) {
+	if !e.mayBeHeld() {
 		return false
 	}
-	return a.evidence(at) >= holdEvidence
+	idle := a.busy() == 0
+	if a.switches.On(switches.Doubt) && a.doubt.holds(at, idle) {
+		return true
+	}
+	return !idle && a.switches.On(switches.HoldUnresponsive) && a.evidence(at) >= holdEvidence
 }
 
+// mayBeHeld reports whether the entry waits while the upstream may not answer it well.
+func (e *entry) mayBeHeld() bool { return !e.Retryable && !e.Force }
+
 // trialAttempts returns how many attempts of this trial may still succeed. Attempts that hang,
 // or started before the trial, occupy slots but do not count.
 func (a *Admission) trialAttempts() int {
@@ -348,6 +355,6 @@
 		return nil
 	}
 	a.closeSample(m, e)
-	a.recordOutcome(m.At, m.Outcome, m.Took)
+	a.recordOutcome(m.At, e.started, m.Outcome, m.Took)
 	return nil
 }
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -7,7 +7,8 @@
 // results of finished attempts for a while, in case a link breaks before they arrive.
 //
 // The gate detects a failing upstream by the outcomes of its attempts (health) and by attempts
-// that run far longer than requests of their kind usually take (hangDetector).
+// that run far longer than requests of their kind usually take (hangDetector). After a single error
+// it keeps non-retryable requests waiting until a later attempt is answered well (doubt).
 //
 // A gate is on trial after its upstream has failed or stopped answering: it takes a limited number
 // of attempts at a time, non-retryable ones only if forced, until there are enough good answers in
--- a/gate/health.go
+++ b/gate/health.go
@@ -60,11 +60,13 @@
 	meanResponseTime time.Duration
 	trialStarted     time.Time
 	badRatio         float64 // Moving average of the share of bad outcomes.
+	doubt            doubt
 	hangDetector
 }
 
 // recordOutcome updates the health by an outcome. Outcomes not listed are no evidence.
-func (h *health) recordOutcome(at time.Time, o Outcome, took time.Duration) {
+func (h *health) recordOutcome(at, started time.Time, o Outcome, took time.Duration) {
+	h.doubt.note(at, started, o)
 	switch o {
 	case Good:
 		h.updateMean(took)
--- a/gate/message.go
+++ b/gate/message.go
@@ -133,7 +133,10 @@
 type Start struct{ Key link.Key }
 
 // Queue reports that an offer waits in the queue.
-type Queue struct{ Key link.Key }
+type Queue struct {
+	Key     link.Key
+	Doubted bool // It waits although a slot is free, as the upstream may not answer it well.
+}
 
 // Refuse ends an offer that has not run.
 type Refuse struct {
--- a/gate/reconcile.go
+++ b/gate/reconcile.go
@@ -76,12 +76,15 @@
 	return out
 }
 
-// admitQueued admits queued entries that have a slot.
+// admitQueued admits queued entries that have a slot. Whether non-retryable requests have to wait is
+// decided once: starting others does not change it.
 func (a *Admission) admitQueued(at time.Time) []Command {
 	var out []Command
+	held := false
 	for i := 0; i < len(a.queue) && !a.Saturated(); {
 		e := a.queue[i]
-		if !a.canAdmit(at, e) {
+		if held && e.mayBeHeld() || !a.canAdmit(at, e) {
+			held = held || e.mayBeHeld()
 			i++ // A later entry may be admissible.
 			continue
 		}
