--- a/gate/doubt.go
+++ b/gate/doubt.go
@@ -3,34 +3,36 @@
 import "time"
 
 const (
-	// doubtTime is how long an error counts against the upstream if nothing else shows that it
-	// works again.
+	// doubtTime is how long doubt lasts without a response: a few response times, after which an
+	// upstream that goes on failing has had another error and is on trial.
 	doubtTime = 2 * time.Second
-	// doubtWait is how long an order waits at a gate in doubt: some round trips between data
-	// centres, in which its ingress gets a slot elsewhere if there is a free one.
-	doubtWait = 60 * time.Millisecond
+	// doubtProbeAfter is how long orders wait for a retryable request to show whether the upstream
+	// still fails: about one response time. After that, single orders do, as the service may have no
+	// other requests.
+	doubtProbeAfter = 500 * time.Millisecond
 )
 
-// doubt remembers the upstream's latest error. An upstream that begins to fail returns errors to most
-// of what it gets, and an order that gets one is lost, while a retryable request can be repeated. So
-// orders leave a gate in doubt to retryable requests as long as another gate has room for them.
-//
-// A single error is no reason for a trial: some requests fail wherever they run.
+// doubt keeps orders from an upstream that has just returned an error. Most errors of an upstream
+// come in spells, and the second one, which begins a trial, would often hit an order, which cannot
+// be repeated. An error of a sound upstream costs little: the next good response ends the doubt, and
+// meanwhile orders may start at other gates.
 type doubt struct {
-	latest time.Time // When the latest error was answered; the zero time if there is no doubt.
+	erred time.Time // The latest error; the zero time if a good response has followed.
+	until time.Time
 }
 
-// raise records an error.
-func (d *doubt) raise(at time.Time) { d.latest = at }
-
-// clear records a good answer. One of an attempt that started before the error shows nothing.
-func (d *doubt) clear(started time.Time) {
-	if started.After(d.latest) {
-		d.latest = time.Time{}
+// note processes the outcome of an attempt. A response to an attempt that started before the error
+// does not show that the upstream has recovered from it.
+func (d *doubt) note(at, started time.Time, o Outcome) {
+	switch {
+	case o == Erred:
+		*d = doubt{erred: at, until: at.Add(doubtTime)}
+	case o == Good && started.After(d.erred):
+		*d = doubt{}
 	}
 }
 
-// delays reports whether an order that arrived at the given time has to wait now.
-func (d *doubt) delays(now, arrived time.Time) bool {
-	return now.Before(d.latest.Add(doubtTime)) && now.Before(arrived.Add(doubtWait))
+// holds reports whether an order has to wait. The parameter idle tells that nothing runs.
+func (d *doubt) holds(at time.Time, idle bool) bool {
+	return at.Before(d.until) && (!idle || at.Sub(d.erred) < doubtProbeAfter)
 }
