--- a/gate/health.go
+++ b/gate/health.go
@@ -62,7 +62,6 @@
 	badRatio         float64 // Moving average of the share of bad outcomes.
 	doubt            doubt
 	hangDetector
-	doubt
 }
 
 // recordOutcome updates the health by an outcome. Outcomes not listed are no evidence.
@@ -71,10 +70,8 @@
 	switch o {
 	case Good:
 		h.updateMean(took)
-		h.clear(at.Add(-took))
 		h.good(at)
 	case Erred:
-		h.raise(at)
 		h.bad(at, suspicionErred)
 	case Broken:
 		h.bad(at, suspicionBroken)
