budget: part of a short budget is reserved for more urgent repeats

Cause: while all upstreams of a service shed most of their work, far more requests need a repeat than the fleet's limit allows, and those that come first use it, whatever they are worth.

Change: TryTakeFor and CanTakeAfter receive the urgency of a repeat, by priority and, within one, with shed orders first. A quarter of a gate's budget (half of what is left once less than half is left) is withheld from the less urgent, but no more than what more urgent requests needed within the last window, less what they took from that part. So it is free for all once the more urgent have had it, and within a window after the last of them. TryTake and CanTake are as before, for the most urgent. The reserve only lowers what is allowed. Refuse returns when the budget allows the repeat again.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -13,6 +13,10 @@
 //	b.CountFirst(now)                     // A first attempt starts.
 //	if b.TryTake(now, budget.Hedge) {     // A repeat may start.
 //	}
+//	u := budget.UrgencyOf(priority, shedOrder)
+//	if !b.TryTakeFor(now, budget.FailureRetry, u) {
+//		retryAfter := b.Refuse(now, budget.FailureRetry, u, 0)
+//	}
 package budget
 
 import (
@@ -70,6 +74,7 @@
 	startupEnds time.Time // When the process will have run for a window.
 	firsts      windowCounter
 	repeats     windowCounter
+	reserve     reserve
 }
 
 // New returns the budget of a process that starts now, by the fleet's ratio and slack.
@@ -113,38 +118,85 @@
 	b.firsts.add(now)
 }
 
-// TryTake counts a repeat and returns true if the budget allows it.
-func (b *Budget) TryTake(now time.Time, k AttemptKind) bool {
+// TryTake is TryTakeFor for the most urgent repeats.
+func (b *Budget) TryTake(now time.Time, k AttemptKind) bool { return b.TryTakeFor(now, k, MostUrgent) }
+
+// TryTakeFor counts a repeat of an urgency and returns true if the budget allows it.
+func (b *Budget) TryTakeFor(now time.Time, k AttemptKind, u Urgency) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.allows(now, k) {
+	if !b.allows(now, k, u, 0) {
 		return false
 	}
+	bound := b.bound(now)
+	fromReserve := b.repeats.upperBound(now)+1 > bound-reservable(bound, b.rounding)+b.rounding
+	b.reserve.take(now, k, u, fromReserve)
 	b.repeats.add(now)
 	return true
 }
 
-// Refund gives back a repeat that was taken at the given time and has not started.
-func (b *Budget) Refund(taken time.Time) {
+// Refund is RefundFor for the most urgent repeats.
+func (b *Budget) Refund(taken time.Time) { b.RefundFor(taken, MostUrgent) }
+
+// RefundFor gives back a repeat of an urgency that was taken at the given time and has not started.
+func (b *Budget) RefundFor(taken time.Time, u Urgency) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.repeats.remove(taken)
+	b.reserve.refund(taken, u)
 }
 
-// CanTake reports whether the budget allows a repeat, without counting one. A gate asks it when an
-// offer arrives, and calls TryTake when the offer gets its slot.
+// CanTake is CanTakeAfter for one of the most urgent repeats with no others before it.
 func (b *Budget) CanTake(now time.Time, k AttemptKind) bool {
+	return b.CanTakeAfter(now, k, MostUrgent, 0)
+}
+
+// CanTakeAfter reports whether the budget allows a repeat of an urgency in addition to the given
+// number of others, without counting any. A gate asks it when an offer arrives and while offers
+// wait, and calls TryTakeFor when the offer gets its slot.
+func (b *Budget) CanTakeAfter(now time.Time, k AttemptKind, u Urgency, others int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(now, k, u, others)
+}
+
+// Refuse records that a repeat was refused for want of budget. It returns how long it takes until
+// the budget allows it in addition to the given number of others, if as many first attempts start
+// as before.
+func (b *Budget) Refuse(now time.Time, k AttemptKind, u Urgency, others int) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.allows(now, k)
+	b.reserve.need(now, k, u)
+	return b.repeats.fallsBy(b.repeats.upperBound(now)+float64(others)+1-b.limit(now, k, u), now)
+}
+
+// Reserved reports whether the budget would allow a repeat if no part of it were reserved for more
+// urgent ones.
+func (b *Budget) Reserved(now time.Time, k AttemptKind, u Urgency) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.allows(now, k, u, 0) && b.allows(now, k, MostUrgent, 0)
+}
+
+// allows reports whether one more repeat is within the limit, after the given number of others.
+// The caller holds the lock.
+func (b *Budget) allows(now time.Time, k AttemptKind, u Urgency, others int) bool {
+	return b.repeats.upperBound(now)+float64(others)+1 <= b.limit(now, k, u)
+}
+
+// limit returns how many repeats there may be in the window before none of this kind and urgency
+// is allowed. The caller holds the lock.
+func (b *Budget) limit(now time.Time, k AttemptKind, u Urgency) float64 {
+	bound := b.bound(now)
+	return min((1-k.reserve())*bound, bound-b.reserve.held(now, u, reservable(bound, b.rounding))) + b.rounding
 }
 
-// allows reports whether one more repeat is within the limit. The caller holds the lock.
-func (b *Budget) allows(now time.Time, k AttemptKind) bool {
+// bound returns the gate's part of the fleet's limit, before it is cut to whole repeats. The caller
+// holds the lock.
+func (b *Budget) bound(now time.Time) float64 {
 	// First attempts are counted low and repeats high, so that the inexact counts never allow
 	// more repeats than the limit.
-	bound := b.ratio*b.firsts.lowerBound(now) + b.slackAt(now)/float64(b.gates)
-	return b.repeats.upperBound(now)+1 <= (1-k.reserve())*bound+b.rounding
+	return b.ratio*b.firsts.lowerBound(now) + b.slackAt(now)/float64(b.gates)
 }
 
 // slackAt returns the slack that is available at the given time to all gates together, assuming
