gate: repeats have an urgency, and none waits for a budget that is spent

Cause: a repeat that was queued while the budget allowed one waited for its slot and was refused then, as others had used the budget meanwhile.

Change: a gate takes repeats from the budget by urgency. A repeat is queued only if the budget allows it after the repeats before it in the queue, and is refused as soon as that no longer holds. A refusal for want of budget says when the budget allows the repeat; the metrics count those for which only the reserve is left (gate_refused_budget_reserved). Switch: urgent-repeats.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -123,7 +123,9 @@
 // offered grants a slot, queues the offer, or refuses it if the wait in the queue would make
 // its answer too late.
 func (a *Admission) offered(m Offered) []Command {
-	if reason := a.refusalReason(m); reason != link.ReasonNone {
+	if reason := a.refusalReason(m); reason == link.ReasonBudget {
+		return a.refuseBudget(m.At, m, 0)
+	} else if reason != link.ReasonNone {
 		return a.refuse(m, reason)
 	}
 	e := &entry{Offered: m, queueKey: overload.NewQueueKey(m.At, m.Priority, m.TargetDeadline, m.Deadline)}
@@ -146,6 +148,9 @@
 	if i >= maxQueuePerSlot*a.slots || m.At.Add(wait+expected).After(e.queueKey.Limit()) || !a.mayWait(e, wait) || a.cannotStart(m.At, e, i) {
 		return []Command{a.refuseWait(m.At, m.Key, i)}
 	}
+	if others := a.repeatsBefore(i); a.switches.On(switches.UrgentRepeats) && !a.hasBudget(m.At, m, others) {
+		return a.refuseBudget(m.At, m, others)
+	}
 	e.Ready = false // Another gate may get the request meanwhile; the commit decides.
 	a.entries[m.Key] = e
 	a.queue = slices.Insert(a.queue, i, e)
@@ -179,7 +184,7 @@
 		return link.ReasonTrial
 	case !m.Deadline.After(m.At):
 		return link.ReasonExpired
-	case m.AttemptKind.NeedsBudget() && !a.budget.CanTake(m.At, m.AttemptKind):
+	case !a.hasBudget(m.At, m, 0):
 		return link.ReasonBudget
 	default:
 		return link.ReasonNone
@@ -255,7 +260,7 @@
 func (a *Admission) admit(at time.Time, e *entry) []Command {
 	if !a.takeBudget(at, e) {
 		delete(a.entries, e.Key)
-		return []Command{Refuse{Key: e.Key, Reason: link.ReasonBudget}}
+		return a.refuseBudget(at, e.Offered, 0)
 	}
 	e.admitted = at
 	e.tokenTaken = a.named.take(at)
@@ -267,19 +272,6 @@
 	return []Command{Grant{Key: e.Key}}
 }
 
-// takeBudget takes a repeat from the budget and reports whether the entry may start. An entry
-// that is no repeat needs no budget.
-func (a *Admission) takeBudget(at time.Time, e *entry) bool {
-	if !e.AttemptKind.NeedsBudget() {
-		return true
-	}
-	if !a.budget.TryTake(at, e.AttemptKind) {
-		return false
-	}
-	e.budgetTaken = at
-	return true
-}
-
 // start marks the entry as running. From now on the request may have run.
 func (a *Admission) start(at time.Time, e *entry) []Command {
 	e.phase = running
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -61,6 +61,9 @@
 		g.answer(c.Key, &link.Frame{Queued: &link.Queued{Key: c.Key}})
 	case Refuse:
 		g.count("gate_refused_" + c.Reason.String())
+		if c.Reserved {
+			g.count("gate_refused_budget_reserved")
+		}
 		g.answer(c.Key, &link.Frame{Refused: &link.Refused{Key: c.Key, Reason: c.Reason, RetryAfter: c.RetryAfter}})
 		delete(g.active, c.Key)
 	case Start:
--- a/gate/message.go
+++ b/gate/message.go
@@ -140,6 +140,7 @@
 	Key        link.Key
 	Reason     link.Reason
 	RetryAfter time.Duration
+	Reserved   bool // There is budget, but it is reserved for more urgent repeats.
 }
 
 // Warn sends an Overdue frame to the ingress: its running retryable attempt on trial is not
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -117,7 +117,7 @@
 func (a *Admission) drop(e *entry) {
 	delete(a.entries, e.Key)
 	if !e.budgetTaken.IsZero() && e.phase != running {
-		a.budget.Refund(e.budgetTaken)
+		a.budget.RefundFor(e.budgetTaken, a.urgency(e.Offered))
 	}
 	if e.phase == granted && e.tokenTaken {
 		a.named.refund()
--- a/gate/reconcile.go
+++ b/gate/reconcile.go
@@ -72,6 +72,7 @@
 		a.queue = slices.DeleteFunc(a.queue, func(o *entry) bool { return o == e })
 		out = append(out, a.admit(at, e)...)
 	}
+	out = append(out, a.refuseWithoutBudget(at)...)
 	limitChanged := a.namedNotice.due(at, &a.named)
 	if mode != a.mode {
 		a.mode = mode
--- /dev/null
+++ b/gate/repeatbudget.go
@@ -0,0 +1,79 @@
+package gate
+
+import (
+	"time"
+
+	"eiderfold/budget"
+	"eiderfold/link"
+	"eiderfold/switches"
+)
+
+// urgency returns how urgent an offer's repeat is. An order is only repeated if it was shed, since
+// it has not run then.
+func (a *Admission) urgency(m Offered) budget.Urgency {
+	if !a.switches.On(switches.UrgentRepeats) {
+		return budget.MostUrgent
+	}
+	return budget.UrgencyOf(m.Priority, !m.Retryable && m.AttemptKind == budget.FailureRetry)
+}
+
+// hasBudget reports whether an offer may start as far as the budget is concerned, with this many
+// repeats before it. An offer that is no repeat needs no budget.
+func (a *Admission) hasBudget(at time.Time, m Offered, others int) bool {
+	return !m.AttemptKind.NeedsBudget() || a.budget.CanTakeAfter(at, m.AttemptKind, a.urgency(m), others)
+}
+
+// takeBudget takes a repeat from the budget and reports whether the entry may start.
+func (a *Admission) takeBudget(at time.Time, e *entry) bool {
+	if !e.AttemptKind.NeedsBudget() {
+		return true
+	}
+	if !a.budget.TryTakeFor(at, e.AttemptKind, a.urgency(e.Offered)) {
+		return false
+	}
+	e.budgetTaken = at
+	return true
+}
+
+// refuseBudget refuses an offer for want of budget, with this many repeats before it.
+func (a *Admission) refuseBudget(at time.Time, m Offered, others int) []Command {
+	u := a.urgency(m)
+	reserved := a.budget.Reserved(at, m.AttemptKind, u)
+	after := a.budget.Refuse(at, m.AttemptKind, u, others)
+	return []Command{Refuse{Key: m.Key, Reason: link.ReasonBudget, RetryAfter: after, Reserved: reserved}}
+}
+
+// repeatsBefore returns how many of the first n entries of the queue need budget.
+func (a *Admission) repeatsBefore(n int) int {
+	repeats := 0
+	for _, e := range a.queue[:n] {
+		if e.AttemptKind.NeedsBudget() {
+			repeats++
+		}
+	}
+	return repeats
+}
+
+// refuseWithoutBudget refuses queued repeats for which the budget does not suffice any more. It
+// handles a saturated gate that many requests were offered to after they had been shed: each would
+// wait for a slot only to be refused then, and its caller with it.
+func (a *Admission) refuseWithoutBudget(at time.Time) []Command {
+	if !a.switches.On(switches.UrgentRepeats) || a.repeatsBefore(len(a.queue)) == 0 {
+		return nil
+	}
+	var out []Command
+	others := 0
+	for i := 0; i < len(a.queue); {
+		e := a.queue[i]
+		if !a.hasBudget(at, e.Offered, others) {
+			a.drop(e)
+			out = append(out, a.refuseBudget(at, e.Offered, others)...)
+			continue
+		}
+		if e.AttemptKind.NeedsBudget() {
+			others++
+		}
+		i++
+	}
+	return out
+}
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -15,11 +15,29 @@
 	"eiderfold/budget"
 	"eiderfold/link"
 	"eiderfold/port"
+	"eiderfold/switches"
 )
 
 // script is a data file: messages to an admission and the commands it must return.
 type script struct {
-	Steps []step `yaml:"steps"`
+	// Slack is the fleet's slack, with a ratio of 0; without it, the budget allows all repeats.
+	Slack float64  `yaml:"slack"`
+	Off   []string `yaml:"off"` // Mechanisms that are off.
+	Steps []step   `yaml:"steps"`
+}
+
+// admission returns the admission of a process that started at a time.
+func (s script) admission(t *testing.T, started time.Time) *Admission {
+	t.Helper()
+	b := budget.New(1, 400, time.Time{})
+	if s.Slack > 0 {
+		b = budget.New(0, s.Slack, started)
+	}
+	a := NewAdmission(scriptService, b)
+	off, err := switches.Off(s.Off...)
+	require.NoError(t, err)
+	a.SetSwitches(off)
+	return a
 }
 
 // step is one message; exactly one of the first fields is set.
@@ -31,6 +49,7 @@
 	Report  *reportStep  `yaml:"report"`
 	Confirm *confirmStep `yaml:"confirm"`
 	Stop    bool         `yaml:"stop"`
+	Restart bool         `yaml:"restart"` // Another process takes the gate's place.
 	// Evacuate starts an evacuation of the data centre or, if false, ends it.
 	Evacuate *bool         `yaml:"evacuate"`
 	Bound    *coldStep     `yaml:"bound"`
@@ -51,8 +70,11 @@
 	Ready     bool          `yaml:"ready"`
 	Force     bool          `yaml:"force"`
 	Kind      uint32        `yaml:"kind"`
+	Attempt   string        `yaml:"attempt"` // retry or hedge; a first attempt without it.
 }
 
+var attemptKinds = map[string]budget.AttemptKind{"": budget.First, "retry": budget.FailureRetry, "hedge": budget.Hedge}
+
 type endStep struct {
 	Key     uint64        `yaml:"key"`
 	Outcome string        `yaml:"outcome"`
@@ -104,9 +126,12 @@
 			var s script
 			require.NoError(t, yaml.UnmarshalWithOptions(text, &s, yaml.Strict()))
 			now := time.Unix(1_000_000, 0)
-			a := NewAdmission(scriptService, budget.New(1, 400, time.Time{}))
+			a := s.admission(t, time.Time{})
 			for i, st := range s.Steps {
 				now = now.Add(st.After)
+				if st.Restart {
+					a = s.admission(t, now)
+				}
 				got := []string{}
 				for _, c := range a.Update(st.message(t, now)) {
 					got = append(got, describe(c))
@@ -179,7 +204,7 @@
 		target = left
 	}
 	return Offered{At: now, Key: key(o.Key), Service: service, Upstream: o.Upstream, Priority: o.Priority,
-		Deadline: now.Add(left), TargetDeadline: now.Add(target), Retryable: o.Retryable, Ready: o.Ready, Force: o.Force, Kind: o.Kind}
+		Deadline: now.Add(left), TargetDeadline: now.Add(target), Retryable: o.Retryable, Ready: o.Ready, Force: o.Force, Kind: o.Kind, AttemptKind: attemptKinds[o.Attempt]}
 }
 
 func key(n uint64) link.Key { return link.Key{Origin: 1, Number: n} }
