--- a/budget/reserve_test.go
+++ b/budget/reserve_test.go
@@ -110,7 +110,7 @@
 }
 
 // The reserve may only lower what the budget allows, so that the fleet's limit holds whatever is
-// urgent. Gates restart at random.
+// urgent. Gates restart at random. A snapshot must say the same as the budget.
 func TestBudgetHoldsWithUrgencies(t *testing.T) {
 	for seed := range uint64(20) {
 		f := &simulatedFleet{random: rand.New(rand.NewPCG(seed, 4))}
@@ -133,6 +133,12 @@
 			b.CountFirst(now)
 			f.requests = append(f.requests, at)
 		}
+		snapshot := b.Snapshot(now)
+		for u := range Urgency(urgencies) {
+			others := f.random.IntN(3)
+			k := []AttemptKind{FailureRetry, Hedge}[f.random.IntN(2)]
+			assert.Equal(t, b.CanTakeAfter(now, k, u, others), snapshot.CanTakeAfter(k, u, others))
+		}
 		for range 5 {
 			u := Urgency(f.random.IntN(urgencies))
 			allowed := b.CanTake(now, FailureRetry)
--- a/gate/repeatbudget.go
+++ b/gate/repeatbudget.go
@@ -61,19 +61,21 @@
 	if !a.switches.On(switches.UrgentRepeats) || a.repeatsBefore(len(a.queue)) == 0 {
 		return nil
 	}
+	now := a.budget.Snapshot(at)
 	var out []Command
 	others := 0
 	for i := 0; i < len(a.queue); {
 		e := a.queue[i]
-		if !a.hasBudget(at, e.Offered, others) {
+		switch {
+		case !e.AttemptKind.NeedsBudget():
+			i++
+		case now.CanTakeAfter(e.AttemptKind, a.urgency(e.Offered), others):
+			others++
+			i++
+		default:
 			a.drop(e)
 			out = append(out, a.refuseBudget(at, e.Offered, others)...)
-			continue
-		}
-		if e.AttemptKind.NeedsBudget() {
-			others++
 		}
-		i++
 	}
 	return out
 }
