ingress, overload: a shed request without budget or time is refused at once

Cause: a shed request asked three gates for budget and was kept until a fifth of its target, and once it waited in queues until its deadline, although it had not run and its caller could be told so. One with a target of 1.5 s was held for 1.4 s and refused after 2.7 s.

A nested request is sent again until its deadline. The metrics count shed as a cause of repeats (repeat_shed, no_budget_shed), and the refusals (shed_refused_budget, shed_refused_late).

--- a/ingress/deadline.go
+++ b/ingress/deadline.go
@@ -22,7 +22,7 @@
 // tick handles the timers that are due. It returns the final answer, if there is one.
 func (f *inFlightRequest) tick(now time.Time) *Response {
 	if !now.Before(f.answerBy()) {
-		return f.final(now)
+		return f.giveUp(now)
 	}
 	for _, o := range slices.Clone(f.offers) {
 		if r := f.handleOverdue(o, now); r != nil {
@@ -66,6 +66,9 @@
 	if f.busy() {
 		return f.deadline.Add(lateGrace)
 	}
+	if f.wasShed() && !f.refuseAt.IsZero() && f.refuseAt.Before(f.deadline) {
+		return f.refuseAt
+	}
 	return f.deadline
 }
 
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -57,6 +57,7 @@
 	gates          []string           // Where it was committed, for the log.
 	committedAt    time.Time          // When it was first committed.
 	repeatCause    string             // Why it is repeated.
+	refuseAt       time.Time          // When it is refused if it was shed and has not run; the zero time for never.
 	unknownReason  string             // Why an attempt's outcome is unknown.
 	record         *quarantine.Record // Crash record, if an upstream crashed while running it.
 	quarantineLeft time.Duration      // Remaining time in quarantine, 0 for none.
@@ -88,7 +89,7 @@
 
 // offerNext offers the request to another gate.
 func (f *inFlightRequest) offerNext(now time.Time) {
-	if f.budgetDenials >= maxBudgetDenials {
+	if f.budgetDenied() {
 		return
 	}
 	c := f.forwarder.endpoints.choose(f.criteria(now), now)
--- a/ingress/outcome.go
+++ b/ingress/outcome.go
@@ -20,6 +20,9 @@
 	if m.Reason == link.ReasonQuarantined {
 		return f.refusedQuarantined(m, now)
 	}
+	if m.Reason == link.ReasonShed {
+		f.noteShed(now)
+	}
 	if len(f.offers) > 0 {
 		f.continueHedge(now)
 		return nil
--- a/ingress/repeat.go
+++ b/ingress/repeat.go
@@ -13,6 +13,9 @@
 	// maxBudgetDenials is how many gates without budget are asked for a repeat: if three
 	// gates have none, the service has little left.
 	maxBudgetDenials = 3
+	// maxBudgetDenialsShed replaces it for a request that was shed and has not run: its caller can
+	// be told so, and may find another node that can serve it.
+	maxBudgetDenialsShed = 2
 	// A retryable request is sent a second time after hedgeFactor times the route's 95th
 	// latency percentile, which about one in fifty normal answers exceeds.
 	hedgeFactor = 1.4
@@ -29,6 +32,7 @@
 	causeUnresponsive = "silent"
 	causeError        = "after_error"
 	causeFailure      = "after_failure"
+	causeShed         = "shed"
 	causeNested       = "nested" // No repeat itself, but nested in one.
 )
 
@@ -56,6 +60,36 @@
 	f.forwarder.count("no_budget_" + cmp.Or(f.repeatCause, causeNested))
 }
 
+// noteShed records that an upstream shed the request. If nothing of it has run, it is refused once
+// it can no longer be answered by its target deadline: it would use budget that others need to be
+// answered in time.
+func (f *inFlightRequest) noteShed(now time.Time) {
+	if len(f.offers) > 0 || f.runs > 0 {
+		return
+	}
+	f.repeatCause = causeShed
+	if f.forwarder.endpoints.switches.On(switches.UrgentRepeats) {
+		f.refuseAt = f.requirements.RepeatShedUntil(f.usualTime(now))
+	}
+}
+
+// usualTime returns how long an answer usually takes: the service's median, but no longer than all
+// but a few of the route's answers take. It returns 0 if no gate has reported a recent mean.
+func (f *inFlightRequest) usualTime(now time.Time) time.Duration {
+	return min(medianResponseTime(f.forwarder.endpoints.Of(f.service), now), f.latency.Threshold())
+}
+
+// wasShed reports whether the request was shed and no attempt of it has run or runs.
+func (f *inFlightRequest) wasShed() bool { return f.runs == 0 && f.repeatCause == causeShed }
+
+// budgetDenied reports whether enough gates had no budget for the current repeat.
+func (f *inFlightRequest) budgetDenied() bool {
+	if f.wasShed() && f.forwarder.endpoints.switches.On(switches.UrgentRepeats) {
+		return f.budgetDenials >= maxBudgetDenialsShed
+	}
+	return f.budgetDenials >= maxBudgetDenials
+}
+
 // mayHedge reports whether a granted slot may be used in addition to a running attempt.
 func (f *inFlightRequest) mayHedge(now time.Time) bool {
 	if !f.route.Retryable || f.runs >= f.route.Attempts {
@@ -131,18 +165,34 @@
 // tryNext tries the next gate, or ends the request if waiting for another round is of no
 // use.
 func (f *inFlightRequest) tryNext(now time.Time) *Response {
+	if f.wasShed() && !now.Before(f.answerBy()) {
+		return f.giveUp(now)
+	}
 	if len(f.offers) == 0 {
 		f.offerNext(now)
 	}
 	if len(f.offers) > 0 || !f.nextRoundAt.Before(now) && !f.waitExpired(now) {
 		return nil
 	}
+	return f.giveUp(now)
+}
+
+// giveUp returns the answer of a request that is not offered any more, and counts why one that was
+// shed is refused.
+func (f *inFlightRequest) giveUp(now time.Time) *Response {
+	switch {
+	case !f.wasShed():
+	case f.budgetDenied():
+		f.forwarder.count("shed_refused_budget")
+	case !now.Before(f.answerBy()):
+		f.forwarder.count("shed_refused_late")
+	}
 	return f.final(now)
 }
 
 // waitExpired reports whether the request should not wait for another round.
 func (f *inFlightRequest) waitExpired(now time.Time) bool {
-	if f.budgetDenials >= maxBudgetDenials {
+	if f.budgetDenied() {
 		return true // No budget to send it again.
 	}
 	return !now.Before(f.waitUntil())
--- a/overload/doc.go
+++ b/overload/doc.go
@@ -16,6 +16,9 @@
 //   - A burst fills the queues. In order of arrival, all requests would miss their target
 //     deadlines, although the capacity would be enough for some. So those that can no longer
 //     meet theirs go last (QueueKey).
+//   - All upstreams of a service shed most of their work, and repeats are limited. A request that
+//     was shed and can no longer meet its target deadline is refused, so that the repeats are left
+//     to others (Requirements.RepeatShedUntil).
 //   - Many callers are refused at once. They get a retry-after by the wait that gates
 //     estimate, with random jitter, and shorter for higher priorities
 //     (Requirements.RetryAfter).
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -28,11 +28,13 @@
 	Parent   *parentCase   `yaml:"parent"`
 	Ran      bool          `yaml:"ran"`
 	Crowded  bool          `yaml:"crowded"`
+	Usual    time.Duration `yaml:"usual"` // How long an answer usually takes.
 	Want     struct {
 		Priority int           `yaml:"priority"`
 		Aim      time.Duration `yaml:"aim"`
 		Deadline time.Duration `yaml:"deadline"`
 		Kept     time.Duration `yaml:"kept"`
+		Shed     time.Duration `yaml:"shed"` // Until when it is sent again after it was shed; not checked if 0.
 	} `yaml:"want"`
 }
 
@@ -79,6 +81,9 @@
 		assert.Equal(t, r.Want.Aim, requirements.TargetDeadline().Sub(begin), r.Why)
 		assert.Equal(t, r.Want.Deadline, requirements.Deadline().Sub(begin), r.Why)
 		assert.Equal(t, r.Want.Kept, requirements.KeepUntil(r.Ran, r.Crowded).Sub(begin), r.Why)
+		if r.Want.Shed != 0 {
+			assert.Equal(t, r.Want.Shed, requirements.RepeatShedUntil(r.Usual).Sub(begin), r.Why)
+		}
 	}
 }
 
--- a/overload/requirements.go
+++ b/overload/requirements.go
@@ -99,6 +99,16 @@
 	return keep
 }
 
+// RepeatShedUntil returns until when the request is sent again if upstreams shed it and it has not
+// run, given how long an answer usually takes: it must still be answered by its target deadline. A
+// nested request is sent again until its deadline, since its refusal wastes the work on its parent.
+func (r Requirements) RepeatShedUntil(usual time.Duration) time.Time {
+	if r.nested {
+		return r.deadline
+	}
+	return r.target.Add(-usual)
+}
+
 // KeepUntil returns until when the request is kept while no gate takes it. The parameter ran
 // tells whether it has run, and saturated whether the upstream that makes a nested request has no
 // free slot. Refusing a nested request wastes the work on its parent, so it is kept until its
