--- a/gate/admission.go
+++ b/gate/admission.go
@@ -124,7 +124,11 @@
 // offered grants a slot, queues the offer, or refuses it if the wait in the queue would make
 // its answer too late.
 func (a *Admission) offered(m Offered) []Command {
-	if reason := a.refusalReason(m); reason != link.ReasonNone {
+	switch reason := a.refusalReason(m); reason {
+	case link.ReasonNone:
+	case link.ReasonBudget:
+		return a.refuseBudget(m.At, m, 0)
+	default:
 		return a.refuse(m, reason)
 	}
 	e := &entry{Offered: m, queueKey: a.newQueueKey(m)}
@@ -150,6 +154,9 @@
 	if excess := a.excessWait(m.At, e, i); excess > 0 {
 		return []Command{Refuse{Key: m.Key, Reason: link.ReasonBusy, RetryAfter: excess, Yields: true}}
 	}
+	if others := a.repeatsBefore(i); a.switches.On(switches.UrgentRepeats) && !a.hasBudget(m.At, m, others) {
+		return a.refuseBudget(m.At, m, others)
+	}
 	e.Ready = false // Another gate may get the request meanwhile; the commit decides.
 	a.entries[m.Key] = e
 	a.queue = slices.Insert(a.queue, i, e)
@@ -183,7 +190,7 @@
 		return link.ReasonTrial
 	case !m.Deadline.After(m.At):
 		return link.ReasonExpired
-	case m.AttemptKind.NeedsBudget() && !a.budget.CanTake(m.At, m.AttemptKind):
+	case !a.hasBudget(m.At, m, 0):
 		return link.ReasonBudget
 	default:
 		return link.ReasonNone
@@ -266,7 +273,7 @@
 func (a *Admission) admit(at time.Time, e *entry) []Command {
 	if !a.takeBudget(at, e) {
 		delete(a.entries, e.Key)
-		return []Command{Refuse{Key: e.Key, Reason: link.ReasonBudget}}
+		return a.refuseBudget(at, e.Offered, 0)
 	}
 	e.admitted = at
 	a.startLog.add(e)
@@ -279,19 +286,6 @@
 	return []Command{Grant{Key: e.Key}}
 }
 
-// takeBudget takes a repeat from the budget and reports whether the entry may start. An entry
-// that is no repeat needs no budget.
-func (a *Admission) takeBudget(at time.Time, e *entry) bool {
-	if !e.AttemptKind.NeedsBudget() {
-		return true
-	}
-	if !a.budget.TryTake(at, e.AttemptKind) {
-		return false
-	}
-	e.budgetTaken = at
-	return true
-}
-
 // start marks the entry as running. From now on the request may have run.
 func (a *Admission) start(at time.Time, e *entry) []Command {
 	e.phase = running
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -67,6 +67,9 @@
 		if c.Yields {
 			g.count("gate_yielded")
 		}
+		if c.Reserved {
+			g.count("gate_refused_budget_reserved")
+		}
 		g.answer(c.Key, &link.Frame{Refused: &link.Refused{Key: c.Key, Reason: c.Reason, RetryAfter: c.RetryAfter}})
 		delete(g.active, c.Key)
 	case Start:
--- a/gate/message.go
+++ b/gate/message.go
@@ -144,6 +144,7 @@
 	Reason     link.Reason
 	RetryAfter time.Duration
 	Yields     bool // More urgent work leaves too little room for it.
+	Reserved   bool // There is budget, but it is reserved for more urgent repeats.
 }
 
 // Warn sends an Overdue frame to the ingress: its running retryable attempt on trial is not
--- a/gate/reconcile.go
+++ b/gate/reconcile.go
@@ -66,6 +66,7 @@
 		out = a.refuseWaiting(mode)
 	}
 	out = append(out, a.admitQueued(at)...)
+	out = append(out, a.refuseWithoutBudget(at)...)
 	limitChanged := a.namedNotice.due(at, &a.named)
 	if mode != a.mode {
 		a.mode = mode
--- a/overload/doc.go
+++ b/overload/doc.go
@@ -19,6 +19,9 @@
 //   - A route with a long target and urgent ones with short targets compete for the same slots.
 //     Each step of priority makes up for a part of the time until the target deadline, so that
 //     the former waits, as it can afford to (PriorityStep).
+//   - All upstreams of a service shed most of their work, and repeats are limited. A request that
+//     was shed and can no longer meet its target deadline is refused, so that the repeats are left
+//     to others (Requirements.RepeatShedUntil).
 //   - Many callers are refused at once. They get a retry-after by the wait that gates
 //     estimate, with random jitter, and shorter for higher priorities
 //     (Requirements.RetryAfter).
