overload, gate: nested requests confirm the wait that gates report

Change: an offer is refused only while other offers wait for a slot, and a reported wait counts as far as the latest nested request of the same kind confirms it: for no longer than that took, unless it was refused (503). Replays make nested requests in turn and for a share of runs.

--- a/gate/nestedroom.go
+++ b/gate/nestedroom.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,20 +19,22 @@
 }
 
 // Nested records that the upstream makes a nested request to a service for a running attempt,
-// and returns a function to be called when that request has ended.
-func (g *Gate) Nested(attempt, service string) (ended func()) {
+// and returns a function to be called when that request has ended, with the status of
+// its answer or 0 if there is none.
+func (g *Gate) Nested(attempt, service string) (ended func(status int)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	ao := g.running(attempt)
 	if ao == nil {
-		return func() {}
+		return func(int) {}
 	}
 	k := ao.offer.Key
-	g.admission.NestedBegan(time.Now(), k, service)
-	return func() {
+	began := time.Now()
+	g.admission.NestedBegan(began, k, service)
+	return func(status int) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.admission.NestedEnded(time.Now(), k, service)
+		g.admission.NestedEnded(time.Now(), k, service, time.Since(began), status)
 	}
 }
 
@@ -46,11 +49,16 @@
 	}
 }
 
-// NestedEnded records the end of a nested request that NestedBegan was called for. The attempt may
-// have ended before.
-func (a *Admission) NestedEnded(at time.Time, k link.Key, service string) {
-	if e := a.entries[k]; e != nil {
-		e.nested.End(at, service)
+// NestedEnded records the end of a nested request that NestedBegan was called for, how long it
+// took and the status of its answer, 0 without one. The attempt may have ended before.
+func (a *Admission) NestedEnded(at time.Time, k link.Key, service string, took time.Duration, status int) {
+	e := a.entries[k]
+	if e == nil {
+		return
+	}
+	e.nested.End(at, service)
+	if status != 0 {
+		a.nested.NoteCall(at, e.Kind, service, took, status != http.StatusServiceUnavailable)
 	}
 }
 
@@ -60,9 +68,12 @@
 }
 
 // refuseNested refuses an offer whose nested requests would find no room; otherwise, it returns
-// nil. A forced offer is not refused, since it keeps the floor share of gates in use.
+// nil. While no other offer waits for a slot, it is admitted: not all runs of a kind make nested
+// requests, and one that fails keeps nobody waiting. A forced offer is not refused, since it keeps
+// the floor share of gates in use.
 func (a *Admission) refuseNested(m Offered) []Command {
-	if a.nestedWait == nil || m.Force || !a.switches.On(switches.NestedRoom) {
+	contended := a.Saturated() && len(a.queue) > 0
+	if a.nestedWait == nil || !contended || m.Force || !a.switches.On(switches.NestedRoom) {
 		return nil
 	}
 	service, wait, refuse := a.nested.Refuse(m.At, m.Kind, m.TargetDeadline, m.Deadline, a.nestedWait)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -42,10 +42,10 @@
 	dialect   port.Dialect
 	log       *zap.Logger
 	counters  Counters
-	saturated func() bool                                  // Reports whether the upstream beside this node has no free slot.
-	parents   func(attempt string) (overload.Parent, bool) // Finds an attempt that runs on the upstream beside this node.
-	failed    func(overload.Failure)                       // Called for each failed request.
-	nested    func(parent, service string) (ended func())  // Called when a nested request is sent to a service.
+	saturated func() bool                                   // Reports whether the upstream beside this node has no free slot.
+	parents   func(attempt string) (overload.Parent, bool)  // Finds an attempt that runs on the upstream beside this node.
+	failed    func(overload.Failure)                        // Called for each failed request.
+	nested    func(parent, service string) func(status int) // Called when a nested request is sent to a service.
 	limits    Limits
 	tracker   *quarantine.SharedTracker // Tracks requests that crash upstreams.
 	table     atomic.Pointer[route.Table]
@@ -78,8 +78,9 @@
 }
 
 // WithNested sets the function that is called when a nested request is sent to a service, with the
-// attempt that makes it. The function that it returns is called when the nested request has ended.
-func WithNested(f func(parent, service string) (ended func())) Option {
+// attempt that makes it. The function that it returns is called when the nested request has ended,
+// with the status of its answer or 0 if its caller has left.
+func WithNested(f func(parent, service string) (ended func(status int))) Option {
 	return func(to *Forwarder) { to.nested = f }
 }
 
@@ -94,7 +95,7 @@
 		saturated: func() bool { return true },
 		parents:   func(string) (overload.Parent, bool) { return overload.Parent{}, false },
 		failed:    func(overload.Failure) {},
-		nested:    func(string, string) func() { return func() {} },
+		nested:    func(string, string) func(int) { return func(int) {} },
 		limits:    noLimits{},
 		tracker:   quarantine.NewSharedTracker(func([]quarantine.Command) {}),
 		origin:    rand.Uint64(),
--- a/ingress/nestedroom.go
+++ b/ingress/nestedroom.go
@@ -14,11 +14,17 @@
 
 // runNested runs a request and, if it is a nested one, reports its begin and end.
 func (f *Forwarder) runNested(ctx context.Context, req *inFlightRequest) *Response {
-	if req.parent != "" {
-		ended := f.nested(req.parent, req.service)
-		defer ended()
+	if req.parent == "" {
+		return req.run(ctx)
 	}
-	return req.run(ctx)
+	ended := f.nested(req.parent, req.service)
+	r := req.run(ctx)
+	if r == nil {
+		ended(0)
+		return nil
+	}
+	ended(r.Status)
+	return r
 }
 
 // noteNestedRefusal records a refusal for lack of room for nested requests. The last one states
--- a/ingress/nestedroom_test.go
+++ b/ingress/nestedroom_test.go
@@ -77,17 +77,33 @@
 	assert.Zero(t, req.nestedRefusals, "a repeat of it may be offered again")
 }
 
+// A service with a single gate must not delay the answer: the gate is asked again after a pause, and
+// its second refusal ends the request at once.
+func TestSingleGateWithoutNestedRoomEndsARequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, _, _ := orderInFlight(t, now, 1)
+	req := newRequest(first, 0, now)
+	req.offerNext(now)
+	assert.Nil(t, req.handle(refusalOf(req.offers[0], link.ReasonNested, time.Second), now))
+	now = req.nextWake()
+	assert.Nil(t, req.tick(now))
+	require.Len(t, req.offers, 1)
+	r := req.handle(refusalOf(req.offers[0], link.ReasonNested, time.Second), now)
+	require.NotNil(t, r)
+	assert.Equal(t, http.StatusServiceUnavailable, r.Status)
+}
+
 // The gate must learn of nested requests that are sent, and of their end, but not of other
 // requests.
 func TestNestedRequestsAreReported(t *testing.T) {
-	var open, total int
+	open, total, status := 0, 0, -1
 	f := newTestForwarder()
-	WithNested(func(parent, service string) func() {
+	WithNested(func(parent, service string) func(int) {
 		assert.Equal(t, "a1", parent)
 		assert.Equal(t, "a", service)
 		open++
 		total++
-		return func() { open-- }
+		return func(s int) { open, status = open-1, s }
 	})(f)
 	for _, parent := range []string{"a1", ""} {
 		req := newRequest(&inFlightRequest{forwarder: f, service: "a", saturated: func() bool { return true }}, 0, time.Now())
@@ -98,4 +114,5 @@
 	}
 	assert.Equal(t, 1, total)
 	assert.Zero(t, open)
+	assert.Zero(t, status, "its caller has left")
 }
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -28,6 +28,7 @@
 	index     int
 	switches  switches.Set
 	runs      map[link.Key]*replayRun
+	queued    map[link.Key]bool
 }
 
 // replayRun is an offer at a gate, and its run once it has started.
@@ -56,6 +57,8 @@
 	g.runs = map[link.Key]*replayRun{}
 	g.admission = gate.NewAdmission(g.service, b)
 	g.admission.SetSwitches(g.switches)
+	g.queued = map[link.Key]bool{}
+	g.admission.SetNestedWait(g.replay.shortestWait)
 	g.update(gate.Reported{At: g.replay.now, Report: port.Report{Incarnation: port.Incarnation{ID: "i-" + g.name()}, Service: g.service, Slots: g.slots, Sequence: 1}})
 	g.update(gate.Confirmed{At: g.replay.now, Upstream: port.Incarnation{ID: "i-" + g.name()}})
 }
@@ -157,6 +160,7 @@
 		}
 		g.update(gate.Committed{At: now, Key: f.Commit.Key})
 	case f.Withdraw != nil:
+		delete(g.queued, f.Withdraw.Key)
 		g.update(gate.Withdrawn{At: now, Key: f.Withdraw.Key})
 	}
 }
@@ -164,6 +168,7 @@
 // update passes a message to the admission and executes the resulting commands.
 func (g *replayGate) update(m gate.Message) {
 	for _, c := range g.admission.Update(m) {
+		g.noteQueue(c)
 		switch c := c.(type) {
 		case gate.Grant:
 			g.send(c.Key, &link.Frame{Granted: &link.Granted{Key: c.Key}})
@@ -238,29 +243,19 @@
 // worked ends a run, after its nested requests if the route makes any and if they are answered.
 func (g *replayGate) worked(k link.Key, kind routeLoad, began time.Time, o gate.Outcome) {
 	p, r := g.replay, g.runs[k]
-	if r == nil || r.over || kind.CallTimes == 0 {
+	if r == nil || r.over || kind.CallTimes == 0 || kind.CallShare > 0 && p.random.Float64() >= kind.CallShare {
 		g.finish(k, o, p.now.Sub(began))
 		return
 	}
 	name := r.offer.Attempt
 	p.parents[name] = overload.Parent{Priority: r.offer.Priority, TargetDeadline: began.Add(r.offer.Target), Deadline: began.Add(r.offer.TimeLeft), Repeat: r.repeat}
-	node := p.nodes[slices.Index(p.scenario.centres(), g.centre)]
-	left := kind.CallTimes
+	calls := &replayCalls{gate: g, key: k, run: r, kind: kind, began: began, outcome: o, left: kind.CallTimes}
+	if kind.InTurn {
+		calls.make()
+		return
+	}
 	for range kind.CallTimes {
-		p.number++
-		p.ask(node, p.scenario.route(kind.Calls), name+"."+strconv.FormatUint(p.number, 10), g, func(f *replayRequest, ok bool) {
-			left--
-			r.spent = r.spent || !ok && f.lacksBudget()
-			switch {
-			case !ok:
-				g.finish(k, gate.NestedFailed, p.now.Sub(began))
-			case left == 0:
-				g.finish(k, o, p.now.Sub(began))
-			}
-			if left == 0 {
-				delete(p.parents, name)
-			}
-		})
+		calls.make()
 	}
 }
 
--- a/ingress/scenario_test.go
+++ b/ingress/scenario_test.go
@@ -52,6 +52,8 @@
 	Timeout   time.Duration `yaml:"timeout"`
 	Calls     string        `yaml:"calls"`      // Route of the nested requests at the end of a run,
 	CallTimes int           `yaml:"call_times"` // and their number; they run concurrently, and all must be answered.
+	InTurn    bool          `yaml:"in_turn"`    // They run one after the other instead.
+	CallShare float64       `yaml:"call_share"` // Share of the runs that make them; 0 for all.
 }
 
 type Span struct {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -67,7 +67,7 @@
 	n.quarantine = newQuarantineSync(n)
 	n.forwarder = ingress.NewForwarder(s.Service(), n.endpoints, p.Dialect, log, metrics,
 		ingress.WithParents(func(attempt string) (overload.Parent, bool) { return n.gate.Parent(attempt) }),
-		ingress.WithNested(func(parent, service string) func() { return n.gate.Nested(parent, service) }),
+		ingress.WithNested(func(parent, service string) func(int) { return n.gate.Nested(parent, service) }),
 		ingress.WithSaturation(func() bool { return n.gate.Saturated() }),
 		ingress.WithLimits(n.limits),
 		ingress.WithQuarantine(n.quarantine.tracker),
--- a/overload/nesteddemand.go
+++ b/overload/nesteddemand.go
@@ -37,9 +37,9 @@
 //
 // It learns from past runs, by kind of request, which services their nested requests lead to and
 // how many rounds of them a run makes. Refusing work that would have been served costs more than
-// a failed run, so all doubts lead to admission: a wait that is not known, figures from few runs,
-// the time that nested requests take beside their wait, and a late request, which is judged by
-// its deadline. It is not safe for concurrent use.
+// a failed run, so all doubts lead to admission: a wait that is not known, or that the
+// latest nested request has not confirmed; figures from few runs; the time that nested requests take beside their wait;
+// a late request, which is judged by its deadline. It is not safe for concurrent use.
 type NestedDemand struct {
 	kinds map[uint32]*nestedKind
 }
@@ -60,6 +60,9 @@
 	runs   int
 	share  float64 // Share of runs that lead there.
 	rounds float64 // Mean number of nested requests one after the other, of those runs.
+	// bound is how long the latest nested request took if it found room: the next one is not
+	// expected to wait for longer, whatever gates report.
+	bound time.Duration
 }
 
 // NestedWait returns the shortest wait that gates of a service report, 0 if one of them has a free
@@ -85,6 +88,25 @@
 	}
 }
 
+// NoteCall learns how long a nested request took that a run of a kind has made, and whether it found
+// room. Nested requests have the urgency of their parent, so they may wait for less time than gates
+// report: a reported wait counts only as far as the latest nested request confirms it.
+func (d *NestedDemand) NoteCall(at time.Time, kind uint32, service string, took time.Duration, foundRoom bool) {
+	k := d.find(at, kind)
+	if k == nil {
+		return
+	}
+	for i := range k.services {
+		switch s := &k.services[i]; {
+		case s.name != service:
+		case foundRoom:
+			s.bound = took
+		default:
+			s.bound = maxNestedWait
+		}
+	}
+}
+
 // find returns the figures of a kind, nil if there are none.
 func (d *NestedDemand) find(at time.Time, kind uint32) *nestedKind {
 	if k := d.kinds[kind]; k != nil && at.Before(k.expires) {
@@ -184,11 +206,8 @@
 		limit = deadline // It is late even without waiting.
 	}
 	for _, s := range k.services {
-		if s.share < minNestedShare {
-			continue
-		}
-		w, known := wait(s.name)
-		if !known || w <= longest || w > maxNestedWait {
+		w := s.expectedWait(wait)
+		if s.share < minNestedShare || w <= longest {
 			continue
 		}
 		nested := time.Duration(s.share * s.rounds * float64(w))
@@ -198,3 +217,12 @@
 	}
 	return service, longest
 }
+
+// expectedWait returns how long a nested request is expected to wait; 0 if that is not known.
+func (s nestedService) expectedWait(wait NestedWait) time.Duration {
+	w, known := wait(s.name)
+	if !known || w > maxNestedWait {
+		return 0
+	}
+	return min(w, s.bound)
+}
--- a/overload/nesteddemand_test.go
+++ b/overload/nesteddemand_test.go
@@ -15,7 +15,9 @@
 type nestedCase struct {
 	Why        string                   `yaml:"why"`
 	Runs       []nestedRuns             `yaml:"runs"`
-	Idle       time.Duration            `yaml:"idle"` // Time between the runs and the offers.
+	Latest     string                   `yaml:"latest"` // Where the latest nested request found room; 'none' if none has ended.
+	Took       time.Duration            `yaml:"took"`   // How long that took.
+	Idle       time.Duration            `yaml:"idle"`   // Time between the runs and the offers.
 	Waits      map[string]time.Duration `yaml:"waits"`
 	Target     time.Duration            `yaml:"target"` // 0 for 2.5 s.
 	Offers     int                      `yaml:"offers"` // 0 for one.
@@ -66,11 +68,21 @@
 				}
 				now = now.Add(r.Took)
 			}
+			c.noteCalls(&d, now)
 			c.check(t, &d, now.Add(c.Idle))
 		})
 	}
 }
 
+// noteCalls reports nested requests to all services, which found no room unless the case says so.
+func (c nestedCase) noteCalls(d *NestedDemand, now time.Time) {
+	for service := range c.Waits {
+		if c.Latest != "none" {
+			d.NoteCall(now, 7, service, c.Took, service == c.Latest)
+		}
+	}
+}
+
 // check makes the offers and compares what is refused.
 func (c nestedCase) check(t *testing.T, d *NestedDemand, now time.Time) {
 	t.Helper()
@@ -108,6 +120,7 @@
 				name := fmt.Sprintf("service-%d", i)
 				r.Begin(now, name)
 				r.End(now, name)
+				d.NoteCall(now, kind, name, time.Second, false)
 			}
 			d.NoteRun(now, kind, &r, time.Second, true)
 		}
@@ -150,6 +163,7 @@
 			r.Begin(now, "fonts")
 			r.End(now, "fonts")
 			d.NoteRun(now, kind, &r, time.Second, true)
+			d.NoteCall(now, kind, "fonts", time.Second, false)
 		}
 	}
 	b.ReportAllocs()
