--- a/overload/doc.go
+++ b/overload/doc.go
@@ -10,6 +10,9 @@
 //     parent is lost. So it gets the higher priority and the later target deadline of the two,
 //     and is kept until then while the parent's upstream has a free slot
 //     (Requirements.ForNested, Requirements.KeepUntil).
+//   - A service that nested requests lead to is saturated. A request that will make some would
+//     occupy a slot and fail. So it is refused while others wait for the slot, except for a few
+//     that probe for room (NestedDemand).
 //   - A service has less capacity than is requested. A request that no gate takes is refused
 //     soon rather than at its deadline. Only nested requests, and requests that have already
 //     run, are kept for longer (Requirements.KeepUntil).
