--- a/gate/nestedroom.go
+++ b/gate/nestedroom.go
@@ -19,8 +19,8 @@
 }
 
 // Nested records that the upstream makes a nested request to a service for a running attempt,
-// and returns a function to be called when that request has ended, with the status of
-// its answer or 0 if there is none.
+// and returns a function to be called when that request has ended, with the status of its answer
+// or 0 if there is none.
 func (g *Gate) Nested(attempt, service string) (ended func(status int)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/overload/nesteddemand.go
+++ b/overload/nesteddemand.go
@@ -37,9 +37,10 @@
 //
 // It learns from past runs, by kind of request, which services their nested requests lead to and
 // how many rounds of them a run makes. Refusing work that would have been served costs more than
-// a failed run, so all doubts lead to admission: a wait that is not known, or that the
-// latest nested request has not confirmed; figures from few runs; the time that nested requests take beside their wait;
-// a late request, which is judged by its deadline. It is not safe for concurrent use.
+// a failed run, so all doubts lead to admission: a wait that is not known, or that the latest
+// nested request has not confirmed; figures from few runs; the time that nested requests take
+// beside their wait; a late request, which is judged by its deadline. It is not safe for
+// concurrent use.
 type NestedDemand struct {
 	kinds map[uint32]*nestedKind
 }
