--- a/gate/execute.go
+++ b/gate/execute.go
@@ -70,6 +70,7 @@
 		if c.Reserved {
 			g.count("gate_refused_budget_reserved")
 		}
+		g.logNested(c)
 		g.answer(c.Key, &link.Frame{Refused: &link.Refused{Key: c.Key, Reason: c.Reason, RetryAfter: c.RetryAfter}})
 		delete(g.active, c.Key)
 	case Start:
--- a/gate/message.go
+++ b/gate/message.go
@@ -145,6 +145,8 @@
 	RetryAfter time.Duration
 	Yields     bool // More urgent work leaves too little room for it.
 	Reserved   bool // There is budget, but it is reserved for more urgent repeats.
+	// NestedService is the service without room for nested requests, for ReasonNested.
+	NestedService string
 }
 
 // Warn sends an Overdue frame to the ingress: its running retryable attempt on trial is not
--- a/ingress/replay_test.go
+++ b/ingress/replay_test.go
@@ -82,7 +82,7 @@
 
 // newReplay sets up the nodes and gates of a scenario, with some mechanisms off.
 func newReplay(l scenario, seed uint64, off ...string) (*replay, error) {
-	set, err := switches.Off(off...)
+	set, err := switches.Off(slices.Concat(l.Off, off)...)
 	if err != nil {
 		return nil, err
 	}
--- a/ingress/scenario_test.go
+++ b/ingress/scenario_test.go
@@ -32,6 +32,7 @@
 	Attempts int                    `yaml:"attempts"` // Upstreams that a request may be sent to; 0 for 2.
 	Slack    float64                `yaml:"slack"`    // Repeats of each service in a window beyond the ratio; 0 for replaySlack a gate.
 	Restarts []restart              `yaml:"restarts"`
+	Off      []string               `yaml:"off"` // Mechanisms that are off in all runs, to test another one alone.
 	Want     []expectation          `yaml:"want"`
 }
 
@@ -52,6 +53,8 @@
 	Timeout   time.Duration `yaml:"timeout"`
 	Calls     string        `yaml:"calls"`      // Route of the nested requests at the end of a run,
 	CallTimes int           `yaml:"call_times"` // and their number; they run concurrently, and all must be answered.
+	InTurn    bool          `yaml:"in_turn"`    // They run one after the other instead.
+	CallShare float64       `yaml:"call_share"` // Share of the runs that make them; 0 for all.
 }
 
 type Span struct {
