overload, gate: fair shares between client accounts

Cause: below its rate limit, an account competes with all others first come, first served; when one sends many times its usual load, the requests of small accounts wait behind its own. Change: overload.Shares charges accounts by start-time fair queueing and says how much later than its arrival a request goes; the admission adds that to the queue key, refuses at once what the share of an account with a queue of its own reaches too late (link.ReasonShare), and settles each charge by the real time of its slot. The weight comes from the operator's document (weight) or from the account's rate, and travels with the offer, as do a nested request's mark and its parent's account.

--- a/cmd/eiderctl/losses.go
+++ b/cmd/eiderctl/losses.go
@@ -146,7 +146,7 @@
 	switch r.text("refused") {
 	case "trial":
 		return gatesOnTrial
-	case "busy", "expired":
+	case "busy", "expired", "share":
 		return noSlot
 	case "limited":
 		return upstreamsLimited
--- a/gate/admission.go
+++ b/gate/admission.go
@@ -38,6 +38,8 @@
 	tokenTaken  bool             // It has a token of the limit that the upstream names.
 	hung        bool             // Already counted as a bad outcome.
 	warned      bool             // A Warn command was returned for it.
+	charge      overload.Charge  // What its account is charged.
+	shareAt     time.Time        // When its account's share of the slots reaches it.
 }
 
 // Admission decides which offers the upstream runs, and when. It is not safe for concurrent
@@ -62,11 +64,12 @@
 	replaced    []port.Incarnation // Incarnations that were replaced.
 	entries     map[link.Key]*entry
 	queue       []*entry
+	shares      *overload.Shares // Charged for all entries.
 }
 
 // NewAdmission returns an admission that stays closed until its upstream has reported.
 func NewAdmission(service string, b *budget.Budget) *Admission {
-	return &Admission{service: service, budget: b, entries: map[link.Key]*entry{}}
+	return &Admission{service: service, budget: b, entries: map[link.Key]*entry{}, shares: overload.NewShares()}
 }
 
 // SetSwitches sets which mechanisms are on. Call it before the first message.
@@ -128,6 +131,7 @@
 	}
 	e := &entry{Offered: m, queueKey: overload.NewQueueKey(m.At, m.Priority, m.TargetDeadline, m.Deadline)}
 	expected := a.expectedTime(m.Kind, m.TargetDeadline.Sub(m.At))
+	a.delayByShare(e, expected)
 	if a.switches.On(switches.LateLast) {
 		e.queueKey.Update(m.At, expected)
 	}
@@ -135,6 +139,7 @@
 	// (mustWait). It does not block others.
 	if a.canAdmit(m.At, e) {
 		a.entries[m.Key] = e
+		a.charge(e, expected)
 		return a.admit(m.At, e)
 	}
 	if a.Mode() == link.ModeTrial {
@@ -143,13 +148,14 @@
 	i, _ := slices.BinarySearchFunc(a.queue, e, compareQueued)
 	wait := a.wait(m.At, i)
 	e.expires = m.At.Add(time.Duration(maxWaitShare * float64(m.Deadline.Sub(m.At))))
-	if i >= maxQueuePerSlot*a.slots || m.At.Add(wait+expected).After(e.queueKey.Limit()) || !a.mayWait(e, wait) || a.cannotStart(m.At, e, i) {
-		return []Command{a.refuseWait(m.At, m.Key, i)}
+	if i >= maxQueuePerSlot*a.slots || m.At.Add(wait+expected).After(e.queueKey.Limit()) || !a.mayWait(e, wait) || a.beyondShare(e, expected) || a.cannotStart(m.At, e, i) {
+		return []Command{e.afterShare(m.At, a.refuseWait(m.At, m.Key, i))}
 	}
 	e.Ready = false // Another gate may get the request meanwhile; the commit decides.
 	a.entries[m.Key] = e
+	a.charge(e, expected)
 	a.queue = slices.Insert(a.queue, i, e)
-	return []Command{Queue{Key: m.Key}}
+	return []Command{Queue{Key: m.Key, Delay: e.shareAt.Sub(m.At)}}
 }
 
 // refuse refuses an offer for any reason other than its wait in the queue.
@@ -255,9 +261,11 @@
 func (a *Admission) admit(at time.Time, e *entry) []Command {
 	if !a.takeBudget(at, e) {
 		delete(a.entries, e.Key)
+		a.shares.Refund(&e.charge)
 		return []Command{Refuse{Key: e.Key, Reason: link.ReasonBudget}}
 	}
 	e.admitted = at
+	a.shares.Start(&e.charge)
 	e.tokenTaken = a.named.take(at)
 	if e.Ready {
 		return a.start(at, e)
@@ -334,6 +342,7 @@
 	if e == nil {
 		return nil
 	}
+	a.settleShare(m.At, e, m.Outcome)
 	a.drop(e)
 	if e.upstream != a.upstream {
 		return nil
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -58,6 +58,7 @@
 	case Grant:
 		g.answer(c.Key, &link.Frame{Granted: &link.Granted{Key: c.Key}})
 	case Queue:
+		g.countDelay(c.Delay)
 		g.answer(c.Key, &link.Frame{Queued: &link.Queued{Key: c.Key}})
 	case Refuse:
 		g.count("gate_refused_" + c.Reason.String())
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -75,7 +75,9 @@
 	abandoned    abandonedList
 	lastActivity time.Time // When the upstream last answered or reported.
 	switches     switches.Set
-	done         chan struct{}
+	// nextWeightLog is when an offer with an invalid weight may be logged again.
+	nextWeightLog time.Time
+	done          chan struct{}
 }
 
 // Option configures a gate in New.
--- a/gate/message.go
+++ b/gate/message.go
@@ -25,6 +25,9 @@
 	Ready          bool   // It came with its content and may start at once.
 	Kind           uint32 // Requests of one kind take about the same time.
 	AttemptKind    budget.AttemptKind
+	Account        string  // The client account that it counts towards.
+	Weight         float64 // Of the account.
+	Nested         bool    // It is a nested request.
 }
 
 // Committed reports the commit of a granted offer.
@@ -133,7 +136,10 @@
 type Start struct{ Key link.Key }
 
 // Queue reports that an offer waits in the queue.
-type Queue struct{ Key link.Key }
+type Queue struct {
+	Key   link.Key
+	Delay time.Duration // By which the account's share delays it.
+}
 
 // Refuse ends an offer that has not run.
 type Refuse struct {
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -54,6 +54,9 @@
 		Ready:          o.Content != nil,
 		Kind:           o.Kind,
 		AttemptKind:    o.AttemptKind,
+		Account:        shareAccount(o),
+		Weight:         g.weightOf(now, o),
+		Nested:         o.Nested,
 	})
 }
 
--- a/gate/parent.go
+++ b/gate/parent.go
@@ -12,7 +12,8 @@
 	defer g.mu.Unlock()
 	for _, ao := range g.active {
 		if ao.cancel != nil && ao.offer.Attempt == attempt {
-			return overload.Parent{Priority: ao.offer.Priority, TargetDeadline: ao.target, Deadline: ao.deadline, Repeat: ao.repeat}, true
+			return overload.Parent{Priority: ao.offer.Priority, TargetDeadline: ao.target, Deadline: ao.deadline, Repeat: ao.repeat,
+				Account: shareAccount(ao.offer), Weight: ao.offer.Weight}, true
 		}
 	}
 	return overload.Parent{}, false
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -42,7 +42,7 @@
 	for i, e := range slices.Clone(a.queue) {
 		if wait := a.wait(at, i); !a.mayWait(e, wait) {
 			a.drop(e)
-			out = append(out, a.refuseWait(at, e.Key, i))
+			out = append(out, e.afterShare(at, a.refuseWait(at, e.Key, i)))
 		}
 	}
 	return out
@@ -74,7 +74,7 @@
 	for _, e := range slices.Clone(a.queue) {
 		if i := slices.Index(a.queue, e); a.cannotStart(at, e, i) {
 			a.drop(e)
-			out = append(out, a.refuseWait(at, e.Key, i))
+			out = append(out, e.afterShare(at, a.refuseWait(at, e.Key, i)))
 		}
 	}
 	return out
@@ -116,6 +116,7 @@
 // drop removes an entry. A repeat that never started goes back to the budget.
 func (a *Admission) drop(e *entry) {
 	delete(a.entries, e.Key)
+	a.shares.Refund(&e.charge)
 	if !e.budgetTaken.IsZero() && e.phase != running {
 		a.budget.Refund(e.budgetTaken)
 	}
--- a/gate/reconcile.go
+++ b/gate/reconcile.go
@@ -21,7 +21,7 @@
 			out = append(out, Refuse{Key: e.Key, Reason: link.ReasonExpired})
 		case e.phase == queued && at.After(e.expires):
 			a.drop(e)
-			out = append(out, a.refuseWait(at, e.Key, len(a.queue)))
+			out = append(out, e.afterShare(at, a.refuseWait(at, e.Key, len(a.queue))))
 		case e.phase == running && a.trialAttemptHangs(at, e):
 			e.hung = true
 			a.bad(at, suspicionHang)
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -51,6 +51,9 @@
 	Ready     bool          `yaml:"ready"`
 	Force     bool          `yaml:"force"`
 	Kind      uint32        `yaml:"kind"`
+	Account   string        `yaml:"account"`
+	Weight    float64       `yaml:"weight"`
+	Nested    bool          `yaml:"nested"`
 }
 
 type endStep struct {
@@ -179,7 +182,8 @@
 		target = left
 	}
 	return Offered{At: now, Key: key(o.Key), Service: service, Upstream: o.Upstream, Priority: o.Priority,
-		Deadline: now.Add(left), TargetDeadline: now.Add(target), Retryable: o.Retryable, Ready: o.Ready, Force: o.Force, Kind: o.Kind}
+		Deadline: now.Add(left), TargetDeadline: now.Add(target), Retryable: o.Retryable, Ready: o.Ready, Force: o.Force, Kind: o.Kind,
+		Account: o.Account, Weight: o.Weight, Nested: o.Nested}
 }
 
 func key(n uint64) link.Key { return link.Key{Origin: 1, Number: n} }
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -38,6 +38,8 @@
 	nearOnly    bool        // Exclude gates of other data centres.
 	tried       []*Endpoint // Gates that were already asked.
 	regions     route.Regions
+	account     string
+	nested      bool // Gates do not delay it by the share of its account.
 }
 
 // selection is the selected gate, nil if there is none. With force, the gate must accept
@@ -94,7 +96,7 @@
 			}
 			continue
 		}
-		if slices.Contains(crit.tried, n) || n.full(crit.priority, now) {
+		if slices.Contains(crit.tried, n) || n.full(crit.priority, now) || !crit.nested && n.overShare(crit.account, now) {
 			continue
 		}
 		switch {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -201,6 +201,7 @@
 		service:      matched.Pick(),
 		account:      account,
 		regions:      route.RegionsOf(matched, account),
+		share:        shareOf(account, parent),
 		attempt:      metadata.Attempt,
 		latency:      f.latencyOf(matched),
 		content:      &link.Content{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: r.Body},
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -30,6 +30,7 @@
 	service        string
 	account        *route.Account // Of the caller, nil without one.
 	regions        route.Regions  // Where it may run.
+	share          share
 	attempt        string
 	content        *link.Content
 	latency        *core.LatencyPercentile // Of the route.
@@ -124,6 +125,8 @@
 		nearOnly:    len(f.offers) > 0 && !f.busy() && now.Before(f.arrived.Add(f.farAfter())) && f.forwarder.endpoints.switches.On(switches.PreferLocal),
 		tried:       f.tried,
 		regions:     f.regions,
+		account:     f.share.account,
+		nested:      f.parent != "",
 	}
 }
 
@@ -150,6 +153,7 @@
 		f.noteBudget(now)
 		f.noteRetryAfter(e.frame.Refused.RetryAfter)
 		o.endpoint.noteRefusal(e.frame.Refused, f.requirements.Priority(), now)
+		o.endpoint.noteShareRefusal(e.frame.Refused, f.share.account, now)
 		return f.refused(o, e.frame.Refused, now)
 	case e.frame.Answer != nil:
 		return f.answered(o, e.frame.Answer, now)
--- a/link/message.go
+++ b/link/message.go
@@ -49,6 +49,10 @@
 	Limit *NamedLimit `cbor:"16,keyasint,omitempty"`
 	// Weight is the account's weight among the accounts that compete for the gate's slots; 0 for 1.
 	Weight float64 `cbor:"17,keyasint,omitempty"`
+	Nested bool    `cbor:"18,keyasint,omitempty"` // It is a nested request.
+	// ParentAccount is the client account of its parent, which it counts towards. The upstream is
+	// only told Account.
+	ParentAccount string `cbor:"19,keyasint,omitempty"`
 }
 
 // Room is how much more work a gate has room for when it sends the message.
@@ -96,9 +100,10 @@
 	ReasonQuarantined         // The request is quarantined because upstreams crash while running it.
 	ReasonLimited             // The limit that the upstream names keeps the offer from starting in time.
 	ReasonNested              // The services that its nested requests lead to have no room for them.
+	ReasonShare               // No slot will be free in time for the offer's account, which has taken more than its share.
 )
 
-var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget", "quarantined", "limited", "nested"}
+var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget", "quarantined", "limited", "nested", "share"}
 
 // String returns the reason's name, or "unknown".
 func (r Reason) String() string {
--- a/overload/requirements.go
+++ b/overload/requirements.go
@@ -21,7 +21,9 @@
 	Priority       int
 	TargetDeadline time.Time
 	Deadline       time.Time
-	Repeat         bool // Its run repeats another.
+	Repeat         bool    // Its run repeats another.
+	Account        string  // The client account that it counts towards, "" for none.
+	Weight         float64 // Of the account; 0 for 1.
 }
 
 // Failure is a request that failed on the node where it arrived.
--- a/route/account.go
+++ b/route/account.go
@@ -2,8 +2,11 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 	"slices"
 	"strconv"
+
+	"eiderfold/overload"
 )
 
 // Account is a client account with its keys, priority and limits.
@@ -14,6 +17,9 @@
 	Rate     float64  // Requests per second over all nodes; 0 for no limit.
 	Burst    float64  // Requests above the rate that may arrive at once.
 	Regions  []string // Regions in which its requests may run; all if empty.
+	// Weight is its weight among the accounts that compete for the slots of a gate. If it is 0, a
+	// table sets it by the rate.
+	Weight float64
 }
 
 // Limited reports whether the account has a rate limit.
@@ -46,9 +52,31 @@
 			faults = append(faults, "account "+account.Name+": "+fault)
 		}
 	}
+	a.setWeights(list)
 	return a, faults
 }
 
+// setWeights sets the weights of the accounts that have none. An account without a limit weighs 1,
+// as one with the mean rate of all that have a limit.
+func (a *accounts) setWeights(list []Account) {
+	sum, limited := 0.0, 0.0
+	for _, account := range list {
+		if account.Limited() {
+			sum += account.Rate
+			limited++
+		}
+	}
+	for _, account := range a.byName {
+		switch {
+		case account.Weight != 0:
+		case account.Limited():
+			account.Weight = min(max(account.Rate*limited/sum, overload.MinWeight), overload.MaxWeight)
+		default:
+			account.Weight = 1
+		}
+	}
+}
+
 // add adds an account and returns its faults.
 func (a *accounts) add(account *Account) []string {
 	var faults []string
@@ -58,6 +86,9 @@
 	if account.Rate < 0 || account.Burst < 0 || account.Priority < 0 {
 		faults = append(faults, "rate, burst, priority: a value is under 0")
 	}
+	if account.Weight != 0 && !overload.ValidWeight(account.Weight) {
+		faults = append(faults, fmt.Sprintf("weight: is not from %v to %v, or 0 for the default", overload.MinWeight, overload.MaxWeight))
+	}
 	if slices.Contains(account.Regions, "") {
 		faults = append(faults, "regions: one has no name")
 	}
--- a/route/account_test.go
+++ b/route/account_test.go
@@ -9,6 +9,8 @@
 	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"eiderfold/overload"
 )
 
 // TestAccounts checks the faults of the lists of accounts in the data file.
@@ -62,6 +64,18 @@
 	assert.False(t, court.Limited())
 }
 
+// TestDefaultWeights checks that accounts without a weight get one by their rate, within the bounds.
+func TestDefaultWeights(t *testing.T) {
+	table, err := New(Document{Version: 1, Accounts: []Account{
+		{Name: "small", Rate: 1}, {Name: "large", Rate: 8}, {Name: "own", Rate: 3, Weight: 2.5}, {Name: "unlimited"}, {Name: "tiny", Rate: 1e-6}}})
+	require.NoError(t, err)
+	for name, want := range map[string]float64{"small": 1.0 / 3, "large": 8.0 / 3, "own": 2.5, "unlimited": 1, "tiny": overload.MinWeight} {
+		a, ok := table.Account(name)
+		require.True(t, ok)
+		assert.InDelta(t, want, a.Weight, 1e-6, name)
+	}
+}
+
 // TestAccountPriorityTakesPrecedence checks that requests are ordered by their accounts'
 // priorities before their routes'.
 func TestAccountPriorityTakesPrecedence(t *testing.T) {
