gate, ingress: refuse early what an account's share reaches too late; replay of a hot account

Cause: requests of a hot account were queued although others would overtake them until they were late, and were held for 1.2 s (90th percentile) before they were refused. Change: an offer is refused at once if its account's share reaches it less than two responses before the target deadline and the account has a request waiting for every second slot.

--- a/gate/shares.go
+++ b/gate/shares.go
@@ -11,8 +11,17 @@
 	"eiderfold/switches"
 )
 
-// weightLogEvery is how often offers with an invalid weight are logged at most.
-const weightLogEvery = 1 * time.Minute
+const (
+	// shareMargin is how many response times must remain after an account's share reaches an offer:
+	// one for its response and one because slots do not become free evenly.
+	shareMargin = 2.0
+	// minShareQueue is how many requests for each slot every account may have waiting. The time at
+	// which a share reaches a request is an estimate that assumes that all other accounts use
+	// theirs; if they do not, slots must not stay free for want of waiting requests.
+	minShareQueue = 0.5
+	// weightLogEvery is how often offers with an invalid weight are logged at most.
+	weightLogEvery = 1 * time.Minute
+)
 
 // claim returns the entry's claim to a slot, which it needs for the given time.
 func (a *Admission) claim(e *entry, expected time.Duration) overload.Claim {
@@ -36,12 +45,11 @@
 	e.queueKey.Delay(delay)
 }
 
-// beyondShare reports whether the share of the entry's account reaches it too late. Waiting requests
-// that overtake it would otherwise hold it in the queue until it is refused. The estimate assumes that all
-// other accounts use their shares, so an account always may have as many requests waiting as the
-// gate has slots: these start within about one response time once the others have no more work.
+// beyondShare reports whether the share of the entry's account reaches it too late to be answered in
+// time. Others that overtake it would otherwise hold it in the queue until it is refused.
 func (a *Admission) beyondShare(e *entry, expected time.Duration) bool {
-	return e.shareAt.Add(expected).After(e.queueKey.Limit()) && a.shares.Waiting(e.Account) >= a.slots
+	late := e.shareAt.Add(time.Duration(shareMargin * float64(expected))).After(e.queueKey.Limit())
+	return late && float64(a.shares.Waiting(e.Account)) >= minShareQueue*float64(a.slots)
 }
 
 // charge charges the entry's account for the slot time that it is expected to need.
--- a/gate/shares_test.go
+++ b/gate/shares_test.go
@@ -180,6 +180,25 @@
 		g.update(Withdrawn{At: g.now, Key: k})
 		g.update(Ended{At: g.now, Key: k, Outcome: NoEvidence})
 	}
+	assertNothingCharged(t, g)
+}
+
+// A repeat that finds no budget left once a slot is free must not remain charged either.
+func TestRepeatWithoutBudgetIsNotCharged(t *testing.T) {
+	g := newLoadedGate(t, sharesCase{Slots: 1}, 1, 1)
+	first, repeat := link.Key{Number: 1}, link.Key{Number: 2}
+	g.update(Offered{At: g.now, Key: first, Service: scriptService, Deadline: g.now.Add(time.Minute), TargetDeadline: g.now.Add(time.Minute)})
+	g.update(Offered{At: g.now, Key: repeat, Service: scriptService, Deadline: g.now.Add(time.Minute), TargetDeadline: g.now.Add(time.Minute), AttemptKind: budget.FailureRetry})
+	require.Len(t, g.admission.queue, 1)
+	g.admission.budget.SetBounds(0, 0)
+	g.update(Ended{At: g.now, Key: first, Outcome: Good})
+	assertNothingCharged(t, g)
+}
+
+// assertNothingCharged checks that the gate is without work and that accounts are delayed as at a
+// new gate.
+func assertNothingCharged(t *testing.T, g *loadedGate) {
+	t.Helper()
 	assert.Empty(t, g.admission.entries)
 	fresh := overload.NewShares()
 	claim := overload.Claim{Account: "a", Weight: 1, Cost: loadWork}
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -53,7 +53,6 @@
 	status := c.endpoint.Status()
 	o := &offer{endpoint: c.endpoint, process: l.process, upstream: incarnationOf(status), key: f.forwarder.newKey(), suspectAt: now.Add(offerTimeout)}
 	message := f.offerMessage(o, c.force, now)
-	f.share.addTo(message)
 	message.Limit = f.forwarder.endpoints.statements.limitFor(status, now)
 	if f.route.Retryable && f.offersMade == 0 {
 		message.Content = f.content
@@ -71,7 +70,7 @@
 
 // offerMessage returns the message for an offer, without content.
 func (f *inFlightRequest) offerMessage(o *offer, force bool, now time.Time) *link.Offer {
-	return &link.Offer{
+	m := &link.Offer{
 		Key:           o.key,
 		Attempt:       f.attempt,
 		Service:       f.service,
@@ -88,6 +87,8 @@
 		Record:        f.record,
 		Nested:        f.parent != "",
 	}
+	f.share.addTo(m)
+	return m
 }
 
 // noteRun records that an offer may run from now on.
--- a/ingress/replay_test.go
+++ b/ingress/replay_test.go
@@ -106,6 +106,9 @@
 		}
 	}
 	p.totals[limitedStarts] = &totals{}
+	for _, a := range l.Accounts {
+		p.totals[a.Name] = &totals{}
+	}
 	for _, r := range l.Restarts {
 		p.after(r.From, func() { p.restart(r) })
 	}
@@ -156,16 +159,34 @@
 	p.after(time.Duration(gap*float64(time.Second)), func() {
 		p.number++
 		n := p.nodes[p.random.IntN(len(p.nodes))]
-		p.ask(n, r, "a"+strconv.FormatUint(p.number, 10), nil, func(*replayRequest, bool) {})
+		p.ask(n, r, "a"+strconv.FormatUint(p.number, 10), p.account(), nil, func(*replayRequest, bool) {})
 		p.arrive(r)
 	})
 }
 
-// ask sends a request. done gets it and whether it was answered.
-func (p *replay) ask(n *replayNode, r routeLoad, attempt string, caller *replayGate, done func(f *replayRequest, ok bool)) {
+// account returns the account that sends the next request; its name is "" without any accounts.
+func (p *replay) account() accountLoad {
+	if len(p.scenario.Accounts) == 0 {
+		return accountLoad{}
+	}
+	parts, all := p.scenario.requests(p.elapsed()), p.scenario.accounts()
+	left := p.random.Float64() * p.scenario.factor(p.elapsed())
+	for i, part := range parts {
+		if left -= part; left < 0 {
+			return all[i]
+		}
+	}
+	return all[len(all)-1]
+}
+
+// ask sends a request of an account, if it has a name. done gets it and whether it was answered.
+func (p *replay) ask(n *replayNode, r routeLoad, attempt string, account accountLoad, caller *replayGate, done func(f *replayRequest, ok bool)) {
 	counted := p.elapsed() >= p.scenario.Count.From && p.elapsed() < p.scenario.Count.To
-	req, refused := n.forwarder.prepare(&Request{Method: http.MethodGet, RequestURI: r.path(), URL: &url.URL{Path: r.path()}, Host: replayHost,
-		Header: http.Header{"Attempt-Id": {attempt}, "Deadline-Ms": {strconv.FormatInt(r.Timeout.Milliseconds(), 10)}}, Arrived: p.now})
+	header := http.Header{"Attempt-Id": {attempt}, "Deadline-Ms": {strconv.FormatInt(r.Timeout.Milliseconds(), 10)}}
+	if account.Name != "" {
+		header.Set("Authorization", "Token "+account.Name)
+	}
+	req, refused := n.forwarder.prepare(&Request{Method: http.MethodGet, RequestURI: r.path(), URL: &url.URL{Path: r.path()}, Host: replayHost, Header: header, Arrived: p.now})
 	if refused != nil {
 		panic("request of the scenario was refused: " + string(refused.Body))
 	}
@@ -175,6 +196,9 @@
 	f.done = func(f *replayRequest, ok bool) {
 		if counted {
 			p.totals[r.Name].add(f, ok, p.now.Sub(arrived), r.Target)
+			if account.Name != "" {
+				p.totals[account.group].add(f, ok, p.now.Sub(arrived), r.Target)
+			}
 		}
 		done(f, ok)
 	}
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -150,7 +151,8 @@
 		g.runs[o.Key] = &replayRun{node: from, offer: o, repeat: o.AttemptKind != budget.First}
 		deadline := now.Add(o.TimeLeft)
 		g.update(gate.Offered{At: now, Key: o.Key, Service: o.Service, Upstream: o.Upstream, Deadline: deadline, TargetDeadline: g.admission.TargetDeadline(now, deadline, o.Target),
-			Priority: o.Priority, Retryable: o.Retryable, Force: o.Force, Ready: o.Content != nil, Kind: o.Kind, AttemptKind: o.AttemptKind})
+			Priority: o.Priority, Retryable: o.Retryable, Force: o.Force, Ready: o.Content != nil, Kind: o.Kind, AttemptKind: o.AttemptKind,
+			Account: cmp.Or(o.ParentAccount, o.Account), Weight: o.Weight, Nested: o.Nested})
 	case f.Commit != nil:
 		if r := g.runs[f.Commit.Key]; r != nil {
 			r.repeat = f.Commit.Repeat
@@ -243,12 +245,13 @@
 		return
 	}
 	name := r.offer.Attempt
-	p.parents[name] = overload.Parent{Priority: r.offer.Priority, TargetDeadline: began.Add(r.offer.Target), Deadline: began.Add(r.offer.TimeLeft), Repeat: r.repeat}
+	p.parents[name] = overload.Parent{Priority: r.offer.Priority, TargetDeadline: began.Add(r.offer.Target), Deadline: began.Add(r.offer.TimeLeft), Repeat: r.repeat,
+		Account: cmp.Or(r.offer.ParentAccount, r.offer.Account), Weight: r.offer.Weight}
 	node := p.nodes[slices.Index(p.scenario.centres(), g.centre)]
 	left := kind.CallTimes
 	for range kind.CallTimes {
 		p.number++
-		p.ask(node, p.scenario.route(kind.Calls), name+"."+strconv.FormatUint(p.number, 10), g, func(f *replayRequest, ok bool) {
+		p.ask(node, p.scenario.route(kind.Calls), name+"."+strconv.FormatUint(p.number, 10), accountLoad{}, g, func(f *replayRequest, ok bool) {
 			left--
 			r.spent = r.spent || !ok && f.lacksBudget()
 			switch {
--- a/ingress/scenario_test.go
+++ b/ingress/scenario_test.go
@@ -26,6 +26,7 @@
 	Centres  int                    `yaml:"data_centres"`
 	Services map[string]serviceLoad `yaml:"services"`
 	Routes   []routeLoad            `yaml:"routes"`
+	Accounts []accountLoad          `yaml:"accounts"` // Their requests are spread over all routes.
 	Bursts   []burst                `yaml:"bursts"`
 	Faults   []fault                `yaml:"faults"`
 	Count    Span                   `yaml:"count"`    // Only requests that arrive in this span are counted.
@@ -66,6 +67,17 @@
 	Times float64 `yaml:"times"`
 }
 
+// accountLoad is one or several like client accounts.
+type accountLoad struct {
+	Span  `yaml:",inline"`
+	Name  string  `yaml:"name"`
+	Count int     `yaml:"count"` // 0 for 1.
+	Share float64 `yaml:"share"` // Of the requests, in relation to the other accounts, for each one.
+	Times float64 `yaml:"times"` // Factor of its requests in the span; 0 for 1.
+	Limit float64 `yaml:"limit"` // Requests per second, for its weight.
+	group string  // Name that the results of like accounts have.
+}
+
 // fault makes a share of a service's upstreams mishandle a share of their work.
 type fault struct {
 	Span    `yaml:",inline"`
@@ -87,7 +99,7 @@
 // expectation bounds the results of the requests of some routes, as shares of them, and
 // how much worse they are with a mechanism switched off.
 type expectation struct {
-	Routes        []string      `yaml:"routes"`
+	Routes        []string      `yaml:"routes"` // Or names of accounts.
 	InTime        float64       `yaml:"in_time_least"`
 	Served        float64       `yaml:"served_least"`
 	RefusedWithin time.Duration `yaml:"told_most"` // 90th percentile of the time until a refusal.
@@ -113,11 +125,44 @@
 	}
 	for _, r := range l.Routes {
 		d.Routes = append(d.Routes, route.Route{Name: r.Name, Host: replayHost, Prefix: "/" + r.Name + "/", Retryable: r.Retryable, Priority: r.Priority,
-			Timeout: r.Timeout, Target: r.Target, Attempts: cmp.Or(l.Attempts, 2), Shares: []route.Share{{Service: r.Service, Weight: 1}}})
+			Timeout: r.Timeout, Target: r.Target, Open: true, Attempts: cmp.Or(l.Attempts, 2), Shares: []route.Share{{Service: r.Service, Weight: 1}}})
+	}
+	for _, a := range l.accounts() {
+		d.Accounts = append(d.Accounts, route.Account{Name: a.Name, Keys: []string{a.Name}, Rate: a.Limit})
 	}
 	return d
 }
 
+// requests returns the accounts' requests at a time, in relation to all usual ones.
+func (l scenario) requests(at time.Duration) []float64 {
+	var out []float64
+	usual := 0.0
+	for _, a := range l.accounts() {
+		usual += a.Share
+		if a.Times > 0 && a.contains(at) {
+			a.Share *= a.Times
+		}
+		out = append(out, a.Share)
+	}
+	for i := range out {
+		out[i] /= usual
+	}
+	return out
+}
+
+// accounts returns each account with a name of its own.
+func (l scenario) accounts() []accountLoad {
+	var out []accountLoad
+	for _, a := range l.Accounts {
+		for i := range max(a.Count, 1) {
+			one := a
+			one.Name, one.group = a.Name+strconv.Itoa(i), a.Name
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
 // slack returns the repeats of a service in a window that are allowed beyond the ratio.
 func (l scenario) slack(service string) float64 {
 	return cmp.Or(l.Slack, float64(replaySlack*l.Services[service].Gates))
@@ -130,7 +175,7 @@
 // path returns the path of the route's requests.
 func (r routeLoad) path() string { return "/" + r.Name + "/x" }
 
-// factor returns by what factor bursts multiply the rates at a time.
+// factor returns by what factor bursts and accounts multiply the rates at a time.
 func (l scenario) factor(at time.Duration) float64 {
 	f := 1.0
 	for _, b := range l.Bursts {
@@ -138,7 +183,14 @@
 			f *= b.Times
 		}
 	}
-	return f
+	if len(l.Accounts) == 0 {
+		return f
+	}
+	sum := 0.0
+	for _, part := range l.requests(at) {
+		sum += part
+	}
+	return f * sum
 }
 
 // fault returns the fault of a run that starts now, "" for none.
@@ -186,6 +238,9 @@
 	for _, r := range l.Routes {
 		sum[r.Name] = &totals{}
 	}
+	for _, a := range l.Accounts {
+		sum[a.Name] = &totals{}
+	}
 	sum[limitedStarts] = &totals{}
 	for seed := range l.Seeds {
 		p, err := newReplay(l, seed, off...)
--- a/overload/doc.go
+++ b/overload/doc.go
@@ -16,6 +16,9 @@
 //   - A burst fills the queues. In order of arrival, all requests would miss their target
 //     deadlines, although the capacity would be enough for some. So those that can no longer
 //     meet theirs go last (QueueKey).
+//   - A client account sends many times its usual load. Its requests would fill the queues, and
+//     those of all other accounts would wait behind them. So requests go later in the queue by what
+//     their account has taken beyond its share of the gate (Shares).
 //   - Many callers are refused at once. They get a retry-after by the wait that gates
 //     estimate, with random jitter, and shorter for higher priorities
 //     (Requirements.RetryAfter).
