--- a/gate/execute.go
+++ b/gate/execute.go
@@ -61,6 +61,7 @@
 		if c.Doubted {
 			g.count("gate_doubted")
 		}
+		g.countDelay(c.Delay)
 		g.answer(c.Key, &link.Frame{Queued: &link.Queued{Key: c.Key}})
 	case Refuse:
 		g.count("gate_refused_" + c.Reason.String())
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -78,6 +78,8 @@
 	switches     switches.Set
 	nestedWait   overload.NestedWait
 	done         chan struct{}
+	// nextWeightLog is when an offer with an invalid weight may be logged again.
+	nextWeightLog time.Time
 }
 
 // Option configures a gate in New.
--- a/gate/parent.go
+++ b/gate/parent.go
@@ -11,7 +11,8 @@
 	if ao == nil {
 		return overload.Parent{}, false
 	}
-	return overload.Parent{Priority: ao.offer.Priority, TargetDeadline: ao.target, Deadline: ao.deadline, Repeat: ao.repeat}, true
+	return overload.Parent{Priority: ao.offer.Priority, TargetDeadline: ao.target, Deadline: ao.deadline, Repeat: ao.repeat,
+		Account: shareAccount(ao.offer), Weight: ao.offer.Weight}, true
 }
 
 // running returns the running attempt with an id, nil if there is none. The caller holds the lock.
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -64,6 +64,9 @@
 	Force     bool          `yaml:"force"`
 	Kind      uint32        `yaml:"kind"`
 	Attempt   string        `yaml:"attempt"` // retry or hedge; a first attempt without it.
+	Account   string        `yaml:"account"`
+	Weight    float64       `yaml:"weight"`
+	Nested    bool          `yaml:"nested"`
 }
 
 var attemptKinds = map[string]budget.AttemptKind{"": budget.First, "retry": budget.FailureRetry, "hedge": budget.Hedge}
@@ -125,17 +128,14 @@
 				if st.Restart {
 					a = s.admission(now)
 				}
-				got := []string{}
-				for _, c := range a.Update(st.message(t, now)) {
-					got = append(got, describe(c))
-				}
-				slices.Sort(got)
+				got := describeAll(a.Update(st.message(t, now)))
 				want := slices.Sorted(slices.Values(st.Want))
 				assert.Equal(t, append([]string{}, want...), got, "step %d", i+1)
 				if st.Mode != "" {
 					assert.Equal(t, st.Mode, a.Mode().String(), "mode after step %d", i+1)
 				}
 			}
+			assertNothingCharged(t, a, now)
 		})
 	}
 }
@@ -197,10 +197,22 @@
 		target = left
 	}
 	return Offered{At: now, Key: key(o.Key), Service: service, Upstream: o.Upstream, Priority: o.Priority,
-		Deadline: now.Add(left), TargetDeadline: now.Add(target), Retryable: o.Retryable, Ready: o.Ready, Force: o.Force, Kind: o.Kind, AttemptKind: attemptKinds[o.Attempt]}
+		Deadline: now.Add(left), TargetDeadline: now.Add(target), Retryable: o.Retryable, Ready: o.Ready, Force: o.Force, Kind: o.Kind, AttemptKind: attemptKinds[o.Attempt],
+		Account: o.Account, Weight: o.Weight, Nested: o.Nested}
 }
 
-func key(n uint64) link.Key { return link.Key{Origin: 1, Number: n} }
+// key returns the key of an offer. The offers of a script come from several nodes.
+func key(n uint64) link.Key { return link.Key{Origin: 1 + n%3, Number: n} }
+
+// describeAll describes commands in the order of their texts.
+func describeAll(commands []Command) []string {
+	out := []string{}
+	for _, c := range commands {
+		out = append(out, describe(c))
+	}
+	slices.Sort(out)
+	return out
+}
 
 func describe(c Command) string {
 	switch c := c.(type) {
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -70,7 +70,7 @@
 
 // offerMessage returns the message for an offer, without content.
 func (f *inFlightRequest) offerMessage(o *offer, force bool, now time.Time) *link.Offer {
-	return &link.Offer{
+	m := &link.Offer{
 		Key:           o.key,
 		Attempt:       f.attempt,
 		Service:       f.service,
@@ -85,7 +85,10 @@
 		AttemptKind:   f.attemptKind(),
 		Account:       f.accountName(),
 		Record:        f.record,
+		Nested:        f.parent != "",
 	}
+	f.share.addTo(m)
+	return m
 }
 
 // noteRun records that an offer may run from now on.
--- a/ingress/replay_test.go
+++ b/ingress/replay_test.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -106,6 +107,9 @@
 		}
 	}
 	p.totals[limitedStarts] = &totals{}
+	for _, a := range l.Accounts {
+		p.totals[a.Name] = &totals{}
+	}
 	for _, r := range l.Restarts {
 		p.after(r.From, func() { p.restart(r) })
 	}
@@ -114,7 +118,9 @@
 		matched, _ := table.Match(replayHost, r.path())
 		p.kinds[matched.Kind()] = r
 		if r.Rate > 0 {
-			p.arrive(r)
+			for _, a := range l.accounts() {
+				p.arrive(r, a)
+			}
 		}
 	}
 	return p, nil
@@ -150,22 +156,27 @@
 // elapsed returns the time since the beginning.
 func (p *replay) elapsed() time.Duration { return p.now.Sub(p.begin) }
 
-// arrive schedules the next request of a route, which in turn schedules the one after it.
-func (p *replay) arrive(r routeLoad) {
-	gap := p.random.ExpFloat64() / (r.Rate * p.scenario.factor(p.elapsed()))
+// arrive schedules the next request of a route by an account, which in turn schedules the one after
+// it.
+func (p *replay) arrive(r routeLoad, a accountLoad) {
+	rate := r.Rate * p.scenario.factor(p.elapsed()) * a.Part
+	if a.contains(p.elapsed()) {
+		rate *= a.Times
+	}
+	gap := p.random.ExpFloat64() / rate
 	p.after(time.Duration(gap*float64(time.Second)), func() {
 		p.number++
 		n := p.nodes[p.random.IntN(len(p.nodes))]
-		p.ask(n, r, "a"+strconv.FormatUint(p.number, 10), nil, func(*replayRequest, bool) {})
-		p.arrive(r)
+		p.ask(n, r, "a"+strconv.FormatUint(p.number, 10), a.Name, nil, func(*replayRequest, bool) {})
+		p.arrive(r, a)
 	})
 }
 
-// ask sends a request. done gets it and whether it was answered.
-func (p *replay) ask(n *replayNode, r routeLoad, attempt string, caller *replayGate, done func(f *replayRequest, ok bool)) {
+// ask sends a request with an account's key, which may be unknown. done gets it and whether it was answered.
+func (p *replay) ask(n *replayNode, r routeLoad, attempt, accountKey string, caller *replayGate, done func(f *replayRequest, ok bool)) {
 	counted := p.elapsed() >= p.scenario.Count.From && p.elapsed() < p.scenario.Count.To
 	req, refused := n.forwarder.prepare(&Request{Method: http.MethodGet, RequestURI: r.path(), URL: &url.URL{Path: r.path()}, Host: replayHost,
-		Header: http.Header{"Attempt-Id": {attempt}, "Deadline-Ms": {strconv.FormatInt(r.Timeout.Milliseconds(), 10)}}, Arrived: p.now})
+		Header: http.Header{"Authorization": {"Token " + accountKey}, "Attempt-Id": {attempt}, "Deadline-Ms": {strconv.FormatInt(r.Timeout.Milliseconds(), 10)}}, Arrived: p.now})
 	if refused != nil {
 		panic("request of the scenario was refused: " + string(refused.Body))
 	}
@@ -175,6 +186,9 @@
 	f.done = func(f *replayRequest, ok bool) {
 		if counted {
 			p.totals[r.Name].add(f, ok, p.now.Sub(arrived), r.Target)
+			if t := p.totals[strings.TrimRight(req.share.account, "0123456789")]; t != nil {
+				t.add(f, ok, p.now.Sub(arrived), r.Target)
+			}
 		}
 		done(f, ok)
 	}
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -153,7 +154,8 @@
 		g.runs[o.Key] = &replayRun{node: from, offer: o, repeat: o.AttemptKind != budget.First}
 		deadline := now.Add(o.TimeLeft)
 		g.update(gate.Offered{At: now, Key: o.Key, Service: o.Service, Upstream: o.Upstream, Deadline: deadline, TargetDeadline: g.admission.TargetDeadline(now, deadline, o.Target),
-			Priority: o.Priority, Retryable: o.Retryable, Force: o.Force, Ready: o.Content != nil, Kind: o.Kind, AttemptKind: o.AttemptKind})
+			Priority: o.Priority, Retryable: o.Retryable, Force: o.Force, Ready: o.Content != nil, Kind: o.Kind, AttemptKind: o.AttemptKind,
+			Account: cmp.Or(o.ParentAccount, o.Account), Weight: o.Weight, Nested: o.Nested})
 	case f.Commit != nil:
 		if r := g.runs[f.Commit.Key]; r != nil {
 			r.repeat = f.Commit.Repeat
@@ -250,7 +252,8 @@
 		return
 	}
 	name := r.offer.Attempt
-	p.parents[name] = overload.Parent{Priority: r.offer.Priority, TargetDeadline: began.Add(r.offer.Target), Deadline: began.Add(r.offer.TimeLeft), Repeat: r.repeat}
+	p.parents[name] = overload.Parent{Priority: r.offer.Priority, TargetDeadline: began.Add(r.offer.Target), Deadline: began.Add(r.offer.TimeLeft), Repeat: r.repeat,
+		Account: cmp.Or(r.offer.ParentAccount, r.offer.Account), Weight: r.offer.Weight}
 	node := p.nodes[slices.Index(p.scenario.centres(), g.centre)]
 	left := kind.CallTimes
 	admission, called := g.admission, p.scenario.route(kind.Calls)
@@ -259,7 +262,7 @@
 		p.number++
 		asked := p.now
 		admission.NestedBegan(asked, k, called.Service)
-		p.ask(node, called, name+"."+strconv.FormatUint(p.number, 10), g, func(f *replayRequest, ok bool) {
+		p.ask(node, called, name+"."+strconv.FormatUint(p.number, 10), "", g, func(f *replayRequest, ok bool) {
 			admission.NestedEnded(p.now, k, called.Service, p.now.Sub(asked), f.status(ok))
 			left--
 			r.spent = r.spent || !ok && f.lacksBudget()
--- a/ingress/scenario_test.go
+++ b/ingress/scenario_test.go
@@ -26,6 +26,7 @@
 	Centres  int                    `yaml:"data_centres"`
 	Services map[string]serviceLoad `yaml:"services"`
 	Routes   []routeLoad            `yaml:"routes"`
+	Accounts []accountLoad          `yaml:"accounts"` // Each sends a part of the requests of every route.
 	Bursts   []burst                `yaml:"bursts"`
 	Faults   []fault                `yaml:"faults"`
 	Count    Span                   `yaml:"count"`    // Only requests that arrive in this span are counted.
@@ -69,6 +70,16 @@
 	Times float64 `yaml:"times"`
 }
 
+// accountLoad is a client account, or several like it.
+type accountLoad struct {
+	Span   `yaml:",inline"`
+	Name   string  `yaml:"name"`
+	Count  int     `yaml:"count"` // 0 for 1.
+	Part   float64 `yaml:"part"`  // Of the requests, for each account.
+	Times  float64 `yaml:"times"` // By what factor it sends more in the span.
+	Weight float64 `yaml:"weight"`
+}
+
 // fault makes a share of a service's upstreams mishandle a share of their work.
 type fault struct {
 	Span    `yaml:",inline"`
@@ -90,7 +101,7 @@
 // expectation bounds the results of the requests of some routes, as shares of them, and
 // how much worse they are with a mechanism switched off.
 type expectation struct {
-	Routes        []string      `yaml:"routes"`
+	Routes        []string      `yaml:"routes"` // Or names of accounts.
 	InTime        float64       `yaml:"in_time_least"`
 	Served        float64       `yaml:"served_least"`
 	RefusedWithin time.Duration `yaml:"told_most"` // 90th percentile of the time until a refusal.
@@ -116,11 +127,32 @@
 	}
 	for _, r := range l.Routes {
 		d.Routes = append(d.Routes, route.Route{Name: r.Name, Host: replayHost, Prefix: "/" + r.Name + "/", Retryable: r.Retryable, Priority: r.Priority,
-			Timeout: r.Timeout, Target: r.Target, Attempts: cmp.Or(l.Attempts, 2), Shares: []route.Share{{Service: r.Service, Weight: 1}}})
+			Timeout: r.Timeout, Target: r.Target, Attempts: cmp.Or(l.Attempts, 2), Open: true, Shares: []route.Share{{Service: r.Service, Weight: 1}}})
+	}
+	for _, a := range l.accounts() {
+		if a.Name != "" {
+			d.Accounts = append(d.Accounts, route.Account{Name: a.Name, Keys: []string{a.Name}, Weight: a.Weight})
+		}
 	}
 	return d
 }
 
+// accounts returns the accounts with a name for each, or one without a name that sends all requests.
+func (l scenario) accounts() []accountLoad {
+	if len(l.Accounts) == 0 {
+		return []accountLoad{{Part: 1}}
+	}
+	var out []accountLoad
+	for _, a := range l.Accounts {
+		name := a.Name
+		for i := range max(a.Count, 1) {
+			a.Name = name + strconv.Itoa(i)
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // slack returns the repeats of a service in a window that are allowed beyond the ratio.
 func (l scenario) slack(service string) float64 {
 	return cmp.Or(l.Slack, float64(replaySlack*l.Services[service].Gates))
@@ -190,6 +222,9 @@
 		sum[r.Name] = &totals{}
 	}
 	sum[limitedStarts] = &totals{}
+	for _, a := range l.Accounts {
+		sum[a.Name] = &totals{}
+	}
 	for seed := range l.Seeds {
 		p, err := newReplay(l, seed, off...)
 		if err != nil {
--- a/overload/doc.go
+++ b/overload/doc.go
@@ -25,6 +25,9 @@
 //   - All upstreams of a service shed most of their work, and repeats are limited. A request that
 //     was shed and can no longer meet its target deadline is refused, so that the repeats are left
 //     to others (Requirements.RepeatShedUntil).
+//   - A client account sends many times its usual load. Its requests would fill the queues, and
+//     those of all other accounts would wait behind them. So requests go later in the queue by what
+//     their account has taken beyond its share of the gate (Shares).
 //   - Many callers are refused at once. They get a retry-after by the wait that gates
 //     estimate, with random jitter, and shorter for higher priorities
 //     (Requirements.RetryAfter).
