link, gate, ingress: gates state their room, nodes keep it

Messages that state the same share the value. Pending status messages are read when they are sent, as their room would be out of date.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -62,6 +62,7 @@
 	replaced    []port.Incarnation // Incarnations that were replaced.
 	entries     map[link.Key]*entry
 	queue       []*entry
+	lastRoom    *link.Room // As last returned by Room.
 }
 
 // NewAdmission returns an admission that stays closed until its upstream has reported.
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -34,12 +34,12 @@
 }
 
 // start runs an offer in the background. The caller holds the lock.
-func (g *Gate) start(k link.Key) {
+func (g *Gate) start(at time.Time, k link.Key) {
 	ao := g.active[k]
 	ctx, cancel := context.WithDeadline(context.Background(), ao.deadline.Add(answerGrace))
 	ao.cancel = cancel
 	if ao.offer.Content != nil && ao.offer.Retryable {
-		g.answer(k, &link.Frame{Granted: &link.Granted{Key: k, Started: true}})
+		g.answer(k, &link.Frame{Granted: &link.Granted{Key: k, Started: true, Room: g.admission.Room(at)}})
 	}
 	go g.run(ctx, ao, g.admission.upstream)
 }
@@ -137,8 +137,13 @@
 	if !ao.offer.Retryable {
 		g.ended[ao.offer.Key] = endedAttempt{frame: frame, expires: time.Now().Add(answerRetention)}
 	}
-	if frame.Answer != nil {
+	room := g.admission.roomAfter(time.Now(), 1)
+	switch {
+	case frame.Answer != nil:
 		frame.Answer.MeanResponseTime = g.admission.meanResponseTime
+		frame.Answer.Room = room
+	case frame.Refused != nil:
+		frame.Refused.Room = room
 	}
 	ao.sink.Send(frame)
 }
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"eiderfold/link"
@@ -16,7 +18,7 @@
 			announced = &s
 			continue
 		}
-		g.execute(c)
+		g.execute(m.at(), c)
 	}
 	g.mu.Unlock()
 	if announced != nil {
@@ -53,18 +55,18 @@
 }
 
 // execute carries out one command. The caller holds the lock.
-func (g *Gate) execute(c Command) {
+func (g *Gate) execute(at time.Time, c Command) {
 	switch c := c.(type) {
 	case Grant:
-		g.answer(c.Key, &link.Frame{Granted: &link.Granted{Key: c.Key}})
+		g.answer(c.Key, &link.Frame{Granted: &link.Granted{Key: c.Key, Room: g.admission.Room(at)}})
 	case Queue:
-		g.answer(c.Key, &link.Frame{Queued: &link.Queued{Key: c.Key}})
+		g.answer(c.Key, &link.Frame{Queued: &link.Queued{Key: c.Key, Room: g.admission.Room(at)}})
 	case Refuse:
 		g.count("gate_refused_" + c.Reason.String())
-		g.answer(c.Key, &link.Frame{Refused: &link.Refused{Key: c.Key, Reason: c.Reason, RetryAfter: c.RetryAfter}})
+		g.answer(c.Key, &link.Frame{Refused: &link.Refused{Key: c.Key, Reason: c.Reason, RetryAfter: c.RetryAfter, Room: g.admission.Room(at)}})
 		delete(g.active, c.Key)
 	case Start:
-		g.start(c.Key)
+		g.start(at, c.Key)
 	case Warn:
 		g.count("gate_silent") // Counts Overdue frames.
 		g.answer(c.Key, &link.Frame{Overdue: &link.Overdue{Key: c.Key}})
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -152,7 +152,9 @@
 func (g *Gate) Status() link.Status {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.admission.Status()
+	s := g.admission.Status()
+	s.Room = g.admission.Room(time.Now())
+	return s
 }
 
 // Saturated reports whether all slots are taken.
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -128,7 +128,7 @@
 		return
 	}
 	if e, ok := g.ended[k]; ok {
-		from.Send(e.frame)
+		from.Send(withoutRoom(e.frame))
 		return
 	}
 	if g.active[k] == nil && k.Number <= g.expiredUpTo[k.Origin] {
--- /dev/null
+++ b/gate/room.go
@@ -0,0 +1,73 @@
+package gate
+
+import (
+	"math"
+	"time"
+
+	"eiderfold/link"
+	"eiderfold/switches"
+)
+
+// Room returns the gate's room for one more offer, for a message to other nodes; nil unless the gate
+// is open. The result must not be modified.
+func (a *Admission) Room(at time.Time) *link.Room { return a.roomAfter(at, 0) }
+
+// roomAfter returns the room once so many running attempts have ended whose answers are on their
+// way to their ingresses.
+func (a *Admission) roomAfter(at time.Time, ending int) *link.Room {
+	if a.Mode() != link.ModeOpen || !a.switches.On(switches.Room) {
+		return nil
+	}
+	room := link.Room{Free: a.freeSlots(at, ending)}
+	if room.Free == 0 {
+		// In whole milliseconds, which take fewer bytes.
+		room.Wait = max(a.wait(at, len(a.queue)).Round(time.Millisecond), time.Millisecond)
+	}
+	if a.lastRoom == nil || *a.lastRoom != room {
+		stated := room // Most messages state the same as the one before and share the value.
+		a.lastRoom = &stated
+	}
+	return a.lastRoom
+}
+
+// freeSlots returns how many more offers can start now. Entries that are queued while a slot is free
+// wait for a limit, or for evidence that the upstream answers, and take the slots afterwards.
+func (a *Admission) freeSlots(at time.Time, ending int) int {
+	free := a.slots - a.busy() + ending - len(a.queue)
+	if a.cold.limited(at) {
+		free = min(free, a.cold.remaining(at, a.awaitingCommit()))
+	}
+	return max(min(free, a.named.remaining(at)), 0)
+}
+
+// remaining returns how many more requests may start now, while the limit applies.
+func (c *coldLimiter) remaining(at time.Time, granted int) int {
+	c.trim(at)
+	return c.maxStarts() - len(c.starts) - granted
+}
+
+// remaining returns how many more requests may start now.
+func (l *namedLimiter) remaining(at time.Time) int {
+	if !l.limited {
+		return math.MaxInt
+	}
+	l.fill(at)
+	return int(l.tokens)
+}
+
+// withoutRoom returns a frame that was kept for an OutcomeQuery without the room of the time when it
+// was made.
+func withoutRoom(f *link.Frame) *link.Frame {
+	switch {
+	case f.Answer != nil && f.Answer.Room != nil:
+		answer := *f.Answer
+		answer.Room = nil
+		return &link.Frame{Answer: &answer}
+	case f.Refused != nil && f.Refused.Room != nil:
+		refused := *f.Refused
+		refused.Room = nil
+		return &link.Frame{Refused: &refused}
+	default:
+		return f
+	}
+}
--- a/ingress/endpoint.go
+++ b/ingress/endpoint.go
@@ -41,6 +41,8 @@
 	busyUntil      atomic.Int64 // UnixNano until which its queue is full,
 	busyPriority   atomic.Int32 // for this priority and less urgent ones.
 	namedLimit     namedLimitRefusal
+	roomMu         sync.Mutex
+	reported       reportedRoom // Guarded by roomMu.
 }
 
 // noteRefusal records why the gate refused an offer of a priority.
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -139,7 +139,8 @@
 	if o == nil {
 		return nil
 	}
-	o.responded = true
+	o.noteResponded()
+	f.noteRoom(o, e.frame, now)
 	switch {
 	case e.frame.Granted != nil:
 		f.granted(o, e.frame.Granted.Started, now)
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -61,7 +61,7 @@
 	}
 	f.offersMade++
 	f.offers = append(f.offers, o)
-	c.endpoint.inFlight.Add(1)
+	c.endpoint.noteOffered()
 	f.forwarder.register(o.key, f)
 	if !l.sink.Send(&link.Frame{Offer: message}) {
 		f.end(f.refused(o, notConnected, now))
@@ -147,6 +147,7 @@
 func (f *inFlightRequest) removeOffer(o *offer) {
 	f.offers = slices.DeleteFunc(f.offers, func(p *offer) bool { return p == o })
 	o.endpoint.inFlight.Add(-1)
+	o.noteResponded()
 	f.forwarder.unregister(o.key)
 }
 
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -98,7 +98,7 @@
 // connect opens a link to a gate.
 func (n *replayNode) connect(g *replayGate) {
 	endpoint := n.endpoints[g]
-	endpoint.SetStatus(g.admission.Status(), n.replay.now)
+	n.forwarder.ReceiveStatus(endpoint, g.status(), n.replay.now)
 	n.forwarder.Connected(endpoint, replaySink{node: n, gate: g, process: g.process}, g.process)
 }
 
@@ -166,11 +166,11 @@
 	for _, c := range g.admission.Update(m) {
 		switch c := c.(type) {
 		case gate.Grant:
-			g.send(c.Key, &link.Frame{Granted: &link.Granted{Key: c.Key}})
+			g.send(c.Key, &link.Frame{Granted: &link.Granted{Key: c.Key, Room: g.room()}})
 		case gate.Queue:
-			g.send(c.Key, &link.Frame{Queued: &link.Queued{Key: c.Key}})
+			g.send(c.Key, &link.Frame{Queued: &link.Queued{Key: c.Key, Room: g.room()}})
 		case gate.Refuse:
-			g.send(c.Key, &link.Frame{Refused: &link.Refused{Key: c.Key, Reason: c.Reason, RetryAfter: c.RetryAfter}})
+			g.send(c.Key, &link.Frame{Refused: &link.Refused{Key: c.Key, Reason: c.Reason, RetryAfter: c.RetryAfter, Room: g.room()}})
 		case gate.Warn:
 			g.send(c.Key, &link.Frame{Overdue: &link.Overdue{Key: c.Key}})
 		case gate.Start:
@@ -183,12 +183,22 @@
 	}
 }
 
+// room returns the gate's room as it is sent in messages.
+func (g *replayGate) room() *link.Room { return g.admission.Room(g.replay.now) }
+
+// status returns the gate's status as it is sent in messages.
+func (g *replayGate) status() link.Status {
+	s := g.admission.Status()
+	s.Room = g.room()
+	return s
+}
+
 // announce sends the gate's status to every node.
 func (g *replayGate) announce() {
-	s := g.admission.Status()
+	s := g.status()
 	for _, n := range g.replay.nodes {
 		if e := n.endpoints[g]; e != nil {
-			e.SetStatus(s, g.replay.now)
+			n.forwarder.ReceiveStatus(e, s, g.replay.now)
 		}
 	}
 }
@@ -208,7 +218,7 @@
 	began := p.now
 	p.arrivals.arrive(g.service, r.offer.Attempt, p.elapsed())
 	if r.offer.Content != nil && r.offer.Retryable {
-		g.send(k, &link.Frame{Granted: &link.Granted{Key: k, Started: true}})
+		g.send(k, &link.Frame{Granted: &link.Granted{Key: k, Started: true, Room: g.room()}})
 	}
 	kind := p.kinds[r.offer.Kind]
 	work := time.Duration(float64(kind.Work) * math.Exp(kind.Spread*p.random.NormFloat64()-kind.Spread*kind.Spread/2))
@@ -280,11 +290,11 @@
 			said.Limit = port.NamedLimit{State: port.LimitNamed, Rate: limit}
 		}
 		g.update(said)
-		g.send(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusOK, Header: header, MeanResponseTime: g.admission.Status().MeanResponseTime}})
+		g.send(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusOK, Header: header, MeanResponseTime: g.admission.Status().MeanResponseTime, Room: g.room()}})
 	case gate.Erred, gate.NestedFailed:
-		g.send(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusInternalServerError, BudgetSpent: r.spent, MeanResponseTime: g.admission.Status().MeanResponseTime}})
+		g.send(k, &link.Frame{Answer: &link.Answer{Key: k, Status: http.StatusInternalServerError, BudgetSpent: r.spent, MeanResponseTime: g.admission.Status().MeanResponseTime, Room: g.room()}})
 	case gate.Shed:
-		g.send(k, &link.Frame{Refused: &link.Refused{Key: k, Reason: link.ReasonShed}})
+		g.send(k, &link.Frame{Refused: &link.Refused{Key: k, Reason: link.ReasonShed, Room: g.room()}})
 	default:
 		g.send(k, &link.Frame{Failed: &link.Failed{Key: k, Detail: o.String()}})
 	}
--- a/link/message.go
+++ b/link/message.go
@@ -57,6 +57,18 @@
 	Wait time.Duration `cbor:"2,keyasint,omitempty"` // Expected wait of one more offer; 0 if a slot is free.
 }
 
+const (
+	// maxFreeSlots and maxWait bound a valid Room: no upstream has so many slots, and no request
+	// waits so long.
+	maxFreeSlots = 1 << 16
+	maxWait      = time.Hour
+)
+
+// Valid reports whether the room can be true; nil is valid.
+func (r *Room) Valid() bool {
+	return r == nil || r.Free >= 0 && r.Free <= maxFreeSlots && r.Wait >= 0 && r.Wait <= maxWait
+}
+
 // NamedLimit is the limit that an upstream has named to the sender.
 type NamedLimit struct {
 	StartedAt int64         `cbor:"1,keyasint,omitempty"` // When the incarnation started; see port.Incarnation.
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -50,7 +50,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.node.gate.Status() // Read under the lock, so that the last status sent is the current one.
-	l.localEndpoint.SetStatus(s, now)
+	l.node.forwarder.ReceiveStatus(l.localEndpoint, s, now)
 	urgent := s.Mode == link.ModeClosed || l.announced == link.ModeClosed
 	l.announced = s.Mode
 	for in, dialer := range l.inbound {
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -144,11 +144,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	status := l.node.gate.Status() // Not that of the latest announcement, whose room is out of date.
 	for in, dialer := range l.inbound {
 		if now.Sub(in.LastReceived()) > inboundTimeout {
 			in.Close()
 		}
-		dialer.sendStatus(in, l.localEndpoint.Status(), now)
+		dialer.sendStatus(in, status, now)
 	}
 }
 
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -124,7 +124,7 @@
 	case f.Hello != nil:
 		p.handleHello(l, f.Hello)
 	case f.Status != nil:
-		p.currentEndpoint().SetStatus(*f.Status, time.Now())
+		n.forwarder.ReceiveStatus(p.currentEndpoint(), *f.Status, time.Now())
 	case f.LimitReply != nil:
 		n.limits.handleReply(f.LimitReply)
 	case f.LimitProbeReply != nil:
@@ -163,7 +163,7 @@
 			n.endpoints.Add(endpoint)
 		}
 	}
-	endpoint.SetStatus(h.Status, time.Now())
+	n.forwarder.ReceiveStatus(endpoint, h.Status, time.Now())
 	p.links.learn(h.Record())
 	p.links.countBytes(l, h.Member.DataCentre == n.self.DataCentre)
 	n.forwarder.Connected(endpoint, l, h.Process)
