ingress: of two gates, one with room is preferred to one without

Cause: the selection did not know how full a gate is. Change: of the two random gates, the one that is known to have a free slot is taken if the other is known to have none; otherwise the choice is as before. A gate whose upstream may hang, or whose trial ended within its relapse window, states no free slot: such an upstream has more of them than others.

--- a/gate/room.go
+++ b/gate/room.go
@@ -30,9 +30,17 @@
 	return a.lastRoom
 }
 
+// relapses reports whether a trial has ended so recently that another one would continue it.
+func (h *health) relapses(at time.Time) bool {
+	return !h.reopened.IsZero() && at.Sub(h.reopened) <= relapseWindow
+}
+
 // freeSlots returns how many more offers can start now. Entries that are queued while a slot is free
 // wait for a limit, or for evidence that the upstream answers, and take the slots afterwards.
 func (a *Admission) freeSlots(at time.Time, ending int) int {
+	if a.relapses(at) || a.evidence(at) >= holdEvidence {
+		return 0 // An upstream that may hang has more free slots than others, and would attract their work.
+	}
 	free := a.slots - a.busy() + ending - len(a.queue)
 	if a.cold.limited(at) {
 		free = min(free, a.cold.remaining(at, a.awaitingCommit()))
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -166,7 +166,22 @@
 	if e.draw() < exploreShare {
 		return e.oneOf(e.nearFirst(open))
 	}
-	a, b := e.oneOf(pool), e.oneOf(pool)
+	return e.betterOf(e.oneOf(pool), e.oneOf(pool), median, now)
+}
+
+// betterOf returns the better of two gates: the one with room if it is known that only one has, and
+// otherwise the one with the lower cost.
+func (e *Endpoints) betterOf(a, b *Endpoint, median time.Duration, now time.Time) *Endpoint {
+	if e.switches.On(switches.Room) {
+		inA, knownA := a.room(now)
+		inB, knownB := b.room(now)
+		if onlyA, onlyB := inA.Free > 0 && inB.Free == 0, inB.Free > 0 && inA.Free == 0; knownA && knownB && (onlyA || onlyB) {
+			if onlyA {
+				return a
+			}
+			return b
+		}
+	}
 	if b.cost(median, now) < a.cost(median, now) {
 		return b
 	}
--- a/ingress/endpoint_test.go
+++ b/ingress/endpoint_test.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"eiderfold/link"
+	"eiderfold/switches"
 )
 
 type nopSink struct{}
@@ -96,6 +98,35 @@
 	assert.Equal(t, 4000, counts[0])
 }
 
+// TestGateWithRoomIsPreferred checks that a gate with room is preferred to one without, and that the
+// selection is as without any room where both or neither have some, one is unknown, or the mechanism is
+// off.
+func TestGateWithRoomIsPreferred(t *testing.T) {
+	free, full := &link.Room{Free: 1}, &link.Room{Wait: time.Second}
+	off, err := switches.Off(string(switches.Room))
+	require.NoError(t, err)
+	for _, c := range []struct {
+		rooms []*link.Room
+		off   bool
+		share float64 // Of the selections that take the first gate, which has the higher cost.
+	}{
+		{[]*link.Room{free, full}, false, 0.75}, {[]*link.Room{full, free}, false, 0.25},
+		{[]*link.Room{free, free}, false, 0.25}, {[]*link.Room{full, full}, false, 0.25},
+		{[]*link.Room{free, nil}, false, 0.25}, {[]*link.Room{nil, full}, false, 0.25},
+		{[]*link.Room{free, full}, true, 0.25},
+	} {
+		endpoints, all := gates("OO")
+		if c.off {
+			endpoints.SetSwitches(off)
+		}
+		all[0].SetStatus(link.Status{Mode: link.ModeOpen, Slots: 4, MeanResponseTime: 150 * time.Millisecond}, time.Unix(1000, 0))
+		for i, room := range c.rooms {
+			all[i].noteRoom(room, false, time.Unix(1000, 0))
+		}
+		assert.InDelta(t, 4000*c.share, chosen(endpoints, all, criteria{})[0], 150, "%+v", c)
+	}
+}
+
 func TestSuspectedGateIsAvoided(t *testing.T) {
 	endpoints, all := gates("OO")
 	now := time.Unix(1000, 0)
--- a/ingress/replay_test.go
+++ b/ingress/replay_test.go
@@ -92,8 +92,10 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, centre := range l.centres() {
-		p.nodes = append(p.nodes, p.newNode(centre, table, set))
+	for range max(l.Nodes, 1) {
+		for _, centre := range l.centres() {
+			p.nodes = append(p.nodes, p.newNode(centre, table, set))
+		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(l.Services)) {
 		for i := range l.Services[name].Gates {
