--- a/gate/admission.go
+++ b/gate/admission.go
@@ -69,6 +69,7 @@
 	nested      overload.NestedDemand
 	nestedWait  overload.NestedWait // nil if it is not known for any service.
 	shares      *overload.Shares    // Charged for all entries.
+	lastRoom    *link.Room          // As last returned by Room.
 }
 
 // NewAdmission returns an admission that stays closed until its upstream has reported.
--- a/ingress/endpoint.go
+++ b/ingress/endpoint.go
@@ -42,6 +42,8 @@
 	busyPriority   atomic.Int32 // for this priority and less urgent ones.
 	namedLimit     namedLimitRefusal
 	shareRefusal   atomic.Pointer[shareRefusal]
+	roomMu         sync.Mutex
+	reported       reportedRoom // Guarded by roomMu.
 }
 
 // noteRefusal records why the gate refused an offer of a priority.
