ingress: requests spill over to another data centre whose gates have room

Cause: a request waited a share of its target in the own data centre even if that was known to be full and another one to be idle. Change: a request that has no place in a queue yet is offered elsewhere at once if it would wait longer than that share here, and a gate there is known to have at least two free slots and half of its slots. A node uses a random part of a reported room, drawn once for each report, by how many nodes may know of it.

--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -38,6 +38,8 @@
 	nearOnly    bool        // Exclude gates of other data centres.
 	tried       []*Endpoint // Gates that were already asked.
 	regions     route.Regions
+	// maxLocalWait is how long the request may wait in the own data centre; 0 for any time.
+	maxLocalWait time.Duration
 }
 
 // selection is the selected gate, nil if there is none. With force, the gate must accept
@@ -45,6 +47,8 @@
 type selection struct {
 	endpoint     *Endpoint
 	force        bool
+	byRoom       bool      // It has room, and the other one that was considered has none.
+	spilled      bool      // The gate is in another data centre, as the request would wait too long in the own one.
 	noneEligible bool      // The service has gates, but none is eligible for the request.
 	room         time.Time // When the limits of all upstreams have room again; the zero time if other gates can be asked sooner.
 }
@@ -53,13 +57,14 @@
 type candidates struct {
 	open          []*Endpoint
 	trial         []*Endpoint
-	suspected     []*Endpoint // Did not respond to a recent offer or ping; see suspect.
-	unresponsive  []*Endpoint // Did not reply to a ping in time.
-	anyResponsive bool        // Some gate of the service is responsive.
-	belowFloor    bool        // Too few of the service's gates are open.
-	noneEligible  bool        // No gate of the service is eligible for the request.
-	room          time.Time   // When a gate has room that the limit of its upstream keeps from being asked now.
-	allLimited    bool        // That is so for all responsive gates.
+	suspected     []*Endpoint  // Did not respond to a recent offer or ping; see suspect.
+	unresponsive  []*Endpoint  // Did not reply to a ping in time.
+	anyResponsive bool         // Some gate of the service is responsive.
+	belowFloor    bool         // Too few of the service's gates are open.
+	noneEligible  bool         // No gate of the service is eligible for the request.
+	room          time.Time    // When a gate has room that the limit of its upstream keeps from being asked now.
+	allLimited    bool         // That is so for all responsive gates.
+	local         waitEstimate // In the own data centre.
 }
 
 // candidates groups a service's gates by state.
@@ -94,6 +99,9 @@
 			}
 			continue
 		}
+		if crit.maxLocalWait > 0 && mode == link.ModeOpen && n.member.DataCentre == e.dataCentre && !n.suspected(now) {
+			c.local.add(n.room(now))
+		}
 		if slices.Contains(crit.tried, n) || n.full(crit.priority, now) {
 			continue
 		}
@@ -120,12 +128,15 @@
 	if len(c.trial) > 0 && mayTrial && e.draw() < trialShare {
 		return selection{endpoint: e.oneOf(e.nearFirst(c.trial))}
 	}
+	if n := e.spill(c, crit, now); n != nil {
+		return selection{endpoint: n, spilled: true}
+	}
 	if crit.nearOnly {
 		c.open, c.trial, c.suspected = e.near(c.open), e.near(c.trial), nil
 	}
 	switch {
 	case len(c.open) > 0:
-		return selection{endpoint: e.best(c.open, now)}
+		return e.best(c.open, now)
 	case len(c.trial) > 0 && (c.belowFloor || mayTrial):
 		return selection{endpoint: leastSuspect(c.trial), force: c.belowFloor}
 	case len(c.suspected) > 0:
@@ -154,7 +165,7 @@
 }
 
 // best returns the better of two random open gates, preferring the own data centre.
-func (e *Endpoints) best(open []*Endpoint, now time.Time) *Endpoint {
+func (e *Endpoints) best(open []*Endpoint, now time.Time) selection {
 	median := medianResponseTime(open, now)
 	pool := withoutSlow(open, median, now)
 	if !e.switches.On(switches.SlowLast) {
@@ -164,28 +175,29 @@
 		pool = e.nearFirst(pool)
 	}
 	if e.draw() < exploreShare {
-		return e.oneOf(e.nearFirst(open))
+		return selection{endpoint: e.oneOf(e.nearFirst(open))}
 	}
-	return e.betterOf(e.oneOf(pool), e.oneOf(pool), median, now)
+	n, byRoom := e.betterOf(e.oneOf(pool), e.oneOf(pool), median, now)
+	return selection{endpoint: n, byRoom: byRoom}
 }
 
 // betterOf returns the better of two gates: the one with room if it is known that only one has, and
-// otherwise the one with the lower cost.
-func (e *Endpoints) betterOf(a, b *Endpoint, median time.Duration, now time.Time) *Endpoint {
+// otherwise the one with the lower cost. It reports whether the room has decided.
+func (e *Endpoints) betterOf(a, b *Endpoint, median time.Duration, now time.Time) (better *Endpoint, byRoom bool) {
 	if e.switches.On(switches.Room) {
-		inA, knownA := a.room(now)
-		inB, knownB := b.room(now)
-		if onlyA, onlyB := inA.Free > 0 && inB.Free == 0, inB.Free > 0 && inA.Free == 0; knownA && knownB && (onlyA || onlyB) {
-			if onlyA {
-				return a
-			}
-			return b
+		inA, _ := a.room(now)
+		inB, _ := b.room(now)
+		switch {
+		case inA.Free > 0 && b.saturated(now):
+			return a, true
+		case inB.Free > 0 && a.saturated(now):
+			return b, true
 		}
 	}
 	if b.cost(median, now) < a.cost(median, now) {
-		return b
+		return b, false
 	}
-	return a
+	return a, false
 }
 
 // nearFirst returns the endpoints in the own data centre, or all if there are none.
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -117,13 +117,14 @@
 // criteria returns what is required of the next gate.
 func (f *inFlightRequest) criteria(now time.Time) criteria {
 	return criteria{
-		service:     f.service,
-		retryable:   f.route.Retryable,
-		allowTrials: f.runs+1 < f.route.Attempts && !f.forwarder.endpoints.budgetExhausted(f.service, now),
-		priority:    f.requirements.Priority(),
-		nearOnly:    len(f.offers) > 0 && !f.busy() && now.Before(f.arrived.Add(f.farAfter())) && f.forwarder.endpoints.switches.On(switches.PreferLocal),
-		tried:       f.tried,
-		regions:     f.regions,
+		service:      f.service,
+		retryable:    f.route.Retryable,
+		allowTrials:  f.runs+1 < f.route.Attempts && !f.forwarder.endpoints.budgetExhausted(f.service, now),
+		priority:     f.requirements.Priority(),
+		nearOnly:     len(f.offers) > 0 && !f.busy() && now.Before(f.arrived.Add(f.farAfter())) && f.forwarder.endpoints.switches.On(switches.PreferLocal),
+		tried:        f.tried,
+		regions:      f.regions,
+		maxLocalWait: f.maxLocalWait(now),
 	}
 }
 
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -59,6 +59,12 @@
 		o.direct = true
 		f.noteRun(o, now)
 	}
+	switch {
+	case c.spilled:
+		f.forwarder.count("offer_spilled")
+	case c.byRoom:
+		f.forwarder.count("offer_by_room")
+	}
 	f.offersMade++
 	f.offers = append(f.offers, o)
 	c.endpoint.noteOffered()
--- a/ingress/replay_test.go
+++ b/ingress/replay_test.go
@@ -53,6 +53,7 @@
 // totals holds the results of a route's requests.
 type totals struct {
 	total, inTime, late, refused, failed int
+	crossed                              int             // Starts in another data centre.
 	refusalTimes                         []time.Duration // From arrival until a refusal.
 }
 
@@ -154,11 +155,13 @@
 
 // arrive schedules the next request of a route, which in turn schedules the one after it.
 func (p *replay) arrive(r routeLoad) {
-	gap := p.random.ExpFloat64() / (r.Rate * p.scenario.factor(p.elapsed()))
+	gap := p.random.ExpFloat64() / (r.Rate * p.scenario.mostFactor(p.elapsed()))
 	p.after(time.Duration(gap*float64(time.Second)), func() {
 		p.number++
 		n := p.nodes[p.random.IntN(len(p.nodes))]
-		p.ask(n, r, "a"+strconv.FormatUint(p.number, 10), nil, func(*replayRequest, bool) {})
+		if share := p.scenario.factor(n.centre, p.elapsed()) / p.scenario.mostFactor(p.elapsed()); share == 1 || p.random.Float64() < share {
+			p.ask(n, r, "a"+strconv.FormatUint(p.number, 10), nil, func(*replayRequest, bool) {})
+		}
 		p.arrive(r)
 	})
 }
@@ -194,6 +197,7 @@
 	t.late += o.late
 	t.refused += o.refused
 	t.failed += o.failed
+	t.crossed += o.crossed
 	t.refusalTimes = append(t.refusalTimes, o.refusalTimes...)
 }
 
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -225,6 +225,9 @@
 	if p.scenario.Count.contains(p.elapsed()) && g.limit() > 0 {
 		p.totals[limitedStarts].total++
 	}
+	if p.scenario.Count.contains(p.elapsed()) && r.node.centre != g.centre {
+		p.totals[kind.Name].crossed++
+	}
 	fault := p.scenario.fault(g.service, g.index, p.elapsed(), p.random)
 	switch fault {
 	case "shed":
--- a/ingress/room.go
+++ b/ingress/room.go
@@ -25,11 +25,13 @@
 	sent    int       // Offers that the report may not account for.
 	pending int       // Offers without any response.
 	toAll   bool      // The gate reported it to all nodes at once.
+	lot     float64   // Drawn once for the report; see spillSlots.
+	drawn   bool
 }
 
 // note records a report. Offers on the way to the gate are not accounted for in it.
 func (r *reportedRoom) note(room link.Room, toAll bool, now time.Time) {
-	r.room, r.until, r.sent, r.toAll = room, now.Add(roomTTL), r.pending, toAll
+	r.room, r.until, r.sent, r.toAll, r.drawn = room, now.Add(roomTTL), r.pending, toAll, false
 }
 
 // forget makes the room unknown until the next report.
@@ -60,6 +62,16 @@
 	return link.Room{Wait: r.room.Wait + time.Duration(before)*perOffer}, true
 }
 
+// full reports whether the gate is known to have no free slot. A report of that counts only for the wait
+// that it states: a slot is free by then, unless others have come, and gates that are avoided for longer
+// stay idle while their rivals fill up.
+func (r *reportedRoom) full(now time.Time) bool {
+	if r.sent < r.room.Free || !now.Before(r.until) {
+		return false
+	}
+	return r.room.Free > 0 || now.Before(r.until.Add(r.room.Wait-roomTTL))
+}
+
 // room returns the gate's room for one more offer of this node, and whether it is known.
 func (e *Endpoint) room(now time.Time) (link.Room, bool) {
 	perOffer := e.responseTime.at(now) / time.Duration(max(e.status.Load().Slots, 1))
@@ -68,6 +80,13 @@
 	return e.reported.at(now, perOffer)
 }
 
+// saturated reports whether the gate is known to have no free slot.
+func (e *Endpoint) saturated(now time.Time) bool {
+	e.roomMu.Lock()
+	defer e.roomMu.Unlock()
+	return e.reported.full(now)
+}
+
 // noteRoom records a room that the gate reported, to all nodes at once or to this one alone; nil if a
 // message to all states none, as that of a gate that is not open.
 func (e *Endpoint) noteRoom(room *link.Room, toAll bool, now time.Time) {
--- a/ingress/scenario_test.go
+++ b/ingress/scenario_test.go
@@ -63,8 +63,9 @@
 func (s Span) contains(at time.Duration) bool { return at >= s.From && at < s.To }
 
 type burst struct {
-	Span  `yaml:",inline"`
-	Times float64 `yaml:"times"`
+	Span   `yaml:",inline"`
+	Times  float64 `yaml:"times"`
+	Centre string  `yaml:"data_centre"` // Where the requests arrive; "" for everywhere.
 }
 
 // fault makes a share of a service's upstreams mishandle a share of their work.
@@ -98,6 +99,7 @@
 	FewerBy       float64       `yaml:"fewer_by"`   // Lost share of served requests with the mechanism off.
 	UsedLeast     float64       `yaml:"used_least"` // Starts while the upstreams name limits, as a share of what these allow.
 	UsedMost      float64       `yaml:"used_most"`
+	CrossingMore  *float64      `yaml:"crossing_more"` // How much larger the share of requests that start in another data centre may be than with the mechanism off.
 }
 
 func (l scenario) centres() []string {
@@ -132,17 +134,26 @@
 // path returns the path of the route's requests.
 func (r routeLoad) path() string { return "/" + r.Name + "/x" }
 
-// factor returns by what factor bursts multiply the rates at a time.
-func (l scenario) factor(at time.Duration) float64 {
+// factor returns by what factor bursts multiply the rates in a data centre at a time.
+func (l scenario) factor(centre string, at time.Duration) float64 {
 	f := 1.0
 	for _, b := range l.Bursts {
-		if b.contains(at) {
+		if b.contains(at) && (b.Centre == "" || b.Centre == centre) {
 			f *= b.Times
 		}
 	}
 	return f
 }
 
+// mostFactor returns the largest factor of any data centre at a time.
+func (l scenario) mostFactor(at time.Duration) float64 {
+	f := 0.0
+	for _, centre := range l.centres() {
+		f = max(f, l.factor(centre, at))
+	}
+	return f
+}
+
 // fault returns the fault of a run that starts now, "" for none.
 func (l scenario) fault(service string, index int, at time.Duration, random *rand.Rand) string {
 	for _, f := range l.Faults {
@@ -219,6 +230,16 @@
 	return float64(all.inTime) / float64(all.total), float64(all.inTime+all.late) / float64(all.total), refusedWithin
 }
 
+// crossing returns which share of some routes' requests started in another data centre than they
+// arrived in.
+func (o outcome) crossing(routes []string) float64 {
+	var all totals
+	for _, name := range routes {
+		all.merge(o[name])
+	}
+	return float64(all.crossed) / float64(all.total)
+}
+
 // readScenario reads a scenario from its file.
 func readScenario(t *testing.T, file string) scenario {
 	t.Helper()
@@ -282,6 +303,11 @@
 	require.NoError(t, err)
 	less, fewer, later := without.shares(w.Routes)
 	t.Logf("  without %v: in time %.3f, served %.3f, 90%% of refusals within %v", off, less, fewer, later)
+	if w.CrossingMore != nil {
+		crossing, before := with.crossing(w.Routes), without.crossing(w.Routes)
+		t.Logf("  crossing data centres %.3f, without %v %.3f", crossing, off, before)
+		assert.LessOrEqual(t, crossing-before, *w.CrossingMore, "crossing, %v", w.Routes)
+	}
 	assert.GreaterOrEqual(t, inTime-less, w.WorseBy, "%s, in time, %v", w.Off, w.Routes)
 	assert.GreaterOrEqual(t, served-fewer, w.FewerBy, "%s, served, %v", w.Off, w.Routes)
 }
