platform, gate: the load that upstreams report leaves less room

Cause: Server-Load was not decoded anywhere, so that work of other callers, or of canceled attempts, looked like free slots. Change: the header is decoded into port.Statement.Load; a malformed one is ignored, counted (upstream_load_malformed) and logged at most once a minute. Work that two reports in a row show beyond the gate's own is taken off its room for a second; admission is as before. Measured: scripts of testdata/rooms, TestDecodeLoad; tests of gate, platform and mesh pass.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -63,6 +63,7 @@
 	entries     map[link.Key]*entry
 	queue       []*entry
 	lastRoom    *link.Room // As last returned by Room.
+	foreign     foreignLoad
 }
 
 // NewAdmission returns an admission that stays closed until its upstream has reported.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -76,6 +76,8 @@
 	lastActivity time.Time // When the upstream last answered or reported.
 	switches     switches.Set
 	done         chan struct{}
+	// logMalformedLoad is when the next malformed load may be logged.
+	logMalformedLoad time.Time
 }
 
 // Option configures a gate in New.
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -18,6 +18,7 @@
 	a.replaced = addIncarnation(a.replaced, a.upstream)
 	a.upstream = port.Incarnation{}
 	a.named = namedLimiter{}
+	a.foreign = foreignLoad{}
 	a.health = health{switches: a.switches, meanResponseTime: a.meanResponseTime, hangDetector: hangDetector{kinds: a.kinds}}
 }
 
@@ -83,6 +84,7 @@
 func (a *Admission) stated(m Stated) []Command {
 	if m.Upstream == a.upstream {
 		a.named.hear(m.At, m.HeardAt, m.Limit)
+		a.foreign.hear(m.At, m.Load, a.running())
 		if m.ColdLeft > 0 {
 			a.cold.setRemaining(m.HeardAt, m.ColdLeft)
 		}
--- a/gate/room.go
+++ b/gate/room.go
@@ -21,7 +21,7 @@
 	room := link.Room{Free: a.freeSlots(at, ending)}
 	if room.Free == 0 {
 		// In whole milliseconds, which take fewer bytes.
-		room.Wait = max(a.wait(at, len(a.queue)).Round(time.Millisecond), time.Millisecond)
+		room.Wait = max(a.wait(at, len(a.queue)+max(a.foreign.at(at)-max(a.slots-a.busy(), 0), 0)).Round(time.Millisecond), time.Millisecond)
 	}
 	if a.lastRoom == nil || *a.lastRoom != room {
 		stated := room // Most messages state the same as the one before and share the value.
@@ -41,7 +41,7 @@
 	if a.relapses(at) || a.evidence(at) >= holdEvidence {
 		return 0 // An upstream that may hang has more free slots than others, and would attract their work.
 	}
-	free := a.slots - a.busy() + ending - len(a.queue)
+	free := a.slots - a.busy() + ending - len(a.queue) - a.foreign.at(at)
 	if a.cold.limited(at) {
 		free = min(free, a.cold.remaining(at, a.awaitingCommit()))
 	}
--- a/gate/statement.go
+++ b/gate/statement.go
@@ -34,6 +34,9 @@
 	case f != nil:
 		said = f.said
 	}
+	if said.Load.Malformed {
+		g.noteMalformedLoad(said.at, upstream)
+	}
 	if !said.at.IsZero() {
 		g.update(said.message(upstream))
 	}
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -119,6 +119,8 @@
 	Running int
 	Waiting int
 	Slots   int // 0 if the load is not known.
+	// Malformed is set if the response reports a load that cannot be true.
+	Malformed bool
 }
 
 // KnownLimit returns what the response shows of the upstream's limit. Only a response that is marked
