--- a/gate/admission.go
+++ b/gate/admission.go
@@ -70,6 +70,7 @@
 	nestedWait  overload.NestedWait // nil if it is not known for any service.
 	shares      *overload.Shares    // Charged for all entries.
 	lastRoom    *link.Room          // As last returned by Room.
+	foreign     foreignLoad
 }
 
 // NewAdmission returns an admission that stays closed until its upstream has reported.
@@ -160,7 +161,7 @@
 	i, _ := slices.BinarySearchFunc(a.queue, e, compareQueued)
 	wait := a.wait(m.At, i)
 	e.expires = m.At.Add(time.Duration(maxWaitShare * float64(m.Deadline.Sub(m.At))))
-	if i >= maxQueuePerSlot*a.slots || m.At.Add(wait+expected).After(e.queueKey.Limit()) || !a.mayWait(e, wait) || a.beyondShare(e, expected) || a.cannotStart(m.At, e, i) {
+	if i >= maxQueuePerSlot*a.slots || m.At.Add(wait+expected).After(e.queueKey.Limit()) || !a.mayWait(e, wait) || a.cannotStart(m.At, e, i) {
 		return []Command{e.afterShare(m.At, a.refuseWait(m.At, m.Key, i))}
 	}
 	if excess := a.excessWait(m.At, e, i); excess > 0 {
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -11,17 +11,8 @@
 	"eiderfold/switches"
 )
 
-const (
-	// shareMargin is how many response times must remain after an account's share reaches an offer:
-	// one for its response and one because slots do not become free evenly.
-	shareMargin = 2.0
-	// minShareQueue is how many requests for each slot every account may have waiting. The time at
-	// which a share reaches a request is an estimate that assumes that all other accounts use
-	// theirs; if they do not, slots must not stay free for want of waiting requests.
-	minShareQueue = 0.5
-	// weightLogEvery is how often offers with an invalid weight are logged at most.
-	weightLogEvery = 1 * time.Minute
-)
+// weightLogEvery is how often offers with an invalid weight are logged at most.
+const weightLogEvery = 1 * time.Minute
 
 // claim returns the entry's claim to a slot, which it needs for the given time.
 func (a *Admission) claim(e *entry, expected time.Duration) overload.Claim {
@@ -45,17 +36,6 @@
 	e.queueKey.Delay(delay)
 }
 
-// beyondShare reports whether the share of the entry's account reaches it too late to be answered in
-// time. Others that overtake it would otherwise hold it in the queue until it is refused. An entry
-// that is not delayed is not overtaken.
-func (a *Admission) beyondShare(e *entry, expected time.Duration) bool {
-	if !e.shareAt.After(e.At) {
-		return false
-	}
-	late := e.shareAt.Add(time.Duration(shareMargin * float64(expected))).After(e.queueKey.Limit())
-	return late && float64(a.shares.Waiting(e.Account)) >= minShareQueue*float64(a.slots)
-}
-
 // charge charges the entry's account for the slot time that it is expected to need.
 func (a *Admission) charge(e *entry, expected time.Duration) {
 	if a.switches.On(switches.FairShares) {
--- a/gate/urgentload.go
+++ b/gate/urgentload.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"slices"
 	"time"
 
 	"eiderfold/switches"
@@ -15,6 +14,9 @@
 	// short. Requests of equal targets differ by less, by how long they have waited elsewhere. They
 	// need no protection: the less urgent ones are late before the others.
 	shortStepShare = 0.5
+	// minQueuedShare is how many entries for each slot may always wait: slots that become free together
+	// would stay empty until the next offer if none did.
+	minQueuedShare = 0.25
 )
 
 // startLog holds the latest starts, in any order, with what decides how soon they were due.
@@ -55,7 +57,7 @@
 // if more urgent work kept coming, 0 if it may wait. Less urgent work with a long target can wait until
 // its lag puts it before urgent work that cannot. While there is no room for both, the queue would fill
 // with it, and the urgent work would be refused in its place. So no more of it is queued than starts
-// with what the urgent work leaves. One entry may always wait, so that its route does not starve.
+// with what the urgent work leaves. Some entries may always wait, so that their route does not starve.
 func (a *Admission) excessWait(at time.Time, e *entry, before int) time.Duration {
 	slowdown := a.startLog.slowdown(e)
 	if slowdown == 1 || !a.switches.On(switches.TargetSteps) || !a.othersWait(e) {
@@ -65,7 +67,14 @@
 	return max(wait-e.queueKey.Lag(), 0)
 }
 
-// othersWait reports whether an entry is queued that is no more urgent than the given one.
+// othersWait reports whether as many entries are queued as may always wait, of those that are no more
+// urgent than the given one.
 func (a *Admission) othersWait(e *entry) bool {
-	return slices.ContainsFunc(a.queue, func(q *entry) bool { return q.Priority >= e.Priority })
+	waiting := 0
+	for _, q := range a.queue {
+		if q.Priority >= e.Priority {
+			waiting++
+		}
+	}
+	return waiting >= max(int(minQueuedShare*float64(a.slots)), 1)
 }
--- a/ingress/replay_test.go
+++ b/ingress/replay_test.go
@@ -54,6 +54,7 @@
 // totals holds the results of a route's requests.
 type totals struct {
 	total, inTime, late, refused, failed int
+	crossed                              int             // Starts in another data centre.
 	refusalTimes                         []time.Duration // From arrival until a refusal.
 }
 
@@ -83,7 +84,7 @@
 
 // newReplay sets up the nodes and gates of a scenario, with some mechanisms off.
 func newReplay(l scenario, seed uint64, off ...string) (*replay, error) {
-	set, err := switches.Off(slices.Concat(l.Off, off)...)
+	set, err := switches.Off(off...)
 	if err != nil {
 		return nil, err
 	}
@@ -161,7 +162,7 @@
 // arrive schedules the next request of a route by an account, which in turn schedules the one after
 // it.
 func (p *replay) arrive(r routeLoad, a accountLoad) {
-	rate := r.Rate * p.scenario.factor(p.elapsed()) * a.Part
+	rate := r.Rate * p.scenario.mostFactor(p.elapsed()) * a.Part
 	if a.contains(p.elapsed()) {
 		rate *= a.Times
 	}
@@ -169,7 +170,9 @@
 	p.after(time.Duration(gap*float64(time.Second)), func() {
 		p.number++
 		n := p.nodes[p.random.IntN(len(p.nodes))]
-		p.ask(n, r, "a"+strconv.FormatUint(p.number, 10), a.Name, nil, func(*replayRequest, bool) {})
+		if share := p.scenario.factor(n.centre, p.elapsed()) / p.scenario.mostFactor(p.elapsed()); share == 1 || p.random.Float64() < share {
+			p.ask(n, r, "a"+strconv.FormatUint(p.number, 10), a.Name, nil, func(*replayRequest, bool) {})
+		}
 		p.arrive(r, a)
 	})
 }
@@ -208,6 +211,7 @@
 	t.late += o.late
 	t.refused += o.refused
 	t.failed += o.failed
+	t.crossed += o.crossed
 	t.refusalTimes = append(t.refusalTimes, o.refusalTimes...)
 }
 
--- a/overload/shares.go
+++ b/overload/shares.go
@@ -107,17 +107,6 @@
 	return min(max(delay, last.Sub(now)), most)
 }
 
-// Waiting returns how many requests of an account wait.
-func (s *Shares) Waiting(account string) int {
-	n := 0
-	if a := s.find(account); a != nil {
-		for _, w := range a.waiting {
-			n += w.requests
-		}
-	}
-	return n
-}
-
 // contended reports whether another account has work or sent a request within the given time.
 func (s *Shares) contended(now time.Time, account string, within time.Duration) bool {
 	other := s.latest[0]
