--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -65,6 +65,7 @@
 	discovered   atomic.Bool          // The store has no more contacts to offer, or enough were found.
 	storeLost    atomic.Bool          // The last call to the store failed.
 	upstreamGone atomic.Bool          // The local upstream has terminated for good.
+	reportFailed atomic.Bool          // The last report of a leaving upstream could not be recorded.
 	restored     chan struct{}        // Signals that the store may have lost this node's records.
 	firstRead    map[string]time.Time // When each record of a leaving upstream was first read.
 	mu           sync.Mutex
--- a/mesh/leaving.go
+++ b/mesh/leaving.go
@@ -15,9 +15,6 @@
 	maxUpstreamName = 150
 	// recordRetry is the first pause between attempts to record a leaving upstream.
 	recordRetry = 150 * time.Millisecond
-	// reportRetryMax is the longest pause between attempts while the upstream's report waits for
-	// the record. The store charges for refused calls too, and an upstream repeats its report.
-	reportRetryMax = 600 * time.Millisecond
 	// recordRetryMax is the longest pause between attempts to record an upstream that says in its
 	// answers that it leaves.
 	recordRetryMax = 5 * time.Second
@@ -92,20 +89,20 @@
 	return err
 }
 
-// recordLeavingReport records an incarnation that leaves by its report, retrying until ctx ends.
+// recordLeavingReport records an incarnation that leaves by its report. It tries once more after a
+// failed call, unless the previous report failed too: the store charges for refused calls, and an
+// upstream repeats its report.
 func (d *directory) recordLeavingReport(ctx context.Context, upstream port.Incarnation) error {
-	pause := backoff{min: recordRetry, max: reportRetryMax}
-	for {
-		err := d.putLeaving(ctx, upstream)
-		if err == nil {
-			return nil
-		}
+	err := d.putLeaving(ctx, upstream)
+	if err != nil && !d.reportFailed.Load() {
 		select {
 		case <-ctx.Done():
-			return err
-		case <-time.After(pause.next()):
+		case <-time.After(recordRetry):
+			err = d.putLeaving(ctx, upstream)
 		}
 	}
+	d.reportFailed.Store(err != nil)
+	return err
 }
 
 // RecordLeaving records an incarnation that leaves by its answers. Unlike a report, an answer is
