gate: offers are decided in named steps; one function limits log lines

Admission.offered did five jobs; refuseOffer, refuseToQueue, waitsTooLong, add and enqueue name them. The two copies of a log interval and of counting entries by phase are one each. foreignLoad.hear is note. Behaviour is unchanged.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -129,17 +129,9 @@
 		Suspicion: a.suspicion, Heard: !a.named.heardAt.IsZero(), Limited: a.named.limited, Limit: a.named.rate}
 }
 
-// offered grants a slot, queues the offer, or refuses it if the wait in the queue would make
-// its answer too late.
+// offered grants a slot, queues the offer, or refuses it.
 func (a *Admission) offered(m Offered) []Command {
-	switch reason := a.refusalReason(m); reason {
-	case link.ReasonNone:
-	case link.ReasonBudget:
-		return a.refuseBudget(m.At, m, 0)
-	default:
-		return a.refuse(m, reason)
-	}
-	if refused := a.refuseNested(m); refused != nil {
+	if refused := a.refuseOffer(m); refused != nil {
 		return refused
 	}
 	e := &entry{Offered: m, queueKey: a.newQueueKey(m)}
@@ -151,30 +143,36 @@
 	// An entry that is queued while a slot is free is a non-retryable request that has to wait
 	// (mustWait). It does not block others.
 	if a.canAdmit(m.At, e) {
-		a.entries[m.Key] = e
-		a.charge(e, expected)
+		a.add(e, expected)
 		return a.admit(m.At, e)
 	}
 	if a.Mode() == link.ModeTrial {
 		return a.refuse(m, link.ReasonTrial)
 	}
-	i, _ := slices.BinarySearchFunc(a.queue, e, compareQueued)
-	wait := a.wait(m.At, i)
 	e.expires = m.At.Add(time.Duration(maxWaitShare * float64(m.Deadline.Sub(m.At))))
-	if i >= maxQueuePerSlot*a.slots || m.At.Add(wait+expected).After(e.queueKey.Limit()) || !a.mayWait(e, wait) || a.cannotStart(m.At, e, i) {
-		return []Command{e.afterShare(m.At, a.refuseWait(m.At, m.Key, i))}
-	}
-	if excess := a.excessWait(m.At, e, i); excess > 0 {
-		return []Command{Refuse{Key: m.Key, Reason: link.ReasonBusy, RetryAfter: excess, Yields: true}}
+	i, _ := slices.BinarySearchFunc(a.queue, e, compareQueued)
+	if refused := a.refuseToQueue(e, expected, i); refused != nil {
+		return refused
 	}
-	if others := a.repeatsBefore(i); a.switches.On(switches.UrgentRepeats) && !a.hasBudget(m.At, m, others) {
-		return a.refuseBudget(m.At, m, others)
+	return a.enqueue(e, expected, i)
+}
+
+// refuseOffer refuses an offer that is not taken even if a slot is free; otherwise, it returns nil.
+func (a *Admission) refuseOffer(m Offered) []Command {
+	switch reason := a.refusalReason(m); reason {
+	case link.ReasonNone:
+		return a.refuseNested(m)
+	case link.ReasonBudget:
+		return a.refuseBudget(m.At, m, 0)
+	default:
+		return a.refuse(m, reason)
 	}
-	e.Ready = false // Another gate may get the request meanwhile; the commit decides.
-	a.entries[m.Key] = e
+}
+
+// add adds an entry, which needs a slot for the expected time, and charges its account.
+func (a *Admission) add(e *entry, expected time.Duration) {
+	a.entries[e.Key] = e
 	a.charge(e, expected)
-	a.queue = slices.Insert(a.queue, i, e)
-	return []Command{Queue{Key: m.Key, Doubted: !a.Saturated() && a.mustWait(m.At, e), Delay: e.shareAt.Sub(m.At)}}
 }
 
 // refuse refuses an offer for any reason other than its wait in the queue.
@@ -215,10 +213,16 @@
 func (a *Admission) busy() int { return len(a.entries) - len(a.queue) }
 
 // awaitingCommit returns how many slots are granted and wait for their commits.
-func (a *Admission) awaitingCommit() int {
+func (a *Admission) awaitingCommit() int { return a.inPhase(granted) }
+
+// running returns how many attempts run.
+func (a *Admission) running() int { return a.inPhase(running) }
+
+// inPhase returns how many entries are in a phase.
+func (a *Admission) inPhase(p phase) int {
 	n := 0
 	for _, e := range a.entries {
-		if e.phase == granted {
+		if e.phase == p {
 			n++
 		}
 	}
@@ -237,9 +241,9 @@
 // Saturated reports whether all slots are taken.
 func (a *Admission) Saturated() bool { return a.busy() >= a.slots }
 
-// canAdmit reports whether the entry may get a slot now. While the upstream may be
-// unresponsive or fail, non-retryable requests stay in the queue until another attempt is answered, or
-// go to another gate.
+// canAdmit reports whether the entry may get a slot now. While the upstream may be unresponsive or
+// fail, non-retryable requests stay in the queue until another attempt is answered, or go to another
+// gate.
 func (a *Admission) canAdmit(at time.Time, e *entry) bool {
 	busy := a.busy()
 	switch {
@@ -255,7 +259,7 @@
 }
 
 // mustWait reports whether a non-retryable request has to wait because the upstream may not
-// answer it, or with an error. While nothing else runs, one goes ahead: a service may have no other
+// answer it, or may answer with an error. While nothing else runs, one goes ahead: a service may have no other
 // requests, and without any attempt the evidence would never change.
 func (a *Admission) mustWait(at time.Time, e *entry) bool {
 	if !e.mayBeHeld() {
--- a/gate/foreignload.go
+++ b/gate/foreignload.go
@@ -8,12 +8,8 @@
 	"eiderfold/port"
 )
 
-const (
-	// foreignLoadTTL is how long a reported load counts: as long as room does at other nodes.
-	foreignLoadTTL = 1 * time.Second
-	// malformedLoadLogEvery is the shortest interval between two log lines about malformed loads.
-	malformedLoadLogEvery = 1 * time.Minute
-)
+// foreignLoadTTL is how long a reported load counts: as long as room does at other nodes.
+const foreignLoadTTL = 1 * time.Second
 
 // foreignLoad is the work of the upstream that did not come through this gate, as the upstream reports
 // it: of other callers, or of attempts that the gate has canceled and the upstream still works on. It
@@ -24,9 +20,9 @@
 	until  time.Time // Until which it counts.
 }
 
-// hear processes a report, given how many attempts of the gate were running. A report may have been made
+// note processes a report, given how many attempts of the gate were running. A report may have been made
 // before an attempt ended, so only work that two reports in a row show counts.
-func (l *foreignLoad) hear(at time.Time, load port.Load, own int) {
+func (l *foreignLoad) note(at time.Time, load port.Load, own int) {
 	if load.Slots == 0 {
 		return
 	}
@@ -37,7 +33,7 @@
 	l.work, l.latest, l.until = min(work, l.latest), work, at.Add(foreignLoadTTL)
 }
 
-// at returns how much such work the upstream has.
+// at returns how much work of others the upstream has.
 func (l *foreignLoad) at(at time.Time) int {
 	if !at.Before(l.until) {
 		return 0
@@ -45,27 +41,10 @@
 	return l.work
 }
 
-// running returns how many attempts run.
-func (a *Admission) running() int {
-	n := 0
-	for _, e := range a.entries {
-		if e.phase == running {
-			n++
-		}
-	}
-	return n
-}
-
 // noteMalformedLoad counts and logs a load that an upstream reports and that cannot be true.
 func (g *Gate) noteMalformedLoad(now time.Time, upstream port.Incarnation) {
 	g.count("upstream_load_malformed")
-	g.mu.Lock()
-	due := !now.Before(g.logMalformedLoad)
-	if due {
-		g.logMalformedLoad = now.Add(malformedLoadLogEvery)
-	}
-	g.mu.Unlock()
-	if due {
+	if g.logDue(&g.nextLoadLog, now) {
 		g.log.Warn("malformed load", zap.Stringer("upstream", upstream))
 	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -80,8 +80,8 @@
 	done         chan struct{}
 	// nextWeightLog is when an offer with an invalid weight may be logged again.
 	nextWeightLog time.Time
-	// logMalformedLoad is when the next malformed load may be logged.
-	logMalformedLoad time.Time
+	// nextLoadLog is when a malformed load of the upstream may be logged again.
+	nextLoadLog time.Time
 }
 
 // Option configures a gate in New.
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -84,7 +84,7 @@
 func (a *Admission) stated(m Stated) []Command {
 	if m.Upstream == a.upstream {
 		a.named.hear(m.At, m.HeardAt, m.Limit)
-		a.foreign.hear(m.At, m.Load, a.running())
+		a.foreign.note(m.At, m.Load, a.running())
 		if m.ColdLeft > 0 {
 			a.cold.setRemaining(m.HeardAt, m.ColdLeft)
 		}
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -35,6 +35,38 @@
 	return overload.NewQueueKey(m.At, m.Priority, step, m.TargetDeadline, m.Deadline)
 }
 
+// refuseToQueue refuses an entry that would wait too long behind this many others, or for which the
+// budget would not suffice there; otherwise, it returns nil.
+func (a *Admission) refuseToQueue(e *entry, expected time.Duration, before int) []Command {
+	if a.waitsTooLong(e, expected, before) {
+		return []Command{e.afterShare(e.At, a.refuseWait(e.At, e.Key, before))}
+	}
+	if excess := a.excessWait(e.At, e, before); excess > 0 {
+		return []Command{Refuse{Key: e.Key, Reason: link.ReasonBusy, RetryAfter: excess, Yields: true}}
+	}
+	if others := a.repeatsBefore(before); a.switches.On(switches.UrgentRepeats) && !a.hasBudget(e.At, e.Offered, others) {
+		return a.refuseBudget(e.At, e.Offered, others)
+	}
+	return nil
+}
+
+// waitsTooLong reports whether the wait behind this many others would make the entry's answer too
+// late, or end before the entry starts.
+func (a *Admission) waitsTooLong(e *entry, expected time.Duration, before int) bool {
+	wait := a.wait(e.At, before)
+	queueFull := before >= maxQueuePerSlot*a.slots
+	tooLate := e.At.Add(wait + expected).After(e.queueKey.Limit())
+	return queueFull || tooLate || !a.mayWait(e, wait) || a.cannotStart(e.At, e, before)
+}
+
+// enqueue inserts an entry into the queue behind this many others.
+func (a *Admission) enqueue(e *entry, expected time.Duration, before int) []Command {
+	e.Ready = false // Another gate may get the request meanwhile; the commit decides.
+	a.add(e, expected)
+	a.queue = slices.Insert(a.queue, before, e)
+	return []Command{Queue{Key: e.Key, Doubted: !a.Saturated() && a.mustWait(e.At, e), Delay: e.shareAt.Sub(e.At)}}
+}
+
 // compareQueued compares entries by their order in the queue.
 func compareQueued(a, b *entry) int { return a.queueKey.Compare(&b.queueKey) }
 
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -11,9 +11,6 @@
 	"eiderfold/switches"
 )
 
-// weightLogEvery is how often offers with an invalid weight are logged at most.
-const weightLogEvery = 1 * time.Minute
-
 // claim returns the entry's claim to a slot, which it needs for the given time.
 func (a *Admission) claim(e *entry, expected time.Duration) overload.Claim {
 	if expected <= 0 {
@@ -78,13 +75,7 @@
 		return o.Weight
 	}
 	g.count("gate_weight_invalid")
-	g.mu.Lock()
-	due := !now.Before(g.nextWeightLog)
-	if due {
-		g.nextWeightLog = now.Add(weightLogEvery)
-	}
-	g.mu.Unlock()
-	if due {
+	if g.logDue(&g.nextWeightLog, now) {
 		g.log.Warn("weight of an offer ignored", zap.String("account", o.Account), zap.Float64("weight", o.Weight))
 	}
 	return 1
