--- a/gate/doubt.go
+++ b/gate/doubt.go
@@ -18,7 +18,7 @@
 // meanwhile orders may start at other gates.
 type doubt struct {
 	erred time.Time // The latest error; the zero time if a good response has followed.
-	until time.Time
+	until time.Time // When doubt ends without a response.
 }
 
 // note processes the outcome of an attempt. A response to an attempt that started before the error
@@ -32,7 +32,8 @@
 	}
 }
 
-// holds reports whether an order has to wait. The parameter idle tells that nothing runs.
+// holds reports whether an order has to wait. The parameter idle reports whether no attempt
+// runs.
 func (d *doubt) holds(at time.Time, idle bool) bool {
 	return at.Before(d.until) && (!idle || at.Sub(d.erred) < doubtProbeAfter)
 }
--- a/gate/nestedroom.go
+++ b/gate/nestedroom.go
@@ -14,7 +14,7 @@
 // WithNestedWait sets the lookup of the shortest wait for a service, as this node knows it, and
 // whether it is known. Without it, no offer is refused for lack of room for its nested requests.
 // The function is called with the gate's lock held.
-func WithNestedWait(f func(service string) (wait time.Duration, known bool)) Option {
+func WithNestedWait(f overload.NestedWait) Option {
 	return func(g *Gate) { g.nestedWait = f }
 }
 
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -131,7 +131,7 @@
 		return
 	}
 	if e, ok := g.ended[k]; ok {
-		from.Send(withoutRoom(e.frame))
+		from.Send(stripRoom(e.frame))
 		return
 	}
 	if g.active[k] == nil && k.Number <= g.expiredUpTo[k.Origin] {
--- a/gate/room.go
+++ b/gate/room.go
@@ -12,16 +12,17 @@
 // is open. The result must not be modified.
 func (a *Admission) Room(at time.Time) *link.Room { return a.roomAfter(at, 0) }
 
-// roomAfter returns the room once so many running attempts have ended whose answers are on their
-// way to their ingresses.
+// roomAfter returns the room as it will be after the given number of running attempts have ended,
+// whose answers are about to be sent.
 func (a *Admission) roomAfter(at time.Time, ending int) *link.Room {
 	if a.Mode() != link.ModeOpen || !a.switches.On(switches.Room) {
 		return nil
 	}
 	room := link.Room{Free: a.freeSlots(at, ending)}
 	if room.Free == 0 {
-		// In whole milliseconds, which take fewer bytes.
-		room.Wait = max(a.wait(at, len(a.queue)+max(a.foreign.at(at)-max(a.slots-a.busy(), 0), 0)).Round(time.Millisecond), time.Millisecond)
+		foreignWaiting := max(a.foreign.at(at)-max(a.slots-a.busy(), 0), 0)
+		wait := a.wait(at, len(a.queue)+foreignWaiting)
+		room.Wait = max(wait.Round(time.Millisecond), time.Millisecond) // Whole milliseconds take fewer bytes.
 	}
 	if a.lastRoom == nil || *a.lastRoom != room {
 		stated := room // Most messages state the same as the one before and share the value.
@@ -63,9 +64,8 @@
 	return int(l.tokens)
 }
 
-// withoutRoom returns a frame that was kept for an OutcomeQuery without the room of the time when it
-// was made.
-func withoutRoom(f *link.Frame) *link.Frame {
+// stripRoom returns a frame that was kept for an OutcomeQuery without its room, which is out of date.
+func stripRoom(f *link.Frame) *link.Frame {
 	switch {
 	case f.Answer != nil && f.Answer.Room != nil:
 		answer := *f.Answer
--- a/gate/urgentload.go
+++ b/gate/urgentload.go
@@ -14,12 +14,12 @@
 	// short. Requests of equal targets differ by less, by how long they have waited elsewhere. They
 	// need no protection: the less urgent ones are late before the others.
 	shortStepShare = 0.5
-	// minQueuedShare is how many entries for each slot may always wait: slots that become free together
-	// would stay empty until the next offer if none did.
+	// minQueuedShare is how many entries for each slot may always wait, at least one for a gate: slots
+	// that become free together would stay empty until the next offer if none did.
 	minQueuedShare = 0.25
 )
 
-// startLog holds the latest starts, in any order, with what decides how soon they were due.
+// startLog holds the priorities and steps of the latest starts, in any order.
 type startLog struct {
 	starts []start
 	oldest int // Once the log is full.
@@ -54,22 +54,23 @@
 }
 
 // excessWait returns how much longer than its lag an offer with this many entries before it would wait
-// if more urgent work kept coming, 0 if it may wait. Less urgent work with a long target can wait until
-// its lag puts it before urgent work that cannot. While there is no room for both, the queue would fill
-// with it, and the urgent work would be refused in its place. So no more of it is queued than starts
-// with what the urgent work leaves. Some entries may always wait, so that their route does not starve.
+// if more urgent work kept coming, 0 if it may wait. After its lag, an entry goes before more urgent
+// work that arrives later. While there is no room for both, the queue would fill with less urgent
+// work of long targets, and the more urgent work would be refused. So no more of the former is queued
+// than starts on the slots that the latter leaves. Some entries may always wait (minQueuedShare), so
+// that their route does not starve.
 func (a *Admission) excessWait(at time.Time, e *entry, before int) time.Duration {
 	slowdown := a.startLog.slowdown(e)
-	if slowdown == 1 || !a.switches.On(switches.TargetSteps) || !a.othersWait(e) {
+	if slowdown == 1 || !a.switches.On(switches.TargetSteps) || !a.minQueued(e) {
 		return 0
 	}
 	wait := time.Duration(slowdown * float64(a.wait(at, before)))
 	return max(wait-e.queueKey.Lag(), 0)
 }
 
-// othersWait reports whether as many entries are queued as may always wait, of those that are no more
+// minQueued reports whether as many entries are queued as may always wait, of those that are no more
 // urgent than the given one.
-func (a *Admission) othersWait(e *entry) bool {
+func (a *Admission) minQueued(e *entry) bool {
 	waiting := 0
 	for _, q := range a.queue {
 		if q.Priority >= e.Priority {
