gate, overload: methods stand beside their types

The methods of the limiters and of health that room needs were in room.go, and QueueKey.Delay in shares.go. The move also renames share.level to indexOf. Behaviour is unchanged.

--- a/gate/cold.go
+++ b/gate/cold.go
@@ -65,6 +65,12 @@
 	return len(c.starts)+granted < c.maxStarts()
 }
 
+// remaining returns how many more requests may start now, while the limit applies.
+func (c *coldLimiter) remaining(at time.Time, granted int) int {
+	c.trim(at)
+	return c.maxStarts() - len(c.starts) - granted
+}
+
 // wait returns how long the limit delays an offer with this many offers before it.
 func (c *coldLimiter) wait(at time.Time, before int) time.Duration {
 	if !c.limited(at) {
--- a/gate/health.go
+++ b/gate/health.go
@@ -220,3 +220,8 @@
 	}
 	h.badBeside(at, trialThreshold, max(unanswered-1, 0))
 }
+
+// relapses reports whether a trial has ended so recently that another one would continue it.
+func (h *health) relapses(at time.Time) bool {
+	return !h.reopened.IsZero() && at.Sub(h.reopened) <= relapseWindow
+}
--- a/gate/namedlimit.go
+++ b/gate/namedlimit.go
@@ -75,6 +75,15 @@
 // allows reports whether one more request may start.
 func (l *namedLimiter) allows(at time.Time) bool { return l.wait(at, 0) == 0 }
 
+// remaining returns how many more requests may start now.
+func (l *namedLimiter) remaining(at time.Time) int {
+	if !l.limited {
+		return math.MaxInt
+	}
+	l.fill(at)
+	return int(l.tokens)
+}
+
 // take takes a token for a request and reports whether there is a limit.
 func (l *namedLimiter) take(at time.Time) bool {
 	if !l.limited {
--- a/gate/room.go
+++ b/gate/room.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"math"
 	"time"
 
 	"eiderfold/link"
@@ -31,11 +30,6 @@
 	return a.lastRoom
 }
 
-// relapses reports whether a trial has ended so recently that another one would continue it.
-func (h *health) relapses(at time.Time) bool {
-	return !h.reopened.IsZero() && at.Sub(h.reopened) <= relapseWindow
-}
-
 // freeSlots returns how many more offers can start now. Entries that are queued while a slot is free
 // wait for a limit, or for evidence that the upstream answers, and take the slots afterwards.
 func (a *Admission) freeSlots(at time.Time, ending int) int {
@@ -49,21 +43,6 @@
 	return max(min(free, a.named.remaining(at)), 0)
 }
 
-// remaining returns how many more requests may start now, while the limit applies.
-func (c *coldLimiter) remaining(at time.Time, granted int) int {
-	c.trim(at)
-	return c.maxStarts() - len(c.starts) - granted
-}
-
-// remaining returns how many more requests may start now.
-func (l *namedLimiter) remaining(at time.Time) int {
-	if !l.limited {
-		return math.MaxInt
-	}
-	l.fill(at)
-	return int(l.tokens)
-}
-
 // stripRoom returns a frame that was kept for an OutcomeQuery without its room, which is out of date.
 func stripRoom(f *link.Frame) *link.Frame {
 	switch {
--- a/overload/queuekey.go
+++ b/overload/queuekey.go
@@ -10,7 +10,7 @@
 	// of one answer. It is also the least for one with a target, which may have passed.
 	FixedStep = 200 * time.Millisecond
 	// stepShare is the part of the time until its target deadline that a step of priority is worth.
-	// A request of priority 2 that lets others pass still has half of that time, and one with a
+	// A request of priority 2 that waits for its lag still has half of that time, and one with a
 	// target of up to 800 ms gets FixedStep.
 	stepShare = 0.25
 )
@@ -48,6 +48,9 @@
 // Step returns what a step of priority is worth for the request.
 func (k *QueueKey) Step() time.Duration { return k.step }
 
+// Delay moves a request back in the order of the queue, as if it had arrived later.
+func (k *QueueKey) Delay(d time.Duration) { k.virtualArrival = k.virtualArrival.Add(d) }
+
 // Update records whether the request can still meet its target deadline if it starts now and
 // takes the given time. A request that once could not is treated as late from then on.
 func (k *QueueKey) Update(now time.Time, expected time.Duration) {
--- a/overload/shares.go
+++ b/overload/shares.go
@@ -203,7 +203,7 @@
 
 // wait adds a waiting request.
 func (a *share) wait(c Claim, reached time.Time) {
-	i := a.level(c.Priority)
+	i := a.indexOf(c.Priority)
 	if i < 0 {
 		i = len(a.waiting)
 		a.waiting = append(a.waiting, waitingWork{priority: c.Priority})
@@ -218,7 +218,7 @@
 
 // leave removes a request that no longer waits.
 func (a *share) leave(c Claim) {
-	i := a.level(c.Priority)
+	i := a.indexOf(c.Priority)
 	w := &a.waiting[i]
 	w.requests--
 	w.cost -= c.virtual()
@@ -227,10 +227,7 @@
 	}
 }
 
-// level returns the index of the waiting work of a priority, -1 for none.
-func (a *share) level(priority int) int {
+// indexOf returns the index of the waiting work of a priority, -1 for none.
+func (a *share) indexOf(priority int) int {
 	return slices.IndexFunc(a.waiting, func(w waitingWork) bool { return w.priority == priority })
 }
-
-// Delay moves a request back in the order of the queue, as if it had arrived later.
-func (k *QueueKey) Delay(d time.Duration) { k.virtualArrival = k.virtualArrival.Add(d) }
