--- a/budget/budget.go
+++ b/budget/budget.go
@@ -188,7 +188,12 @@
 // is allowed. The caller holds the lock.
 func (b *Budget) limit(now time.Time, k AttemptKind, u Urgency) float64 {
 	bound := b.bound(now)
-	return min((1-k.reserve())*bound, bound-b.reserve.held(now, u, reservable(bound, b.rounding))) + b.rounding
+	return k.limit(bound, b.reserve.held(now, u, reservable(bound, b.rounding)), b.rounding)
+}
+
+// limit returns how many repeats of the kind a bound allows, of which so many are withheld.
+func (k AttemptKind) limit(bound, held, rounding float64) float64 {
+	return min((1-k.reserve())*bound, bound-held) + rounding
 }
 
 // bound returns the gate's part of the fleet's limit, before it is cut to whole repeats. The caller
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -14,7 +14,7 @@
 	// reservedShare is the part of a short budget that is reserved for more urgent repeats. The
 	// rest is left to all, so that no priority is without repeats.
 	reservedShare = 0.5
-	// urgencies is the number of urgencies that are told apart, which bounds the state. Lower
+	// urgencies is the number of urgencies that are distinguished, which bounds the state. Lower
 	// urgencies count as the last one.
 	urgencies = 32
 )
@@ -64,6 +64,12 @@
 		needed += r.levels[i].needed.upperBound(now)
 		drawn += r.levels[i].drawn.upperBound(now)
 	}
+	return withheld(needed, drawn, reservable)
+}
+
+// withheld returns how many of the repeats that can be reserved are withheld from an urgency, given
+// how many more urgent requests needed, and drew from that part.
+func withheld(needed, drawn, reservable float64) float64 {
 	return max(min(needed, reservable)-drawn, 0)
 }
 
@@ -75,8 +81,8 @@
 	}
 }
 
-// need counts a repeat that was taken or refused. Hedges have no need of the reserve, as they may not use the last part of
-// the budget.
+// need counts a repeat that was taken or refused. Hedges do not need the reserve, as they may not
+// use the last part of the budget.
 func (r *reserve) need(now time.Time, k AttemptKind, u Urgency) {
 	if k != Hedge {
 		r.levels[u].needed.add(now)
--- a/budget/snapshot.go
+++ b/budget/snapshot.go
@@ -2,10 +2,12 @@
 
 import "time"
 
-// Snapshot is a budget at a time. It answers for many waiting repeats at the price of one.
+// Snapshot is a budget at a time. It decides about many waiting repeats at the cost of one.
 type Snapshot struct {
-	bound, rounding, repeats float64
-	held                     [urgencies]float64
+	bound    float64
+	rounding float64
+	repeats  float64            // In the window.
+	held     [urgencies]float64 // Withheld from each urgency.
 }
 
 // Snapshot returns the budget as it is now.
@@ -15,7 +17,7 @@
 	s := Snapshot{bound: b.bound(now), rounding: b.rounding, repeats: b.repeats.upperBound(now)}
 	needed, drawn := 0.0, 0.0
 	for u := range s.held {
-		s.held[u] = max(min(needed, reservable(s.bound, s.rounding))-drawn, 0)
+		s.held[u] = withheld(needed, drawn, reservable(s.bound, s.rounding))
 		needed += b.reserve.levels[u].needed.upperBound(now)
 		drawn += b.reserve.levels[u].drawn.upperBound(now)
 	}
@@ -24,6 +26,5 @@
 
 // CanTakeAfter is Budget.CanTakeAfter as of the snapshot.
 func (s *Snapshot) CanTakeAfter(k AttemptKind, u Urgency, others int) bool {
-	limit := min((1-k.reserve())*s.bound, s.bound-s.held[u]) + s.rounding
-	return s.repeats+float64(others)+1 <= limit
+	return s.repeats+float64(others)+1 <= k.limit(s.bound, s.held[u], s.rounding)
 }
