--- a/gate/nestedroom.go
+++ b/gate/nestedroom.go
@@ -58,7 +58,7 @@
 	}
 	e.nested.End(at, service)
 	if status != 0 {
-		a.nested.NoteCall(at, e.Kind, service, took, status != http.StatusServiceUnavailable)
+		a.nested.NoteNested(at, e.Kind, service, took, status != http.StatusServiceUnavailable)
 	}
 }
 
--- a/overload/nesteddemand.go
+++ b/overload/nesteddemand.go
@@ -26,7 +26,7 @@
 	// same. Their nested requests find room that was not reported, and show that a kind still
 	// makes them.
 	nestedProbeEvery = 10
-	// maxNestedWait is the longest wait that is believed: no request is kept in a queue for so
+	// maxNestedWait is the longest reported wait that counts: no request is kept in a queue for so
 	// long, so a longer one cannot be an estimate.
 	maxNestedWait = time.Minute
 )
@@ -37,10 +37,10 @@
 //
 // It learns from past runs, by kind of request, which services their nested requests lead to and
 // how many rounds of them a run makes. Refusing work that would have been served costs more than
-// a failed run, so all doubts lead to admission: a wait that is not known, or that the latest
-// nested request has not confirmed; figures from few runs; the time that nested requests take
-// beside their wait; a late request, which is judged by its deadline. It is not safe for
-// concurrent use.
+// a failed run. So a request is admitted if the wait is not known or the latest nested request has
+// not confirmed it, and while only a few runs have been seen. The time that nested requests take
+// beside their wait is left out, and a late request is judged by its deadline. NestedDemand is not
+// safe for concurrent use.
 type NestedDemand struct {
 	kinds map[uint32]*nestedKind
 }
@@ -73,7 +73,7 @@
 // NoteRun learns from a run that has ended. A run that is not complete, as it has failed, may have
 // ended before it made all of its nested requests.
 func (d *NestedDemand) NoteRun(at time.Time, kind uint32, r *NestedRun, took time.Duration, complete bool) {
-	if len(r.calls) == 0 && (!complete || d.find(at, kind) == nil) {
+	if len(r.services) == 0 && (!complete || d.find(at, kind) == nil) {
 		return
 	}
 	k := d.findOrAdd(at, kind)
@@ -82,17 +82,16 @@
 	}
 	k.expires = at.Add(nestedRetention)
 	k.runs++
-	k.noteCalls(r, complete)
+	k.noteServices(r, complete)
 	if complete {
 		k.completed++
 		k.ownTime += gainOf(k.completed) * (float64(r.ownTime(at, took)) - k.ownTime)
 	}
 }
 
-// NoteCall learns how long a nested request took that a run of a kind has made, and whether it found
-// room. Nested requests have the urgency of their parent, so they may wait for less time than gates
+// NoteNested learns how long a nested request of a run took, and whether it found room. Nested requests have the urgency of their parent, so they may wait for less time than gates
 // report: a reported wait counts only as far as the latest nested request confirms it.
-func (d *NestedDemand) NoteCall(at time.Time, kind uint32, service string, took time.Duration, foundRoom bool) {
+func (d *NestedDemand) NoteNested(at time.Time, kind uint32, service string, took time.Duration, foundRoom bool) {
 	k := d.find(at, kind)
 	if k == nil {
 		return
@@ -138,15 +137,15 @@
 	return k
 }
 
-// noteCalls updates the figures of each service by one run's nested requests.
-func (k *nestedKind) noteCalls(r *NestedRun, complete bool) {
-	for _, c := range r.calls {
+// noteServices updates the figures of each service by one run's nested requests.
+func (k *nestedKind) noteServices(r *NestedRun, complete bool) {
+	for _, c := range r.services {
 		k.addService(c.service)
 	}
 	gain := gainOf(k.runs)
 	for i := range k.services {
 		s := &k.services[i]
-		switch c := r.callsTo(s.name); {
+		switch c := r.find(s.name); {
 		case c != nil:
 			s.share += gain * (1 - s.share)
 			s.noteRounds(c.rounds, complete)
--- a/overload/nesteddemand_test.go
+++ b/overload/nesteddemand_test.go
@@ -51,6 +51,8 @@
 	return r
 }
 
+// Requests whose nested requests would find no room must be refused with the service and its wait,
+// and no others: a refusal without need loses work that would have been served.
 func TestNestedDemand(t *testing.T) {
 	text, err := os.ReadFile("testdata/nested.yaml")
 	require.NoError(t, err)
@@ -65,7 +67,7 @@
 			}
 		}
 		for service := range c.Waits {
-			d.NoteCall(now, 7, service, c.Found, c.Found > 0)
+			d.NoteNested(now, 7, service, c.Found, c.Found > 0)
 		}
 		c.check(t, &d, now.Add(c.Idle))
 	}
--- a/overload/nestedrun.go
+++ b/overload/nestedrun.go
@@ -2,20 +2,20 @@
 
 import "time"
 
-// maxNestedServices bounds the services that are told apart in one run. Requests to further ones
-// are not learned.
+// maxNestedServices bounds the services of one run that are distinguished. Requests to further ones
+// are not counted.
 const maxNestedServices = 4
 
 // NestedRun records the nested requests of one run. The zero value is a run without any.
 type NestedRun struct {
-	calls     []nestedCalls
+	services  []nestedCount
 	open      int           // Nested requests that have not ended.
 	openSince time.Time     // When open last rose from 0.
 	waited    time.Duration // Time with open nested requests, up to openSince.
 }
 
-// nestedCalls counts a run's nested requests to one service.
-type nestedCalls struct {
+// nestedCount counts a run's nested requests to one service.
+type nestedCount struct {
 	service string
 	open    int
 	rounds  int // Requests one after the other; those that overlap count once.
@@ -27,10 +27,10 @@
 		r.openSince = at
 	}
 	r.open++
-	c := r.callsTo(service)
-	if c == nil && len(r.calls) < maxNestedServices {
-		r.calls = append(r.calls, nestedCalls{service: service})
-		c = &r.calls[len(r.calls)-1]
+	c := r.find(service)
+	if c == nil && len(r.services) < maxNestedServices {
+		r.services = append(r.services, nestedCount{service: service})
+		c = &r.services[len(r.services)-1]
 	}
 	if c == nil {
 		return
@@ -50,16 +50,16 @@
 	if r.open == 0 {
 		r.waited += at.Sub(r.openSince)
 	}
-	if c := r.callsTo(service); c != nil && c.open > 0 {
+	if c := r.find(service); c != nil && c.open > 0 {
 		c.open--
 	}
 }
 
-// callsTo returns the count of a service, nil if there is none.
-func (r *NestedRun) callsTo(service string) *nestedCalls {
-	for i := range r.calls {
-		if r.calls[i].service == service {
-			return &r.calls[i]
+// find returns the count of a service, nil if there is none.
+func (r *NestedRun) find(service string) *nestedCount {
+	for i := range r.services {
+		if r.services[i].service == service {
+			return &r.services[i]
 		}
 	}
 	return nil
