--- a/link/message.go
+++ b/link/message.go
@@ -50,8 +50,8 @@
 	// Weight is the account's weight among the accounts that compete for the gate's slots; 0 for 1.
 	Weight float64 `cbor:"17,keyasint,omitempty"`
 	Nested bool    `cbor:"18,keyasint,omitempty"` // It is a nested request.
-	// ParentAccount is the client account of its parent, which it counts towards. The upstream is
-	// only told Account.
+	// ParentAccount is the client account of its parent, which it counts towards. The upstream
+	// gets Account only.
 	ParentAccount string `cbor:"19,keyasint,omitempty"`
 }
 
