--- a/gate/room_test.go
+++ b/gate/room_test.go
@@ -24,7 +24,8 @@
 	Room *link.Room `yaml:"room"` // nil for none.
 }
 
-// TestRoomScripts runs the scripts of testdata/rooms. With the mechanism off, no room is stated.
+// TestRoomScripts guards against stating room that a gate does not have, by the scripts of
+// testdata/rooms. With the mechanism off, no room is stated.
 func TestRoomScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/rooms/*.yaml")
 	require.NoError(t, err)
@@ -54,8 +55,8 @@
 	}
 }
 
-// TestRoomCostsLittle checks that room takes few bytes of a message, and that messages which state the
-// same share it.
+// TestRoomCostsLittle guards against messages that grow by more than a few bytes, and against an
+// allocation for each message that states the same room.
 func TestRoomCostsLittle(t *testing.T) {
 	a := NewAdmission(scriptService, budget.New(1, 400, time.Time{}))
 	now := time.Unix(1_000_000, 0)
--- a/ingress/endpoint_test.go
+++ b/ingress/endpoint_test.go
@@ -98,8 +98,8 @@
 	assert.Equal(t, 4000, counts[0])
 }
 
-// TestGateWithRoomIsPreferred checks that a gate with room is preferred to one without, and that the
-// selection is as without any room where both or neither have some, one is unknown, or the mechanism is
+// TestGateWithRoomIsPreferred guards against offers to a full gate beside one with room, and against
+// another selection than without any room where both or neither have some, one is unknown, or the mechanism is
 // off.
 func TestGateWithRoomIsPreferred(t *testing.T) {
 	free, full := &link.Room{Free: 1}, &link.Room{Wait: time.Second}
--- a/ingress/room_test.go
+++ b/ingress/room_test.go
@@ -26,7 +26,8 @@
 	Want    *link.Room    `yaml:"want"` // nil for unknown.
 }
 
-// TestReportedRoom runs the script of testdata/room.yaml: how a report ages.
+// TestReportedRoom guards against offers by a report that is out of date or already used up, by the script
+// of testdata/room.yaml.
 func TestReportedRoom(t *testing.T) {
 	text, err := os.ReadFile("testdata/room.yaml")
 	require.NoError(t, err)
@@ -62,8 +63,8 @@
 func (c countNames) Count(name string)           { c[name]++ }
 func (countNames) Observe(string, time.Duration) {}
 
-// TestInvalidRoomIsIgnored checks that an absurd room changes nothing, is counted, and is logged once
-// in a minute.
+// TestInvalidRoomIsIgnored guards against a selection by an absurd room, and against a log line for each
+// one: it must be counted, and logged once in a minute.
 func TestInvalidRoomIsIgnored(t *testing.T) {
 	endpoints, all := gates("O")
 	counts := countNames{}
--- a/ingress/spill_test.go
+++ b/ingress/spill_test.go
@@ -31,9 +31,9 @@
 	return out
 }
 
-// TestHerd guards against sending many requests at once to a gate whose few free slots many nodes know,
+// TestSpillAvoidsHerding guards against sending many requests at once to a gate whose few free slots many nodes know,
 // however many requests each of them has.
-func TestHerd(t *testing.T) {
+func TestSpillAvoidsHerding(t *testing.T) {
 	for _, toAll := range []bool{true, false} {
 		sum, runs := 0, 50
 		for seed := range runs {
@@ -54,7 +54,8 @@
 	}
 }
 
-// TestSpill checks when a request is offered to another data centre at once.
+// TestSpill guards against crossings that gain nothing: a request must be offered to another data centre
+// at once only if the own one is known to be full and the other one to have room.
 func TestSpill(t *testing.T) {
 	now := time.Unix(1000, 0)
 	full, busy := &link.Room{Wait: time.Second}, &link.Room{Wait: 50 * time.Millisecond}
@@ -85,7 +86,7 @@
 	}
 }
 
-// TestMaxLocalWait checks that only a request with a target, and without a place in a queue, spills over.
+// TestMaxLocalWait guards against spilling over by requests that have no target or already wait in a queue.
 func TestMaxLocalWait(t *testing.T) {
 	now := time.Unix(1000, 0)
 	endpoints, _ := gates("O")
--- a/overload/shares_test.go
+++ b/overload/shares_test.go
@@ -25,7 +25,8 @@
 	}
 }
 
-// TestShares plays the steps of the data file and checks the delay of each claim.
+// TestShares guards against delays of accounts within their share, and against others than the data file
+// lists.
 func TestShares(t *testing.T) {
 	text, err := os.ReadFile("testdata/shares.yaml")
 	require.NoError(t, err)
--- a/route/account_test.go
+++ b/route/account_test.go
@@ -64,7 +64,7 @@
 	assert.False(t, court.Limited())
 }
 
-// TestDefaultWeights checks that accounts without a weight get one by their rate, within the bounds.
+// TestDefaultWeights guards against default weights out of bounds or that do not follow the rates.
 func TestDefaultWeights(t *testing.T) {
 	table, err := New(Document{Version: 1, Accounts: []Account{
 		{Name: "small", Rate: 1}, {Name: "large", Rate: 8}, {Name: "own", Rate: 3, Weight: 2.5}, {Name: "unlimited"}, {Name: "tiny", Rate: 1e-6}}})
