--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -38,8 +38,8 @@
 	nearOnly    bool        // Exclude gates of other data centres.
 	tried       []*Endpoint // Gates that were already asked.
 	regions     route.Regions
-	account     string
-	nested      bool // Gates do not delay it by the share of its account.
+	account     string // Whose share of the gates' slots it uses.
+	nested      bool   // Gates do not delay it by the share of its account.
 	// maxLocalWait is how long the request may wait in the own data centre; 0 for any time.
 	maxLocalWait time.Duration
 }
@@ -66,7 +66,14 @@
 	noneEligible  bool         // No gate of the service is eligible for the request.
 	room          time.Time    // When a gate has room that the limit of its upstream keeps from being asked now.
 	allLimited    bool         // That is so for all responsive gates.
-	local         waitEstimate // In the own data centre.
+	local         waitEstimate // In the own data centre; only estimated for criteria with a maxLocalWait.
+}
+
+// exclude reports whether a gate is not asked now: it was already, or has lately refused offers like
+// this one.
+func (c *criteria) exclude(n *Endpoint, now time.Time) bool {
+	overShare := !c.nested && n.overShare(c.account, now)
+	return slices.Contains(c.tried, n) || n.full(c.priority, now) || overShare
 }
 
 // candidates groups a service's gates by state.
@@ -101,10 +108,10 @@
 			}
 			continue
 		}
-		if crit.maxLocalWait > 0 && mode == link.ModeOpen && n.member.DataCentre == e.dataCentre && !n.suspected(now) {
+		if crit.maxLocalWait > 0 && mode == link.ModeOpen && e.isLocal(n) && !n.suspected(now) {
 			c.local.add(n.room(now))
 		}
-		if slices.Contains(crit.tried, n) || n.full(crit.priority, now) || !crit.nested && n.overShare(crit.account, now) {
+		if crit.exclude(n, now) {
 			continue
 		}
 		switch {
@@ -210,11 +217,14 @@
 	return list
 }
 
+// isLocal reports whether a gate is in the own data centre.
+func (e *Endpoints) isLocal(n *Endpoint) bool { return n.member.DataCentre == e.dataCentre }
+
 // near returns the endpoints in the own data centre.
 func (e *Endpoints) near(list []*Endpoint) []*Endpoint {
 	var out []*Endpoint
 	for _, n := range list {
-		if n.member.DataCentre == e.dataCentre {
+		if e.isLocal(n) {
 			out = append(out, n)
 		}
 	}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -54,11 +54,11 @@
 	finishAt   atomic.Pointer[time.Time] // When Finish ends what is in flight; nil while the node is not stopping.
 	origin     uint64                    // Identifies this process's offers; differs after a restart.
 	number     atomic.Uint64
-	// logInvalidRoom is the UnixNano before which no other invalid room is logged.
-	logInvalidRoom atomic.Int64
-	latencies      sync.Map // *core.LatencyPercentile by route name.
-	mu             sync.Mutex
-	requests       map[uint64]*inFlightRequest
+	// nextRoomLog is the UnixNano from which an invalid room may be logged again.
+	nextRoomLog atomic.Int64
+	latencies   sync.Map // *core.LatencyPercentile by route name.
+	mu          sync.Mutex
+	requests    map[uint64]*inFlightRequest
 }
 
 // Option configures a Forwarder in NewForwarder.
--- a/ingress/nestedroom.go
+++ b/ingress/nestedroom.go
@@ -8,8 +8,8 @@
 )
 
 // maxNestedRefusals is how many gates may refuse a request for lack of room for its nested
-// requests. The room is that of other services, so further gates would say the same; the second
-// is asked since nodes know the room of different gates.
+// requests. The room is that of other services, so further gates would refuse it, too; the
+// second is asked since nodes know the room of different gates.
 const maxNestedRefusals = 2
 
 // runNested runs a request and, if it is a nested one, reports its begin and end.
--- a/ingress/repeat.go
+++ b/ingress/repeat.go
@@ -13,8 +13,8 @@
 	// maxBudgetDenials is how many gates without budget are asked for a repeat: if three
 	// gates have none, the service has little left.
 	maxBudgetDenials = 3
-	// maxBudgetDenialsShed replaces it for a request that was shed and has not run: its caller can
-	// be told so, and may find another node that can serve it.
+	// maxBudgetDenialsShed replaces it for a request that was shed and has not run: its caller
+	// gets a refusal that says so, and may find another node that can serve it.
 	maxBudgetDenialsShed = 2
 	// A retryable request is sent a second time after hedgeFactor times the route's 95th
 	// latency percentile, which about one in fifty normal answers exceeds.
@@ -60,9 +60,9 @@
 	f.forwarder.count("no_budget_" + cmp.Or(f.repeatCause, causeNested))
 }
 
-// noteShed records that an upstream shed the request. If nothing of it has run, it is refused once
-// it can no longer be answered by its target deadline: it would use budget that others need to be
-// answered in time.
+// noteShed records that an upstream shed the request. If no attempt of it has run or waits, it is
+// refused once it can no longer be answered by its target deadline: it would use budget that others
+// need to be answered in time.
 func (f *inFlightRequest) noteShed(now time.Time) {
 	if len(f.offers) > 0 || f.runs > 0 {
 		return
--- a/ingress/room.go
+++ b/ingress/room.go
@@ -20,13 +20,13 @@
 // reportedRoom is the room that a gate reported last, less what this node has offered to the gate
 // since. It is not safe for concurrent use.
 type reportedRoom struct {
-	room    link.Room
-	until   time.Time // Until which it counts.
-	sent    int       // Offers that the report may not account for.
-	pending int       // Offers without any response.
-	toAll   bool      // The gate reported it to all nodes at once.
-	lot     float64   // Drawn once for the report; see spillSlots.
-	drawn   bool
+	room     link.Room
+	until    time.Time // Until which it counts.
+	sent     int       // Offers that the report may not account for.
+	pending  int       // Offers without any response.
+	toAll    bool      // The gate reported it to all nodes at once.
+	rounding float64   // Drawn once for the report; see spillSlots.
+	drawn    bool
 }
 
 // note records a report. Offers on the way to the gate are not accounted for in it.
@@ -64,7 +64,7 @@
 
 // full reports whether the gate is known to have no free slot. A report of that counts only for the wait
 // that it states: a slot is free by then, unless others have come, and gates that are avoided for longer
-// stay idle while their rivals fill up.
+// stay idle while the others fill up.
 func (r *reportedRoom) full(now time.Time) bool {
 	if r.sent < r.room.Free || !now.Before(r.until) {
 		return false
@@ -174,8 +174,8 @@
 		return true
 	}
 	f.count("room_invalid")
-	next := f.logInvalidRoom.Load()
-	if now.UnixNano() >= next && f.logInvalidRoom.CompareAndSwap(next, now.Add(invalidRoomLogEvery).UnixNano()) {
+	next := f.nextRoomLog.Load()
+	if now.UnixNano() >= next && f.nextRoomLog.CompareAndSwap(next, now.Add(invalidRoomLogEvery).UnixNano()) {
 		f.log.Warn("invalid room", zap.String("node", e.member.Name), zap.Int("free", room.Free), zap.Duration("wait", room.Wait))
 	}
 	return false
--- a/ingress/spill.go
+++ b/ingress/spill.go
@@ -19,9 +19,11 @@
 // spillSlots returns how many slots of a reported room this node may use for requests that spill over
 // from its data centre. Free slots are divided among the nodes that may know of them, so that these do
 // not all send requests there at once. The number is rounded at random, once for each report: over all
-// nodes, the sum is about the number of free slots, however many requests each of them has. lot is
-// uniform in [0, 1).
-func spillSlots(free int, nodes, lot float64) int { return int(float64(free)/max(nodes, 1) + lot) }
+// nodes, the sum is about the number of free slots, however many requests each of them has. The
+// parameter rounding is uniform in [0, 1).
+func spillSlots(free int, nodes, rounding float64) int {
+	return int(float64(free)/max(nodes, 1) + rounding)
+}
 
 // spillable reports whether a request may spill over to the gate now, given its slots and how many nodes
 // may know of its room.
@@ -31,9 +33,9 @@
 		return false
 	}
 	if !r.drawn {
-		r.lot, r.drawn = draw(), true
+		r.rounding, r.drawn = draw(), true
 	}
-	return r.sent < spillSlots(r.room.Free, nodes, r.lot)
+	return r.sent < spillSlots(r.room.Free, nodes, r.rounding)
 }
 
 // spill returns a gate of another data centre to which a request is offered at once, as it would wait
@@ -69,7 +71,7 @@
 	var far, out []*Endpoint
 	known := 0
 	for _, n := range open {
-		if n.member.DataCentre == e.dataCentre {
+		if e.isLocal(n) {
 			continue
 		}
 		far = append(far, n)
