--- a/gate/admission.go
+++ b/gate/admission.go
@@ -27,6 +27,7 @@
 // entry is an offer that is queued, granted or running.
 type entry struct {
 	Offered
+	shareUse
 	phase       phase
 	queueKey    overload.QueueKey // Its order in the queue.
 	expires     time.Time         // When a grant lapses, or the wait in the queue ends.
@@ -39,8 +40,6 @@
 	hung        bool             // Already counted as a bad outcome.
 	warned      bool             // A Warn command was returned for it.
 	nested      overload.NestedRun
-	charge      overload.Charge // What its account is charged.
-	shareAt     time.Time       // When its account's share of the slots reaches it.
 }
 
 // Admission decides which offers the upstream runs, and when. It is not safe for concurrent
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -11,6 +11,12 @@
 	"eiderfold/switches"
 )
 
+// shareUse is how an entry uses its account's share of the slots.
+type shareUse struct {
+	charge  overload.Charge // What the account is charged.
+	shareAt time.Time       // When the share reaches the entry.
+}
+
 // claim returns the entry's claim to a slot, which it needs for the given time.
 func (a *Admission) claim(e *entry, expected time.Duration) overload.Claim {
 	if expected <= 0 {
