--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -229,7 +229,7 @@
 		deadline:     requirements.Deadline(),
 		requirements: requirements,
 		saturated:    f.saturated,
-		inRepeat:     parent.Repeat,
+		repeatState:  repeatState{inRepeat: parent.Repeat},
 		parent:       metadata.Parent,
 		events:       make(chan event, eventBuffer),
 	}, nil
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -23,8 +23,26 @@
 	finish   bool      // The node shuts down: the request ends with what is known of its outcome.
 }
 
+// refusals are the refusals of a request by gates.
+type refusals struct {
+	budgetDenials  int           // Gates that had no budget for the current repeat.
+	nestedRefusals int           // Gates that saw no room for its nested requests, since it last started.
+	lastRefusal    link.Reason   // Reason of the latest refusal.
+	minRetryAfter  time.Duration // Shortest retry-after of a refusing gate, 0 for none.
+}
+
+// repeatState is what a request's repeats depend on.
+type repeatState struct {
+	repeatCause string    // Why it is repeated.
+	inRepeat    bool      // Nested in a repeated attempt.
+	budgetSpent bool      // A nested request of an attempt found no budget left.
+	refuseAt    time.Time // When it is refused if it was shed and has not run; the zero time for never.
+}
+
 // inFlightRequest is a request that has no final answer yet.
 type inFlightRequest struct {
+	refusals
+	repeatState
 	forwarder      *Forwarder
 	route          *route.Route
 	service        string
@@ -45,21 +63,13 @@
 	runs           int                // Attempts that may have run.
 	deliveries     int                // Attempts that may have reached an upstream: runs, and those refused as shed or misdirected.
 	parent         string             // The attempt on the upstream beside this node that made it, "" for none.
-	inRepeat       bool               // Nested in a repeated attempt.
-	budgetDenials  int                // Gates that had no budget for the current repeat.
-	nestedRefusals int                // Gates that saw no room for its nested requests, since it last started.
-	budgetSpent    bool               // A nested request of an attempt found no budget left.
 	far            bool               // Offered to other data centres after a long wait.
 	nextRoundAt    time.Time          // When a new round of offers may begin.
 	pause          time.Duration      // Pause before the latest round.
-	lastRefusal    link.Reason        // Reason of the latest refusal.
-	minRetryAfter  time.Duration      // Shortest retry-after of a refusing gate, 0 for none.
 	fallback       *Response          // Answer unless a repeat gets a better one.
 	finalResponse  *Response          // Final answer, if sending a message ended the request.
 	gates          []string           // Where it was committed, for the log.
 	committedAt    time.Time          // When it was first committed.
-	repeatCause    string             // Why it is repeated.
-	refuseAt       time.Time          // When it is refused if it was shed and has not run; the zero time for never.
 	unknownReason  string             // Why an attempt's outcome is unknown.
 	record         *quarantine.Record // Crash record, if an upstream crashed while running it.
 	quarantineLeft time.Duration      // Remaining time in quarantine, 0 for none.
@@ -117,6 +127,13 @@
 	return room.After(f.requirements.AwaitRoomUntil(now, f.runs > 0, f.saturated()))
 }
 
+// nearOnly reports whether the next gate has to be in the own data centre: while the request only waits
+// in queues, and not for long yet.
+func (f *inFlightRequest) nearOnly(now time.Time) bool {
+	waits := len(f.offers) > 0 && !f.busy()
+	return waits && now.Before(f.arrived.Add(f.farAfter())) && f.forwarder.endpoints.switches.On(switches.PreferLocal)
+}
+
 // criteria returns what is required of the next gate.
 func (f *inFlightRequest) criteria(now time.Time) criteria {
 	return criteria{
@@ -124,7 +141,7 @@
 		retryable:    f.route.Retryable,
 		allowTrials:  f.runs+1 < f.route.Attempts && !f.forwarder.endpoints.budgetExhausted(f.service, now),
 		priority:     f.requirements.Priority(),
-		nearOnly:     len(f.offers) > 0 && !f.busy() && now.Before(f.arrived.Add(f.farAfter())) && f.forwarder.endpoints.switches.On(switches.PreferLocal),
+		nearOnly:     f.nearOnly(now),
 		tried:        f.tried,
 		regions:      f.regions,
 		account:      f.share.account,
--- a/ingress/room.go
+++ b/ingress/room.go
@@ -121,7 +121,8 @@
 // noteRoom records the room that a gate states in a message about an offer.
 func (f *inFlightRequest) noteRoom(o *offer, frame *link.Frame, now time.Time) {
 	room, contradicted := roomOf(frame)
-	if room == nil && !contradicted || !f.forwarder.endpoints.switches.On(switches.Room) || !f.forwarder.checkRoom(o.endpoint, room, now) {
+	saysNothing := room == nil && !contradicted
+	if saysNothing || !f.forwarder.endpoints.switches.On(switches.Room) || !f.forwarder.checkRoom(o.endpoint, room, now) {
 		return
 	}
 	if contradicted {
--- a/ingress/spill.go
+++ b/ingress/spill.go
@@ -26,7 +26,7 @@
 }
 
 // spillable reports whether a request may spill over to the gate now, given its slots and how many nodes
-// may know of its room.
+// know of its room.
 func (r *reportedRoom) spillable(now time.Time, slots int, nodes float64, draw func() float64) bool {
 	free := r.room.Free - r.sent
 	if !now.Before(r.until) || free < minSpillSlots || float64(free) < minSpillShare*float64(slots) {
@@ -64,9 +64,9 @@
 
 // spillTargets returns the gates of other data centres to which a request may spill over.
 //
-// All nodes may know a room that was reported to all. Of a room that was reported to this node alone, as
-// many other nodes are assumed to know as this node knows rooms elsewhere: with offers to one in ten
-// of the gates there, one in ten nodes knows that of any gate.
+// A room that was reported to all is known to all nodes. One that was reported to this node alone is
+// assumed to be known to the same share of the nodes as the share of the gates there whose room this
+// node knows.
 func (e *Endpoints) spillTargets(open []*Endpoint, now time.Time) []*Endpoint {
 	var far, out []*Endpoint
 	known := 0
@@ -81,23 +81,23 @@
 	}
 	nodes := float64(e.size())
 	for _, n := range far {
-		if n.spillable(now, nodes, nodes*float64(known)/float64(len(far)), e.draw) {
+		knowing := nodes * float64(known) / float64(len(far))
+		if n.spillable(now, nodes, knowing, e.draw) {
 			out = append(out, n)
 		}
 	}
 	return out
 }
 
-// spillable reports whether a request may spill over to the gate now. all and some are how many nodes
-// may know its room if it was reported to all nodes, or to single ones.
-func (e *Endpoint) spillable(now time.Time, all, some float64, draw func() float64) bool {
+// spillable reports whether a request may spill over to the gate now, given the number of nodes,
+// and how many of them know a room that a gate did not report to all.
+func (e *Endpoint) spillable(now time.Time, nodes, knowing float64, draw func() float64) bool {
 	e.roomMu.Lock()
 	defer e.roomMu.Unlock()
-	nodes := some
 	if e.reported.toAll {
-		nodes = all
+		knowing = nodes
 	}
-	return e.reported.spillable(now, e.status.Load().Slots, nodes, draw)
+	return e.reported.spillable(now, e.status.Load().Slots, knowing, draw)
 }
 
 // size returns the number of known gates, and so of nodes.
@@ -110,7 +110,7 @@
 }
 
 // maxLocalWait returns for how long the request may wait in the own data centre before it is offered
-// elsewhere; 0 if it is not to be offered there early, as once it has a place in a queue.
+// elsewhere; 0 if it is not offered there early, for example once it waits in a queue.
 func (f *inFlightRequest) maxLocalWait(now time.Time) time.Duration {
 	if f.route.Target <= 0 || len(f.offers) > 0 || !f.forwarder.endpoints.spills() {
 		return 0
