--- a/ingress/share_test.go
+++ b/ingress/share_test.go
@@ -13,7 +13,7 @@
 )
 
 // Offers must carry the account and weight that a request counts towards: for a nested request
-// those of its parent, while the upstream is told the account of its own key only.
+// those of its parent, while the upstream gets the account of its own key only.
 func TestOffersCarryTheShare(t *testing.T) {
 	office, court := &route.Account{Name: "office", Weight: 2}, overload.Parent{Account: "court", Weight: 3}
 	for _, c := range []struct {
--- a/ingress/spill_test.go
+++ b/ingress/spill_test.go
@@ -31,8 +31,8 @@
 	return out
 }
 
-// TestSpillAvoidsHerding guards against sending many requests at once to a gate whose few free slots many nodes know,
-// however many requests each of them has.
+// TestSpillAvoidsHerding guards against sending many requests at once to a gate whose few free slots many
+// nodes know, however many requests each of them has.
 func TestSpillAvoidsHerding(t *testing.T) {
 	for _, toAll := range []bool{true, false} {
 		sum, runs := 0, 50
