--- a/overload/nesteddemand.go
+++ b/overload/nesteddemand.go
@@ -89,8 +89,9 @@
 	}
 }
 
-// NoteNested learns how long a nested request of a run took, and whether it found room. Nested requests have the urgency of their parent, so they may wait for less time than gates
-// report: a reported wait counts only as far as the latest nested request confirms it.
+// NoteNested learns how long a nested request of a run took, and whether it found room. Nested
+// requests have the urgency of their parent, so they may wait for less time than gates report: a
+// reported wait counts only as far as the latest nested request confirms it.
 func (d *NestedDemand) NoteNested(at time.Time, kind uint32, service string, took time.Duration, foundRoom bool) {
 	k := d.find(at, kind)
 	if k == nil {
--- a/overload/shares_test.go
+++ b/overload/shares_test.go
@@ -74,7 +74,7 @@
 // Whatever the weights, each account must get what it asks for up to its share, beside one that asks
 // for ten times as much as the gate has. The gate serves one request after the other.
 func TestHotAccountLeavesOthersTheirShares(t *testing.T) {
-	const cost, patience = 10, time.Second // The cost is in milliseconds.
+	const cost, maxWait = 10, time.Second // The cost is in milliseconds.
 	type request struct {
 		account      int
 		arrived, due time.Time
@@ -102,7 +102,7 @@
 			for len(queue) > 0 && step%cost == 0 {
 				first := slices.MinFunc(queue, func(a, b request) int { return a.due.Compare(b.due) })
 				queue = slices.DeleteFunc(queue, func(r request) bool { return r.charge == first.charge })
-				if now.Sub(first.arrived) > patience {
+				if now.Sub(first.arrived) > maxWait {
 					s.Refund(first.charge)
 					continue
 				}
