--- a/mesh/node.go
+++ b/mesh/node.go
@@ -80,7 +80,13 @@
 	n.links = newLinks(n)
 	n.limits.homes = quota.NewHomes(fleetView{n.links})
 	n.gate = gate.New(gate.Upstream{Address: s.Upstream(), Service: s.Service()}, p.Dialect, log,
-		gate.WithBudget(n.budget), gate.WithSwitches(s.Switches()), gate.WithQuarantine(n.quarantine.tracker), gate.WithRecords(n.directory), gate.WithCounters(metrics), gate.WithAnnounce(n.links.announce), gate.WithHealthPath(n.healthPath),
+		gate.WithBudget(n.budget),
+		gate.WithSwitches(s.Switches()),
+		gate.WithQuarantine(n.quarantine.tracker),
+		gate.WithRecords(n.directory),
+		gate.WithCounters(metrics),
+		gate.WithAnnounce(n.links.announce),
+		gate.WithHealthPath(n.healthPath),
 		gate.WithNestedWait(func(service string) (time.Duration, bool) { return n.endpoints.ShortestWait(service, time.Now()) }))
 	n.links.addLocal()
 	return n
