--- a/switches/switches.go
+++ b/switches/switches.go
@@ -39,7 +39,7 @@
 	NestedRoom         Mechanism = "nested-room"    // Requests start even if there is no room for their nested requests.
 	FairShares         Mechanism = "fair-shares"    // Client accounts get slots in the order of their requests.
 	Room               Mechanism = "room"           // The selection of a gate ignores how full it is.
-	UrgentRepeats      Mechanism = "urgent-repeats" // No part of the repeat budget is reserved for urgent requests.
+	UrgentRepeats      Mechanism = "urgent-repeats" // No part of the repeat budget is reserved for urgent requests, and shed requests without budget or time are not refused at once.
 )
 
 var all = []Mechanism{HangDetection, HoldUnresponsive, OverdueNotices, NestedRequests, KindTimes, Trials, Forced, Hedges, PreferLocal, SlowLast, Priority,
