--- a/gate/nestedroom.go
+++ b/gate/nestedroom.go
@@ -14,7 +14,7 @@
 // WithNestedWait sets the lookup of the shortest wait for a service, as this node knows it, and
 // whether it is known. Without it, no offer is refused for lack of room for its nested requests.
 // The function is called with the gate's lock held.
-func WithNestedWait(f func(service string) (wait time.Duration, known bool)) Option {
+func WithNestedWait(f overload.NestedWait) Option {
 	return func(g *Gate) { g.nestedWait = f }
 }
 
@@ -58,7 +58,7 @@
 	}
 	e.nested.End(at, service)
 	if status != 0 {
-		a.nested.NoteCall(at, e.Kind, service, took, status != http.StatusServiceUnavailable)
+		a.nested.NoteNested(at, e.Kind, service, took, status != http.StatusServiceUnavailable)
 	}
 }
 
--- a/overload/shares_test.go
+++ b/overload/shares_test.go
@@ -25,7 +25,8 @@
 	}
 }
 
-// TestShares plays the steps of the data file and checks the delay of each claim.
+// TestShares guards against delays of accounts within their share, and against others than the data file
+// lists.
 func TestShares(t *testing.T) {
 	text, err := os.ReadFile("testdata/shares.yaml")
 	require.NoError(t, err)
@@ -73,7 +74,7 @@
 // Whatever the weights, each account must get what it asks for up to its share, beside one that asks
 // for ten times as much as the gate has. The gate serves one request after the other.
 func TestHotAccountLeavesOthersTheirShares(t *testing.T) {
-	const cost, patience = 10, time.Second // The cost is in milliseconds.
+	const cost, maxWait = 10, time.Second // The cost is in milliseconds.
 	type request struct {
 		account      int
 		arrived, due time.Time
@@ -101,7 +102,7 @@
 			for len(queue) > 0 && step%cost == 0 {
 				first := slices.MinFunc(queue, func(a, b request) int { return a.due.Compare(b.due) })
 				queue = slices.DeleteFunc(queue, func(r request) bool { return r.charge == first.charge })
-				if now.Sub(first.arrived) > patience {
+				if now.Sub(first.arrived) > maxWait {
 					s.Refund(first.charge)
 					continue
 				}
