--- a/gate/urgentload.go
+++ b/gate/urgentload.go
@@ -16,7 +16,7 @@
 	shortStepShare = 0.5
 	// minQueuedShare is how many entries for each slot may always wait, at least one for a gate: slots
 	// that become free together would stay empty until the next offer if none did.
-	minQueuedShare = 0.25
+	minQueuedShare = 0.5
 )
 
 // startLog holds the priorities and steps of the latest starts, in any order.
--- a/overload/queuekey.go
+++ b/overload/queuekey.go
@@ -10,9 +10,9 @@
 	// of one answer. It is also the least for one with a target, which may have passed.
 	FixedStep = 200 * time.Millisecond
 	// stepShare is the part of the time until its target deadline that a step of priority is worth.
-	// A request of priority 2 that waits for its lag still has half of that time, and one with a
-	// target of up to 800 ms gets FixedStep.
-	stepShare = 0.25
+	// A request of priority 2 that waits for its lag still has most of that time, and one with a
+	// target of up to 1.3 s gets FixedStep.
+	stepShare = 0.15
 )
 
 // PriorityStep returns the difference in arrival time that one step of priority makes up for: a part
