gate, budget: only doubt and missing answers hold queued orders; withheldShare for one of two reserves

Cause: found in a newcomer's read of the change. A queued order that a limit blocked marked all later orders as held, which holds today only because the limit blocks them too; reserve was both a method of a kind and a type. Measured: go test ./gate ./budget; nothing else changes.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -56,8 +56,8 @@
 // NeedsBudget reports whether the attempt needs budget to start.
 func (k AttemptKind) NeedsBudget() bool { return k != First }
 
-// reserve returns the part of the budget that this kind may not use.
-func (k AttemptKind) reserve() float64 {
+// withheldShare returns the part of the budget that this kind may not use.
+func (k AttemptKind) withheldShare() float64 {
 	if k == Hedge {
 		return hedgeReserve
 	}
@@ -193,7 +193,7 @@
 
 // limit returns how many repeats of the kind a bound allows, of which so many are withheld.
 func (k AttemptKind) limit(bound, held, rounding float64) float64 {
-	return min((1-k.reserve())*bound, bound-held) + rounding
+	return min((1-k.withheldShare())*bound, bound-held) + rounding
 }
 
 // bound returns the gate's part of the fleet's limit, before it is cut to whole repeats. The caller
--- a/gate/reconcile.go
+++ b/gate/reconcile.go
@@ -85,7 +85,7 @@
 	for i := 0; i < len(a.queue) && !a.Saturated(); {
 		e := a.queue[i]
 		if held && e.mayBeHeld() || !a.canAdmit(at, e) {
-			held = held || e.mayBeHeld()
+			held = held || a.mustWait(at, e)
 			i++ // A later entry may be admissible.
 			continue
 		}
