--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -30,7 +30,7 @@
 
 // testCluster is a store and some nodes with their upstreams, in one process on loopback.
 type testCluster struct {
-	t     *testing.T
+	t     testing.TB
 	store *memory.Directory
 	nodes []*testNode
 	// logs records the log of all nodes, if it is set before they start.
@@ -68,7 +68,7 @@
 		version, strings.Join(rules, ","))
 }
 
-func newTestCluster(t *testing.T) *testCluster {
+func newTestCluster(t testing.TB) *testCluster {
 	t.Helper()
 	b := &testCluster{t: t, store: memory.NewDirectory()}
 	b.configure(3)
@@ -91,7 +91,7 @@
 
 // freeAddresses returns distinct unused addresses. All ports are held until all are
 // allocated, as a released port may be allocated again at once.
-func freeAddresses(t *testing.T, host string) (callers, links, reports, ready string) {
+func freeAddresses(t testing.TB, host string) (callers, links, reports, ready string) {
 	t.Helper()
 	for _, to := range []*string{&callers, &links, &reports, &ready} {
 		l, err := net.Listen("tcp4", host+":0")
