ingress, mesh: a stopping node logs each connection that it accepted and did not answer

What could not be told apart when a request to a stopping node is reset: its connection was never accepted, was accepted and not registered, or was closed while it was read. Now a stopping node logs a connection that ends without an answer, one that is still open at the end of the stop, with whether a request is being read, and when the callers' listener begins to close and has closed. A violation of the soak names the caller's address; if no line has it, the connection was never accepted, since one that was has an answer or a line.

BenchmarkDialsAtAStoppingNode looks each reset connection up in the nodes' logs.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -43,11 +43,14 @@
 	limit   *io.LimitedReader // Below reader; reset for each part of a request.
 	answers chan *pendingAnswer
 	mu      sync.Mutex
-	pending int  // Requests that were read and are not answered.
-	reading bool // Part of a request was read that is not pending yet.
-	closing bool // It closes unless a request has arrived already.
+	// answered is how many requests were answered, without those whose caller left.
+	answered int
+	pending  int  // Requests that were read and are not answered.
+	reading  bool // Part of a request was read that is not pending yet.
+	closing  bool // It closes unless a request has arrived already.
 	// announced is whether the caller was told that no further request is read.
 	announced bool
+	accepted  time.Time
 	// keepUntil is until when it is kept open without a request: its caller has just connected.
 	keepUntil time.Time
 }
@@ -55,13 +58,15 @@
 // open registers a new connection. It is open until handle returns.
 func (s *Server) open(raw net.Conn) *serverConn {
 	limit := &io.LimitedReader{R: raw, N: defaultHeaderBytes}
+	now := time.Now()
 	c := &serverConn{
 		Conn:      raw,
 		server:    s,
 		limit:     limit,
 		reader:    bufio.NewReaderSize(limit, bufferBytes),
 		answers:   make(chan *pendingAnswer, maxPipelined),
-		keepUntil: time.Now().Add(freshTime),
+		accepted:  now,
+		keepUntil: now.Add(freshTime),
 	}
 	s.track(c, true)
 	return c
@@ -84,6 +89,9 @@
 	<-written
 	cancel()
 	c.finish()
+	if state := c.state(); state.unanswered() && c.server.stopping.Load() {
+		c.server.onUnanswered(state)
+	}
 }
 
 // finish closes the connection without losing the last answer.
@@ -230,7 +238,7 @@
 	failed := false
 	for p := range c.answers {
 		r := <-p.response
-		last := c.end(p)
+		last := c.end(p, r != nil)
 		if r == nil || failed {
 			failed = true
 			continue
@@ -249,11 +257,15 @@
 	_ = out.Flush() // The caller may be gone.
 }
 
-// end counts a request as answered and reports whether its answer is the last one.
-func (c *serverConn) end(p *pendingAnswer) bool {
+// end counts a request as done and reports whether its answer is the last one. answered is false
+// if its caller has left.
+func (c *serverConn) end(p *pendingAnswer, answered bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	if answered {
+		c.answered++
+	}
 	if p.last || c.idle() && (c.closing || c.server.stopping.Load()) {
 		c.closing = true
 		c.announced = true
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -27,6 +27,7 @@
 	limits        func() route.Limits
 	bodyMemory    *bodyMemory
 	onBodyRefused func() // Called for each body refused for lack of memory.
+	onUnanswered  func(ConnectionState)
 	stopping      atomic.Bool
 	mu            sync.Mutex
 	conns         map[*serverConn]bool
@@ -48,9 +49,16 @@
 	}
 }
 
+// WithUnanswered sets a function that is called for each connection that ends while the server
+// stops and on which a request, or the first one, has not been answered.
+func WithUnanswered(unanswered func(ConnectionState)) ServerOption {
+	return func(s *Server) { s.onUnanswered = unanswered }
+}
+
 // NewServer returns a server. It calls limits before it reads each request.
 func NewServer(serve Serve, limits func() route.Limits, options ...ServerOption) *Server {
-	s := &Server{serve: serve, limits: limits, bodyMemory: newBodyMemory(defaultBodyMemory), onBodyRefused: func() {}, conns: map[*serverConn]bool{}}
+	s := &Server{serve: serve, limits: limits, bodyMemory: newBodyMemory(defaultBodyMemory), onBodyRefused: func() {},
+		onUnanswered: func(ConnectionState) {}, conns: map[*serverConn]bool{}}
 	for _, o := range options {
 		o(s)
 	}
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"eiderfold/ingress"
 )
 
 const (
@@ -40,7 +42,9 @@
 		time.Sleep(stopPoll)
 	}
 	n.forwarder.Finish() // Requests whose outcome is unknown get an answer instead of a broken connection.
+	n.log.Info("callers' listener closes")
 	_ = l.callers.Close()
+	n.log.Info("callers' listener closed")
 	for end := time.Now().Add(finishTimeout); time.Now().Before(end) && n.server.CloseIdle() > 0; {
 		n.server.AbortReading()
 		time.Sleep(stopPoll)
@@ -49,6 +53,9 @@
 	if n.server.Busy() > 0 || n.gate.ActiveOffers() > 0 {
 		n.log.Warn("stopped with requests in flight", zap.Int("attempts", n.gate.ActiveOffers()), zap.Int("connections", n.server.Busy()))
 	}
+	for _, c := range n.server.Unanswered() {
+		n.logUnanswered("connection open at the end of the stop", c)
+	}
 	for _, o := range []net.Listener{l.links, l.reports, l.ready, l.metrics} {
 		if o != nil {
 			_ = o.Close()
@@ -58,3 +65,11 @@
 	defer cancel()
 	n.directory.removeSelf(ctx)
 }
+
+// logUnanswered logs a connection without an answer. A request that was reset and whose connection
+// is in no such line was never accepted.
+func (n *Node) logUnanswered(text string, c ingress.ConnectionState) {
+	n.metrics.Count("stop_connection_unanswered")
+	n.log.Info(text, zap.Stringer("from", c.Remote), zap.Duration("age", time.Since(c.Accepted)),
+		zap.Int("answered", c.Answered), zap.Int("pending", c.Pending), zap.Bool("reading", c.Reading))
+}
--- a/mesh/stopbenchmark_test.go
+++ b/mesh/stopbenchmark_test.go
@@ -28,7 +28,26 @@
 
 // dialCounts counts the requests of dialers by their outcome.
 type dialCounts struct {
-	requests, answered, refused, reset, silent, unanswered atomic.Int64
+	requests, answered, refused, silent, unanswered atomic.Int64
+	mu                                              sync.Mutex
+	reset                                           []string // Local addresses of the connections that were reset after a request was written.
+}
+
+func (d *dialCounts) addReset(c net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reset = append(d.reset, c.LocalAddr().String())
+}
+
+// acceptedOf returns how many of the connections that were reset are in a node's log. One that is
+// not was never accepted: a stopping node logs each connection that it accepted and did not answer.
+func (d *dialCounts) acceptedOf(log string) (accepted int) {
+	for _, address := range d.reset {
+		if strings.Contains(log, `"`+address+`"`) {
+			accepted++
+		}
+	}
+	return accepted
 }
 
 // BenchmarkDialsAtAStoppingNode stops nodes while callers dial them at random moments, each request
@@ -51,7 +70,8 @@
 	b.ReportMetric(float64(counts.requests.Load())/float64(b.N), "requests/op")
 	b.ReportMetric(float64(counts.answered.Load()), "answered")
 	b.ReportMetric(float64(counts.refused.Load()), "refused")
-	b.ReportMetric(float64(counts.reset.Load()), "reset")
+	b.ReportMetric(float64(len(counts.reset)), "reset")
+	b.ReportMetric(float64(counts.acceptedOf(cluster.logs.String())), "reset-accepted")
 	b.ReportMetric(float64(counts.silent.Load()), "silent")
 	b.ReportMetric(float64(counts.unanswered.Load()), "unanswered")
 }
@@ -107,7 +127,7 @@
 	defer c.Close() //nolint:errcheck // It was only read last.
 	_ = c.SetDeadline(time.Now().Add(callerTimeout))
 	if _, err := c.Write([]byte("GET /look/x HTTP/1.1\r\nHost: office.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 900\r\n\r\n")); err != nil {
-		d.reset.Add(1)
+		d.addReset(c)
 		return
 	}
 	_, err = http.ReadResponse(bufio.NewReader(c), nil)
@@ -117,7 +137,7 @@
 	case isTimeout(err):
 		d.unanswered.Add(1)
 	case strings.Contains(err.Error(), "reset"):
-		d.reset.Add(1)
+		d.addReset(c)
 	default:
 		d.unanswered.Add(1)
 	}
