listener, mesh: a stopping node accepts every established connection before it closes a listener

Cause: the kernel establishes connections on its own and queues them until the process accepts them; closing the socket resets what is queued. A stop closed the callers' listener as soon as its work had ended, with no look at the queue, and Go closes a descriptor on which a goroutine waits only when that goroutine has run, so that connections went on being established for as long as it did not.

Fix: package listener. Close makes the kernel refuse new connections (on Linux the socket is bound to an interface that doesn't exist, so that no further SYN finds it and the caller is refused at once), lets handshakes in progress complete for 50 ms, wakes the accepting goroutine, which accepts until the queue is empty, and then closes the socket. Where the kernel can't refuse, the queue is emptied just before the close. The wait for the accepting goroutine is bounded by 200 ms, so that with all bounds a stop still ends before killMargin. All listeners of a node close so; those for links, reports, readiness and metrics together, while the record is removed. A line "listener closed" says how many connections were accepted meanwhile and how many the socket still had, so that a next violation tells by itself.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -17,6 +17,7 @@
 	"eiderfold/gate"
 	"eiderfold/ingress"
 	"eiderfold/link"
+	"eiderfold/listener"
 	"eiderfold/overload"
 	"eiderfold/port"
 	"eiderfold/quota"
@@ -185,7 +186,7 @@
 		if e.address == "" {
 			continue
 		}
-		opened, err := net.Listen("tcp4", e.address)
+		opened, err := listener.Listen("tcp4", e.address, n.logClosing)
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"eiderfold/ingress"
+	"eiderfold/listener"
 )
 
 const (
@@ -42,9 +44,7 @@
 		time.Sleep(stopPoll)
 	}
 	n.forwarder.Finish() // Requests whose outcome is unknown get an answer instead of a broken connection.
-	n.log.Info("callers' listener closes")
 	_ = l.callers.Close()
-	n.log.Info("callers' listener closed")
 	for end := time.Now().Add(finishTimeout); time.Now().Before(end) && n.server.CloseIdle() > 0; {
 		n.server.AbortReading()
 		time.Sleep(stopPoll)
@@ -56,14 +56,23 @@
 	for _, c := range n.server.Unanswered() {
 		n.logUnanswered("connection open at the end of the stop", c)
 	}
+	var closing sync.WaitGroup
 	for _, o := range []net.Listener{l.links, l.reports, l.ready, l.metrics} {
 		if o != nil {
-			_ = o.Close()
+			closing.Go(func() { _ = o.Close() })
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastCallTimeout)
 	defer cancel()
 	n.directory.removeSelf(ctx)
+	closing.Wait()
+}
+
+// logClosing logs how a listener was closed. Connections that it lost were established and never
+// accepted, so that no other line has them.
+func (n *Node) logClosing(c listener.Closing) {
+	n.metrics.Add("stop_connections_lost", max(c.Lost, 0))
+	n.log.Info("listener closed", zap.Inline(c))
 }
 
 // logUnanswered logs a connection without an answer. A request that was reset and whose connection
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -26,7 +26,8 @@
 
 func (l *heldListener) Accept() (net.Conn, error) {
 	l.turn.Lock()
-	l.turn.Unlock() //nolint:staticcheck // It only waits.
+	//lint:ignore SA2001 It only waits for its turn.
+	l.turn.Unlock()
 	return l.Listener.Accept()
 }
 
