node: the older path closes its listeners as mesh does

Callers of a stopping node saw "connection reset by peer" on a connection that was established while the node served its maximum of connections and so accepted no further. Same cause as in mesh: the close resets what the kernel has queued. The operators' listener is closed before its server, whose Close holds a lock that the accepting goroutine needs.

--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"eiderfold/config"
 	"eiderfold/core"
 	"eiderfold/keys"
+	"eiderfold/listener"
 	"eiderfold/peer"
 	"eiderfold/port"
 	"eiderfold/proxy"
@@ -45,7 +46,8 @@
 	stopping        atomic.Bool
 	openConnections atomic.Int64 // Open connections from callers.
 	activeRequests  atomic.Int64 // Requests of callers being served.
-	listener        net.Listener // For callers.
+	callersListener net.Listener
+	adminListener   net.Listener
 	loops           sync.WaitGroup
 	newLocal        func(core.Policy) Local // Nil for the weights of package core, with ejection.
 
@@ -244,12 +246,12 @@
 // requests finish within the stop deadline of the settings. admin handles the
 // requests of operators. A nil tls means plain HTTP.
 func (n *Node) Run(ctx context.Context, admin http.Handler, tls *keys.Material) error {
-	callers, err := n.listen(n.settings.Callers(), tls)
+	var err error
+	n.callersListener, err = n.listen(n.settings.Callers(), tls)
 	if err != nil {
 		return err
 	}
-	n.listener = callers
-	operators, err := n.listen(n.settings.Admin(), tls)
+	n.adminListener, err = n.listen(n.settings.Admin(), tls)
 	if err != nil {
 		return err
 	}
@@ -260,11 +262,11 @@
 		n.start(g)
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- n.callers.Serve(callers) }()
-	go func() { failed <- n.admin.Serve(operators) }()
+	go func() { failed <- n.callers.Serve(n.callersListener) }()
+	go func() { failed <- n.admin.Serve(n.adminListener) }()
 	n.log.Info("serving",
-		zap.String("callers", callers.Addr().String()),
-		zap.String("admin", operators.Addr().String()),
+		zap.String("callers", n.callersListener.Addr().String()),
+		zap.String("admin", n.adminListener.Addr().String()),
 		zap.String("peers", n.peers.Address()))
 	select {
 	case err := <-failed:
@@ -284,13 +286,13 @@
 // listen opens a TCP port with a limit on connections, with TLS unless material is
 // nil.
 func (n *Node) listen(address string, material *keys.Material) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	opened, err := listener.Listen("tcp", address, func(c listener.Closing) { n.log.Info("listener closed", zap.Inline(c)) })
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
 	// limitConnections refuses requests above the limit; twice the limit is the hard
 	// bound for callers that keep their connections nevertheless.
-	l = netutil.LimitListener(l, 2*n.settings.Connections())
+	l := netutil.LimitListener(opened, 2*n.settings.Connections())
 	if material == nil {
 		return l, nil
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,8 +31,9 @@
 	return l.Addr().String()
 }
 
-// startNode starts a node without any configuration, with TLS for callers.
-func startNode(t *testing.T, connections int) (url string, client func() *http.Client) {
+// startNode starts a node without any configuration, with TLS for callers. The node stops when stop
+// is called, or when the test ends.
+func startNode(t *testing.T, connections int) (url string, client func() *http.Client, stop func()) {
 	t.Helper()
 	authority, err := keys.NewAuthority("a")
 	require.NoError(t, err)
@@ -68,7 +70,7 @@
 		transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, ForceAttemptHTTP2: true}
 		t.Cleanup(transport.CloseIdleConnections)
 		return &http.Client{Transport: transport, Timeout: 10 * time.Second}
-	}
+	}, cancel
 }
 
 func get(t *testing.T, c *http.Client, url string) *http.Response {
@@ -86,7 +88,7 @@
 // TestTLSAndHTTP2 guards against a node that does not offer HTTP/2 over TLS, or that
 // answers with anything but "no configuration" before it has one.
 func TestTLSAndHTTP2(t *testing.T) {
-	url, client := startNode(t, 10)
+	url, client, _ := startNode(t, 10)
 	response := get(t, client(), url)
 	assert.Equal(t, 2, response.ProtoMajor)
 	assert.Equal(t, fmt.Sprint(int(result.NoConfiguration)), response.Header.Get(result.Header))
@@ -95,8 +97,35 @@
 // TestTooManyConnections guards against serving more connections than the settings
 // allow.
 func TestTooManyConnections(t *testing.T) {
-	url, client := startNode(t, 1)
+	url, client, _ := startNode(t, 1)
 	first := client()
 	assert.Equal(t, fmt.Sprint(int(result.NoConfiguration)), get(t, first, url).Header.Get(result.Header))
 	assert.Equal(t, fmt.Sprint(int(result.TooManyConnections)), get(t, client(), url).Header.Get(result.Header))
 }
+
+// A planned stop must answer a caller whose connection was established before the listener began to
+// close, although the node has not accepted it yet, as it serves its maximum of connections.
+func TestStopAnswersConnectionNotYetAccepted(t *testing.T) {
+	url, client, stop := startNode(t, 1)
+	get(t, client(), url)
+	address, _, _ := strings.Cut(strings.TrimPrefix(url, "https://"), "/")
+	second, err := net.Dial("tcp", address) // With the first, twice the limit: the next is not accepted.
+	require.NoError(t, err)
+	time.Sleep(acceptTime)
+	answered := make(chan error, 1)
+	go func() {
+		response, err := client().Get(url)
+		if err == nil {
+			err = response.Body.Close()
+		}
+		answered <- err
+	}()
+	time.Sleep(acceptTime) // It is established, and waits.
+	stop()
+	time.Sleep(acceptTime)
+	require.NoError(t, second.Close())
+	assert.NoError(t, <-answered)
+}
+
+// acceptTime is long enough for a connection to be established, and to be accepted if it may be.
+const acceptTime = 30 * time.Millisecond
--- a/node/stop.go
+++ b/node/stop.go
@@ -31,7 +31,7 @@
 		g.requestHeartbeat()
 	}
 	sleep(ctx, n.settings.Grace())
-	_ = n.listener.Close() // Only the server reads its error, and it is stopping.
+	_ = n.callersListener.Close() // Only the server reads its error, and it is stopping.
 	n.awaitIdle(ctx)
 	err := n.callers.Shutdown(ctx)
 	if err != nil {
@@ -41,6 +41,7 @@
 	for _, g := range n.groups {
 		g.handOver(ctx)
 	}
+	_ = n.adminListener.Close() // Before the server, which would keep the accepting goroutine waiting.
 	_ = n.admin.Close()
 	n.cancel()
 	n.loops.Wait()
