--- a/budget/snapshot.go
+++ b/budget/snapshot.go
@@ -15,9 +15,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := Snapshot{bound: b.bound(now), rounding: b.rounding, repeats: b.repeats.upperBound(now)}
+	available := reservable(s.bound, s.rounding)
 	needed, drawn := 0.0, 0.0
 	for u := range s.held {
-		s.held[u] = withheld(needed, drawn, reservable(s.bound, s.rounding))
+		s.held[u] = withheld(needed, drawn, available)
 		needed += b.reserve.levels[u].needed.upperBound(now)
 		drawn += b.reserve.levels[u].drawn.upperBound(now)
 	}
--- a/ingress/doc.go
+++ b/ingress/doc.go
@@ -15,5 +15,5 @@
 //	f := ingress.NewForwarder("births", endpoints, platform.Headers{}, log, counters)
 //	f.SetTable(table)
 //	s := ingress.NewServer(f.Serve, limits)
-//	err := s.Serve(listener) // Returns when the listener is closed.
+//	s.Serve(listener) // Returns when the listener is closed.
 package ingress
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -7,15 +7,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"eiderfold/listener"
 	"eiderfold/route"
 )
 
-// acceptPause is the pause after a failed accept, for instance when file descriptors are
-// exhausted.
-const acceptPause = 20 * time.Millisecond
-
 // Serve answers one request. A nil response means that the caller has left: no further answer is
 // written to the connection.
 type Serve func(ctx context.Context, r *Request) *Response
@@ -65,19 +60,10 @@
 	return s
 }
 
-// Serve accepts connections until the listener is closed.
-func (s *Server) Serve(l net.Listener) error {
-	for {
-		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			time.Sleep(acceptPause)
-			continue
-		}
-		go s.open(c).handle()
-	}
+// Serve accepts connections until the listener is closed. A connection is registered before the next
+// one is accepted.
+func (s *Server) Serve(l net.Listener) {
+	listener.Serve(l, func(c net.Conn) { go s.open(c).handle() })
 }
 
 // Stop makes the server close each connection once its pending requests are answered.
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -23,7 +23,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := NewServer(serve, func() route.Limits { return limits })
-	go s.Serve(l) //nolint:errcheck // It ends with the listener.
+	go s.Serve(l)
 	t.Cleanup(func() { _ = l.Close() })
 	return s, l.Addr()
 }
--- a/mesh/delegation.go
+++ b/mesh/delegation.go
@@ -77,7 +77,7 @@
 	to := c.delegation.delegates
 	c.delegation.delegates = nil
 	c.mu.Unlock()
-	for _, l := range c.node.links.randomLinks(c.node.links.gossipFanout(), "") {
+	for _, l := range c.node.links.randomLinks(c.node.links.gossipFanout(), anyPeer) {
 		if !slices.Contains(to, l) {
 			to = append(to, l)
 		}
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -75,7 +75,7 @@
 	m := &link.Configuration{Version: c.version, Heartbeat: h}
 	c.mu.Unlock()
 	if !known && !c.node.links.dialsAll() {
-		c.passHeartbeat(c.node.links.randomNearLinks(c.node.links.gossipFanout()), m)
+		c.passHeartbeat(c.node.links.randomLinks(c.node.links.gossipFanout(), c.node.links.nearPeer), m)
 	}
 }
 
--- a/mesh/homes.go
+++ b/mesh/homes.go
@@ -89,7 +89,7 @@
 
 // Probe implements quota.Fleet.
 func (v fleetView) Probe(node string) {
-	for _, through := range v.randomLinks(probeCount, node) {
+	for _, through := range v.randomLinks(probeCount, exceptAddress(node)) {
 		through.Send(&link.Frame{LimitProbe: &link.LimitProbe{Address: node}})
 	}
 	limits := v.node.limits
@@ -151,18 +151,28 @@
 	return peers
 }
 
-// randomLinks returns links to at most count random nodes, without the one at address
-// except.
-func (l *links) randomLinks(count int, except string) []*link.Link {
+// randomLinks returns links to at most count random nodes for which eligible is true.
+func (l *links) randomLinks(count int, eligible func(*peer) bool) []*link.Link {
 	var out []*link.Link
 	for _, p := range l.shuffled() {
-		if to := p.currentLink(); to != nil && p.address != except && len(out) < count {
+		if len(out) == count {
+			break
+		}
+		if to := p.currentLink(); to != nil && eligible(p) {
 			out = append(out, to)
 		}
 	}
 	return out
 }
 
+// anyPeer makes every node eligible.
+func anyPeer(*peer) bool { return true }
+
+// exceptAddress makes every node eligible but the one at an address.
+func exceptAddress(address string) func(*peer) bool {
+	return func(p *peer) bool { return p.address != address }
+}
+
 // fleetSize returns the number of known nodes, including this one.
 func (l *links) fleetSize() int {
 	l.mu.Lock()
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -4,28 +4,15 @@
 	"net"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"eiderfold/link"
+	"eiderfold/listener"
 )
 
-// acceptPause is the pause after a failed accept.
-const acceptPause = 20 * time.Millisecond
-
-// accept serves links that other nodes dial.
+// accept serves links that other nodes dial, until the listener is closed.
 func (l *links) accept(from net.Listener) {
-	for {
-		c, err := from.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			time.Sleep(acceptPause)
-			continue
-		}
-		go l.serve(link.New(c))
-	}
+	listener.Serve(from, func(c net.Conn) { go l.serve(link.New(c)) })
 }
 
 // farStatusEvery is the shortest interval between two status messages to a node of another
@@ -84,7 +71,7 @@
 	}
 	if dialer := l.inbound[in]; dialer != nil {
 		dialer.address = m.Address
-		dialer.near = m.DataCentre == l.node.self.DataCentre
+		dialer.near = l.isNear(m)
 		l.countBytes(in, dialer.near)
 	}
 }
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -80,7 +80,7 @@
 
 // randomLink returns a link to a random linked node; nil if there is none.
 func (l *links) randomLink() *link.Link {
-	if found := l.randomLinks(1, ""); len(found) > 0 {
+	if found := l.randomLinks(1, anyPeer); len(found) > 0 {
 		return found[0]
 	}
 	return nil
@@ -90,7 +90,7 @@
 func (l *links) near(to *link.Link) bool {
 	for _, p := range l.all() {
 		if p.uses(to) {
-			return p.currentEndpoint().Member().DataCentre == l.node.self.DataCentre
+			return l.nearPeer(p)
 		}
 	}
 	return false
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -104,22 +104,11 @@
 	if len(records) == 0 {
 		return
 	}
-	for _, to := range l.randomNearLinks(l.gossipFanout()) {
+	for _, to := range l.randomLinks(l.gossipFanout(), l.nearPeer) {
 		sendRecords(to, records)
 	}
 }
 
-// randomNearLinks returns links to at most count random nodes of the own data centre.
-func (l *links) randomNearLinks(count int) []*link.Link {
-	var out []*link.Link
-	for _, p := range l.shuffled() {
-		if to := p.currentLink(); to != nil && l.isNear(p.currentEndpoint().Member()) && len(out) < count {
-			out = append(out, to)
-		}
-	}
-	return out
-}
-
 // gossipFanout returns the number of random nodes to send gossip to so that it reaches all:
 // with ln(n) + c recipients, the probability that some node of the whole fleet misses it is
 // about e^-c (see gossipMargin).
@@ -129,6 +118,9 @@
 
 func (l *links) isNear(m link.Member) bool { return m.DataCentre == l.node.self.DataCentre }
 
+// nearPeer reports whether a node is in the own data centre.
+func (l *links) nearPeer(p *peer) bool { return l.isNear(p.currentEndpoint().Member()) }
+
 // compare sends the digest of the known records to a random node, which answers where its
 // own differs.
 func (l *links) compare(c *membership.Compare) {
@@ -251,7 +243,7 @@
 	self := l.view.Self()
 	l.mu.Unlock()
 	self.Gone = true
-	for _, to := range l.randomLinks(l.gossipFanout(), "") {
+	for _, to := range l.randomLinks(l.gossipFanout(), anyPeer) {
 		to.Send(&link.Frame{Records: []link.Record{self}})
 	}
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -161,7 +161,7 @@
 // serve starts serving on every listener.
 func (n *Node) serve(l *listeners) {
 	go n.links.accept(l.links)
-	go n.server.Serve(l.callers) //nolint:errcheck // Returns when the listener is closed.
+	go n.server.Serve(l.callers)
 	go serveHTTP(l.reports, http.HandlerFunc(n.serveReport))
 	go serveHTTP(l.ready, http.HandlerFunc(n.serveReady))
 	if l.metrics != nil {
--- a/mesh/quarantine.go
+++ b/mesh/quarantine.go
@@ -130,7 +130,7 @@
 		}
 	}
 	if len(gossip) > 0 {
-		for _, to := range q.node.links.randomLinks(q.node.links.gossipFanout(), "") {
+		for _, to := range q.node.links.randomLinks(q.node.links.gossipFanout(), anyPeer) {
 			to.Send(&link.Frame{Quarantine: gossip})
 		}
 	}
--- a/overload/nesteddemand.go
+++ b/overload/nesteddemand.go
@@ -207,8 +207,11 @@
 		limit = deadline // It is late even without waiting.
 	}
 	for _, s := range k.services {
+		if s.share < minNestedShare {
+			continue // Before its wait is looked up, which passes over its gates.
+		}
 		w := s.expectedWait(wait)
-		if s.share < minNestedShare || w <= longest {
+		if w <= longest {
 			continue
 		}
 		nested := time.Duration(s.share * s.rounds * float64(w))
