--- a/bench/soak/stops.go
+++ b/bench/soak/stops.go
@@ -17,9 +17,9 @@
 )
 
 // stops records when planned stops may have closed a node's listener. A dial at that
-// moment may be lost silently: the kernel looks up the listener, finds it closed and drops
-// the SYN, which the dialing side retransmits a second later. See
-// BenchmarkDialsAtAClosingListener.
+// moment may be lost silently: the kernel looks up the listener, finds that it refuses
+// connections or is closed, and drops the SYN, which the dialing side retransmits a second
+// later. See BenchmarkDialsAtAClosingListener in package listener.
 type stops struct {
 	mu      sync.Mutex
 	windows []closeWindow
--- a/bench/soak/stops_test.go
+++ b/bench/soak/stops_test.go
@@ -1,17 +1,10 @@
 package soak
 
 import (
-	"context"
-	"math/rand/v2"
-	"net"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 )
 
 // TestStopsAreMetOnlyWhileTheListenerCloses checks that a dial overlaps a stop only if it
@@ -40,85 +33,3 @@
 	assert.Equal(t, kernelCounters{"ListenDrops": 3, "TCPSynRetrans": 41}, k)
 	assert.Empty(t, parseKernelCounters("TcpExt: ListenDrops\nTcpExt:\n"))
 }
-
-// BenchmarkDialsAtAClosingListener dials a listener from eight goroutines at random moments
-// while the listener is closed and reopened about every 20 ms, and while it stays open. Without
-// the pauses all dialers wait for an accept when it closes, and hardly any dials then. It reports
-// the dials per iteration and the total number of dials that timed out.
-func BenchmarkDialsAtAClosingListener(b *testing.B) {
-	for name, closes := range map[string]bool{"closed": true, "kept": false} {
-		b.Run(name, func(b *testing.B) {
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			require.NoError(b, err)
-			defer func() { _ = l.Close() }() // The listener may be closed already.
-			address := l.Addr().String()
-			var dials, lost atomic.Int64
-			stopDialing := dialUntilStopped(address, &dials, &lost)
-			go acceptAll(l)
-			for b.Loop() {
-				time.Sleep(10*time.Millisecond + rand.N(20*time.Millisecond))
-				if !closes {
-					continue
-				}
-				_ = l.Close()
-				time.Sleep(2 * time.Millisecond)
-				l, err = net.Listen("tcp4", address)
-				require.NoError(b, err)
-				go acceptAll(l)
-			}
-			stopDialing()
-			b.ReportMetric(float64(dials.Load())/float64(b.N), "dials/op")
-			b.ReportMetric(float64(lost.Load()), "lost")
-		})
-	}
-}
-
-// dialPause is the mean pause between two dials of a goroutine.
-const dialPause = 2 * time.Millisecond
-
-// dialUntilStopped dials from eight goroutines until stop is called.
-func dialUntilStopped(address string, dials, lost *atomic.Int64) (stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var dialers sync.WaitGroup
-	for range 8 {
-		dialers.Go(func() {
-			for ctx.Err() == nil {
-				time.Sleep(rand.N(2 * dialPause))
-				dials.Add(1)
-				if dialOnce(address) {
-					lost.Add(1)
-				}
-			}
-		})
-	}
-	return func() {
-		cancel()
-		dialers.Wait()
-	}
-}
-
-// acceptAll writes one byte to each connection. Dialers wait for it, so that they do not
-// overflow the accept queue.
-func acceptAll(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = c.Write([]byte{1}) // The dialer may have closed the connection.
-		_ = c.Close()
-	}
-}
-
-// dialOnce dials and waits for the byte, and reports whether the dial timed out.
-func dialOnce(address string) bool {
-	c, err := net.DialTimeout("tcp4", address, dialTimeout)
-	if err == nil {
-		_, _ = c.Read(make([]byte, 1)) // The listener may have been closed.
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
-		return false
-	}
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
-}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -24,8 +24,10 @@
 	// handshakeTime is how long connections may still be established after new ones are refused:
 	// a round trip to a caller.
 	handshakeTime = 50 * time.Millisecond
-	// drainTimeout bounds how long Close waits for the goroutine that accepts.
-	drainTimeout = 200 * time.Millisecond
+	// acceptTimeout bounds how long Close accepts queued connections.
+	acceptTimeout = 100 * time.Millisecond
+	// closeTimeout bounds Close, which may wait for the goroutine that accepts.
+	closeTimeout = 250 * time.Millisecond
 	// pollTime is how long Close waits for a further connection before it closes the socket.
 	pollTime = time.Millisecond
 )
@@ -107,10 +109,11 @@
 	return nil, net.ErrClosed
 }
 
-// Close refuses new connections, accepts the established ones, closes the socket, and waits up to
-// drainTimeout until Accept has returned them all; it still returns the others later. A further call
-// returns net.ErrClosed at once.
+// Close refuses new connections, accepts the established ones, closes the socket, and waits until
+// Accept has returned them all, for closeTimeout in total; Accept still returns the others later. A
+// further call returns net.ErrClosed at once.
 func (l *Listener) Close() error {
+	deadline := time.Now().Add(closeTimeout)
 	if !l.beginClosing() {
 		return net.ErrClosed
 	}
@@ -124,7 +127,7 @@
 	close(l.closed)
 	select {
 	case <-l.drained:
-	case <-time.After(drainTimeout):
+	case <-time.After(time.Until(deadline)):
 	}
 	l.onClosed(l.endReport(refused, lost))
 	return err
@@ -142,10 +145,10 @@
 	return true
 }
 
-// acceptQueued accepts until no connection is queued, for drainTimeout at most. It does not rely on
+// acceptQueued accepts until no connection is queued, for acceptTimeout at most. It does not rely on
 // the goroutine that accepts, which a busy machine may not run in time.
 func (l *Listener) acceptQueued() {
-	for end := time.Now().Add(drainTimeout); time.Now().Before(end); {
+	for end := time.Now().Add(acceptTimeout); time.Now().Before(end); {
 		_ = l.socket.SetDeadline(time.Now().Add(pollTime)) // Ends an accept in Accept, too.
 		c, err := l.socket.Accept()
 		if err == nil {
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -19,9 +19,10 @@
 // rig is a listener with a goroutine that accepts one connection a turn and answers it.
 type rig struct {
 	*Listener
-	turns   chan struct{}
-	served  chan error // What ended the goroutine.
-	closing chan Closing
+	turns     chan struct{}
+	served    chan error // What ended the goroutine.
+	closing   chan Closing
+	multipath bool // Dials offer Multipath TCP, as the listener does by default.
 }
 
 // newRig opens a listener that serves. Its goroutine has one turn, so that it waits in Accept.
@@ -61,7 +62,9 @@
 // dial connects, writes a request, and returns the connection.
 func (r *rig) dial(t *testing.T) net.Conn {
 	t.Helper()
-	c, err := net.DialTimeout("tcp4", r.Addr().String(), waitTimeout)
+	dialer := net.Dialer{Timeout: waitTimeout}
+	dialer.SetMultipathTCP(r.multipath)
+	c, err := dialer.Dial("tcp4", r.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	_, err = io.WriteString(c, "request")
@@ -86,12 +89,16 @@
 // runs only later, and whether or not the kernel can refuse new ones.
 func TestCloseAcceptsEstablishedConnections(t *testing.T) {
 	t.Parallel()
-	for _, hold := range []time.Duration{0, handshakeTime, handshakeTime + 2*drainTimeout} {
-		for name, refusing := range map[string]func(*net.TCPListener) error{"refused first": refuse, "fallback": refuseNothing} {
-			t.Run(fmt.Sprintf("%s, held for %v", name, hold), func(t *testing.T) {
+	for _, hold := range []time.Duration{0, handshakeTime, 2 * closeTimeout} {
+		for _, c := range []struct {
+			name      string
+			refuse    func(*net.TCPListener) error
+			multipath bool
+		}{{"refused first", refuse, false}, {"fallback", refuseNothing, false}, {"refused first, MPTCP", refuse, true}} {
+			t.Run(fmt.Sprintf("%s, held for %v", c.name, hold), func(t *testing.T) {
 				t.Parallel()
 				r := newRig(t)
-				r.refuse = refusing
+				r.refuse, r.multipath = c.refuse, c.multipath
 				answered(t, r.dial(t)) // The goroutine has had its turn.
 				waiting := []net.Conn{r.dial(t), r.dial(t), r.dial(t)}
 				time.AfterFunc(hold, r.goOn)
@@ -142,7 +149,7 @@
 	r.dial(t)
 	began := time.Now()
 	require.NoError(t, r.Close())
-	assert.GreaterOrEqual(t, time.Since(began), drainTimeout)
+	assert.GreaterOrEqual(t, time.Since(began), closeTimeout)
 	assert.Equal(t, 1, (<-r.closing).Pending)
 	assert.ErrorIs(t, r.Close(), net.ErrClosed, "a second call")
 
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -16,7 +16,8 @@
 	// unreadyTime is how long a stopping node still accepts everything: the platform checks
 	// readiness once a second and moves callers after two failures.
 	unreadyTime = 2500 * time.Millisecond
-	// killMargin is the time reserved before the platform kills the process.
+	// killMargin is the time reserved before the platform kills the process: for closing the
+	// listeners, the last answers and the last call.
 	killMargin = 900 * time.Millisecond
 	// stopPoll is the interval at which a stopping node checks for remaining work.
 	stopPoll = 20 * time.Millisecond
@@ -30,7 +31,8 @@
 
 // stop stops the node without cutting off requests: it first signals callers and other
 // nodes to go elsewhere, then waits for work in progress, then closes the sockets. Until the
-// end it accepts connections, and refuses new requests, which are sent elsewhere at once.
+// end it accepts connections, and refuses new requests, which are sent elsewhere at once. Its
+// listeners accept every established connection before they close (see package listener).
 func (n *Node) stop(l *listeners) {
 	kill := time.Now().Add(n.settings.Load().Grace() - killMargin)
 	n.log.Info("stop", zap.Time("until", kill))
