--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -14,7 +13,6 @@
 	"eiderfold/link"
 	"eiderfold/memory"
 	"eiderfold/port"
-	"eiderfold/result"
 )
 
 // Sends a request to a node of another service than the one that serves it.
@@ -157,68 +155,6 @@
 	assert.Equal(t, 1, one.upstream.ran("a1"))
 }
 
-// Stopping the ingress of one request and the gate of another must not interrupt either.
-func TestStopCompletesRequests(t *testing.T) {
-	t.Parallel()
-	_, one, other := newPair(t)
-	started, release := one.upstream.block()
-	defer release()
-	status := make(chan int, 2)
-	go func() { status <- other.status(http.MethodPost, "/write/x", "a1") }()
-	go func() { status <- one.status(http.MethodPost, "/write/x", "a2") }()
-	<-started
-	<-started
-	other.cancel()
-	one.cancel()
-	require.Eventually(t, func() bool { return !one.ready() && !other.ready() }, waitTimeout, time.Millisecond)
-	release()
-	assert.Equal(t, 200, <-status)
-	assert.Equal(t, 200, <-status)
-	<-one.done
-	<-other.done
-}
-
-// Stops the ingress of a non-retryable request that outlasts the grace period: the caller
-// must get a response, not a broken connection.
-func TestStopAnswersUnfinishedRequests(t *testing.T) {
-	t.Parallel()
-	_, one, other := newPair(t)
-	status, release := other.blockedWriteAt(one)
-	defer release()
-	other.stopNode()
-	assert.Zero(t, other.server.CloseIdle(), "connections left when the process exits")
-	assert.Equal(t, 502, <-status)
-}
-
-// Guards against a stopping node that closes its listener while it still works, so that callers
-// who are not moved away yet get no answer: it must refuse new requests until it ends.
-func TestStopRefusesNewRequests(t *testing.T) {
-	t.Parallel()
-	_, births, marriages := newPair(t)
-	marriages.stopNode()
-	marriages.yaml = strings.Replace(marriages.yaml, "grace: 2s", "grace: 4s", 1)
-	marriages.start()
-	marriages.report(1, false)
-	births.cluster.awaitReady()
-	status, release := marriages.blockedWriteAt(births)
-	defer release()
-	marriages.cancel()
-	for i := 0; ; i++ {
-		r, _, err := marriages.ask(context.Background(), http.MethodGet, "/marriages/x", fmt.Sprintf("b%d", i))
-		require.NoError(t, err, "request %d", i)
-		if r.StatusCode == http.StatusServiceUnavailable {
-			assert.Equal(t, fmt.Sprint(int(result.Stopping)), r.Header.Get(result.Header))
-			assert.NotEmpty(t, r.Header.Get("Retry-After"))
-			break
-		}
-		require.Equal(t, http.StatusOK, r.StatusCode)
-		time.Sleep(5 * time.Millisecond)
-	}
-	release()
-	assert.Equal(t, http.StatusOK, <-status)
-	<-marriages.done
-}
-
 // Starts a node of another service at the links address of a stopped one: requests must not
 // reach it under the old service.
 func TestAnotherServiceAtTheAddress(t *testing.T) {
