--- a/mesh/stopbenchmark_test.go
+++ b/mesh/stopbenchmark_test.go
@@ -39,6 +39,19 @@
 	d.reset = append(d.reset, c.LocalAddr().String())
 }
 
+// logReset logs the connections that were reset, and the listeners that lost connections.
+func (d *dialCounts) logReset(b *testing.B, log string) {
+	if len(d.reset) == 0 {
+		return
+	}
+	b.Log("reset:", d.reset)
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, `"listener closed"`) && !strings.Contains(line, `"pending":0,"lost":0`) {
+			b.Log(line)
+		}
+	}
+}
+
 // acceptedOf returns how many of the connections that were reset are in a node's log. One that is
 // not was never accepted: a stopping node logs each connection that it accepted and did not answer.
 func (d *dialCounts) acceptedOf(log string) (accepted int) {
@@ -67,6 +80,7 @@
 			cluster.stopAllUnderDials(&counts, stops)
 		}
 	}
+	counts.logReset(b, cluster.logs.String())
 	b.ReportMetric(float64(counts.requests.Load())/float64(b.N), "requests/op")
 	b.ReportMetric(float64(counts.answered.Load()), "answered")
 	b.ReportMetric(float64(counts.refused.Load()), "refused")
