--- a/gate/upstream_test.go
+++ b/gate/upstream_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"eiderfold/link"
+	"eiderfold/listener"
 	"eiderfold/platform"
 	"eiderfold/port"
 )
@@ -47,16 +48,10 @@
 	require.NoError(t, err)
 	u := &rawUpstream{Listener: l}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			u.connections.Add(1)
-			go u.serve(c.(*net.TCPConn), answer)
-		}
-	}()
+	go listener.Serve(l, func(c net.Conn) {
+		u.connections.Add(1)
+		go u.serve(c.(*net.TCPConn), answer)
+	})
 	return u
 }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -19,6 +19,7 @@
 
 	"eiderfold/config"
 	"eiderfold/core"
+	"eiderfold/listener"
 	"eiderfold/result"
 )
 
@@ -111,15 +112,7 @@
 	require.NoError(t, err)
 	d := &dropper{Listener: l}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go d.serve(c, answersFirst)
-		}
-	}()
+	go listener.Serve(l, func(c net.Conn) { go d.serve(c, answersFirst) })
 	return d
 }
 
