--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -151,7 +152,7 @@
 	n.cluster.t.Helper()
 	s, err := settings.ParseMesh("test", []byte(n.yaml))
 	require.NoError(n.cluster.t, err)
-	log := zaptest.NewLogger(n.cluster.t, zaptest.Level(zap.DebugLevel)).Named(s.Node())
+	log := testLogger(n.cluster.t).Named(s.Node())
 	if n.cluster.logs != nil {
 		log = n.cluster.logs.logger()
 	}
@@ -179,6 +180,35 @@
 	}, waitTimeout, time.Millisecond)
 }
 
+// endedLog writes to a test's log until the test ends.
+type endedLog struct {
+	testing.TB
+	mu    sync.Mutex
+	ended bool
+}
+
+func (w *endedLog) Logf(format string, arguments ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended {
+		w.TB.Logf(format, arguments...)
+	}
+}
+
+func (w *endedLog) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+}
+
+// testLogger returns a logger to the test's log. It drops what is logged after the test, which would
+// panic: a caller's connection may outlast the node, whose process would have ended.
+func testLogger(t testing.TB) *zap.Logger {
+	w := &endedLog{TB: t}
+	t.Cleanup(w.end)
+	return zaptest.NewLogger(w, zaptest.Level(zap.DebugLevel))
+}
+
 // stopNode stops the node as SIGTERM does and waits until it has stopped.
 func (n *testNode) stopNode() {
 	n.cancel()
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"go.uber.org/zap/zaptest"
 
 	"eiderfold/platform"
 	"eiderfold/result"
@@ -52,7 +51,7 @@
 	one := b.newNode("one", "births")
 	s, err := settings.ParseMesh("test", []byte(one.yaml))
 	require.NoError(t, err)
-	n := New(s, platform.New(one.store), NewMetrics(), zaptest.NewLogger(t))
+	n := New(s, platform.New(one.store), NewMetrics(), testLogger(t))
 	opened, err := n.listen()
 	require.NoError(t, err)
 	held := &heldListener{Listener: opened.callers}
