listener: Close counts attempts to accept, not time

Close emptied the queue for 100 ms at most. A process that is suspended or gets no processor in that time would have closed the socket over a queue that it had hardly begun to accept, and not have waited for the accepting goroutine either, as both shared a deadline: on an overloaded machine callers would be reset again. Now a failed accept is tried again up to 50 times, a queue may hold 4,096 connections, and the wait for the accepting goroutine has 150 ms of its own.

--- a/listener/listener.go
+++ b/listener/listener.go
@@ -24,12 +24,15 @@
 	// handshakeTime is how long connections may still be established after new ones are refused:
 	// a round trip to a caller.
 	handshakeTime = 50 * time.Millisecond
-	// acceptTimeout bounds how long Close accepts queued connections.
-	acceptTimeout = 100 * time.Millisecond
-	// closeTimeout bounds Close, which may wait for the goroutine that accepts.
-	closeTimeout = 250 * time.Millisecond
 	// pollTime is how long Close waits for a further connection before it closes the socket.
 	pollTime = time.Millisecond
+	// maxFailedAccepts is how often Close fails to accept a queued connection, a pollTime apart,
+	// until it gives up.
+	maxFailedAccepts = 50
+	// maxQueued is how many connections Close accepts at most: Linux queues no more by default.
+	maxQueued = 4096
+	// takeTimeout is how long Close waits for Accept to return the connections.
+	takeTimeout = 150 * time.Millisecond
 )
 
 // Listener is a TCP listener. One goroutine at a time may call Accept.
@@ -109,11 +112,10 @@
 	return nil, net.ErrClosed
 }
 
-// Close refuses new connections, accepts the established ones, closes the socket, and waits until
-// Accept has returned them all, for closeTimeout in total; Accept still returns the others later. A
-// further call returns net.ErrClosed at once.
+// Close refuses new connections, accepts the established ones, closes the socket, and waits up to
+// takeTimeout until Accept has returned them all; it still returns the others later. A further call
+// returns net.ErrClosed at once.
 func (l *Listener) Close() error {
-	deadline := time.Now().Add(closeTimeout)
 	if !l.beginClosing() {
 		return net.ErrClosed
 	}
@@ -127,7 +129,7 @@
 	close(l.closed)
 	select {
 	case <-l.drained:
-	case <-time.After(time.Until(deadline)):
+	case <-time.After(takeTimeout):
 	}
 	l.onClosed(l.endReport(refused, lost))
 	return err
@@ -145,19 +147,21 @@
 	return true
 }
 
-// acceptQueued accepts until no connection is queued, for acceptTimeout at most. It does not rely on
-// the goroutine that accepts, which a busy machine may not run in time.
+// acceptQueued accepts until no connection is queued. It does not rely on the goroutine that accepts,
+// which a busy machine may not run in time, and counts attempts, as the process may be suspended.
 func (l *Listener) acceptQueued() {
-	for end := time.Now().Add(acceptTimeout); time.Now().Before(end); {
+	for accepted, failed := 0, 0; accepted < maxQueued && failed < maxFailedAccepts; {
 		_ = l.socket.SetDeadline(time.Now().Add(pollTime)) // Ends an accept in Accept, too.
 		c, err := l.socket.Accept()
 		if err == nil {
 			l.addPending(c)
+			accepted++
 			continue
 		}
 		if queued(l.socket) <= 0 {
 			return
 		}
+		failed++
 		time.Sleep(pollTime) // Descriptors may be exhausted.
 	}
 }
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -89,7 +89,7 @@
 // runs only later, and whether or not the kernel can refuse new ones.
 func TestCloseAcceptsEstablishedConnections(t *testing.T) {
 	t.Parallel()
-	for _, hold := range []time.Duration{0, handshakeTime, 2 * closeTimeout} {
+	for _, hold := range []time.Duration{0, handshakeTime, 3 * takeTimeout} {
 		for _, c := range []struct {
 			name      string
 			refuse    func(*net.TCPListener) error
@@ -149,7 +149,7 @@
 	r.dial(t)
 	began := time.Now()
 	require.NoError(t, r.Close())
-	assert.GreaterOrEqual(t, time.Since(began), closeTimeout)
+	assert.GreaterOrEqual(t, time.Since(began), takeTimeout)
 	assert.Equal(t, 1, (<-r.closing).Pending)
 	assert.ErrorIs(t, r.Close(), net.ErrClosed, "a second call")
 
