--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -98,10 +98,13 @@
 			t.Run(fmt.Sprintf("%s, held for %v", c.name, hold), func(t *testing.T) {
 				t.Parallel()
 				r := newRig(t)
-				r.refuse, r.multipath = c.refuse, c.multipath
+				r.multipath = c.multipath
+				r.refuse = func(l *net.TCPListener) error { // Close has begun.
+					time.AfterFunc(hold, r.goOn)
+					return c.refuse(l)
+				}
 				answered(t, r.dial(t)) // The goroutine has had its turn.
 				waiting := []net.Conn{r.dial(t), r.dial(t), r.dial(t)}
-				time.AfterFunc(hold, r.goOn)
 				require.NoError(t, r.Close())
 				for _, c := range waiting {
 					answered(t, c)
