--- a/review/1/main.go
+++ b/review/1/main.go
@@ -15,13 +15,13 @@
 )
 
 const (
-	// The doses are those of a site file, at most doubled: srv_grey with "shed all" has x = 0.55, and
-	// garble with "extra late" has share = 0.6 and x = 0.03.
+	// The doses are those of the site file, at most doubled: srv_grey with "shed all" has x = 0.55 and
+	// for_s = 8.5, and garble with "extra late" has share = 0.6, x = 0.03 and for_s = 5.
 	shedShare  = 0.4
 	extraShare = 0.06
-	spell      = 13 * time.Second // How long each spell lasts.
+	spell      = 10 * time.Second // How long each spell lasts.
 	pause      = 2 * time.Second  // Between two spells.
-	spells     = 6
+	spells     = 7
 	slots      = 6
 	host       = "registro.example"
 )
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -27,8 +27,10 @@
 	deadline = 20 * time.Second
 	timeout  = 10 * time.Second
 	work     = 1900 * time.Millisecond
-	// failing is the part of its requests that a back end fails in a spell, as in the site files
-	// (noise). It has one in every play, with and without the disruption.
+	// In the first sound cycles the back ends answer everything well, and nothing but the two SIGTERMs
+	// happens. In the later ones the back ends fail this part of their requests with a 500 of their own, as
+	// the pages say that some do for some seconds at any time; also without the disruption.
+	sound   = 3
 	failing = 0.75
 	// clients is how many clients on the stopping machine send a preview, and uploads how many uploads
 	// are sent to its back end.
@@ -46,6 +48,7 @@
 	fleet    *stand.Fleet
 	caller   *stand.Machine // Its back end makes calls.
 	called   *stand.Machine // The only machine of the service that is called.
+	fails    atomic.Bool    // The back ends are in a spell in which they fail.
 	mu       sync.Mutex
 	term     time.Time // The last SIGTERM of the caller's node.
 	broken   []string
@@ -93,6 +96,7 @@
 	time.Sleep(3 * time.Second)
 	for i := range cycles {
 		time.Sleep(3 * time.Second)
+		g.fails.Store(i >= sound)
 		if err := g.cycle(i, machines[2]); err != nil {
 			return fail(err)
 		}
@@ -157,7 +161,7 @@
 		status = g.upload(a)
 	} else {
 		a.Server.Work(work + time.Duration(rand.IntN(200))*time.Millisecond)
-		if rand.Float64() < failing {
+		if g.fails.Load() && rand.Float64() < failing {
 			status = http.StatusInternalServerError
 		}
 	}
@@ -203,8 +207,8 @@
 	ended := errors.Is(r.Err, io.EOF) || errors.Is(r.Err, io.ErrUnexpectedEOF) || errors.Is(r.Err, syscall.ECONNRESET)
 	around := sent.Add(took).Before(g.term.Add(g.fleet.Grace + time.Second))
 	if ended && around && took > lost && took < timeout {
-		g.broken = append(g.broken, fmt.Sprintf("LOST: %s of a %s was sent %v after the SIGTERM, and its connection ended without an answer %v later",
-			attempt, by, sent.Sub(g.term).Round(time.Millisecond), took.Round(time.Millisecond)))
+		g.broken = append(g.broken, fmt.Sprintf("LOST (back ends fail: %v): %s of a %s was sent %v after the SIGTERM, and its connection ended without an answer %v later",
+			g.fails.Load(), attempt, by, sent.Sub(g.term).Round(time.Millisecond), took.Round(time.Millisecond)))
 	}
 	return false
 }
