--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/eiderfold ] && [ -x target/review/1 ] || { echo "not built: run the build of deploy/system.toml and review/build.sh"; exit 2; }
-timeout --signal=INT 118 target/review/1 review/1/record.txt
+timeout --signal=TERM --kill-after=1 117 target/review/1 review/1/record.txt
 code=$?
 [ $code -le 1 ] && exit $code
 exit 2
--- a/review/stand/machine.go
+++ b/review/stand/machine.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -56,7 +57,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Fleet{Root: root, Dir: dir, Store: store, Record: record, Zones: zones, Grace: 6 * time.Second, Program: program, block: block}, nil
+	f := &Fleet{Root: root, Dir: dir, Store: store, Record: record, Zones: zones, Grace: 6 * time.Second, Program: program, block: block}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stop
+		f.Close()
+		os.Exit(2)
+	}()
+	return f, nil
 }
 
 // Close ends all processes and removes the temporary folder.
