gate, mesh: logs and counters that tell when requests are written relative to an upstream's leaving

Cause: an attempt that ends well has no line, so the logs could not tell a request written after its upstream's leaving from one that the upstream read late, from a new process that did not know of the leaving, or from a report that was acknowledged without an effect.

Change: 'attempt at a leaving upstream' has when an attempt started, was written and ended, relative to the moment at which the gate learned of the leaving; 'upstream leaves' has whether the gate is closed for that incarnation and how many started attempts are unwritten. Counters: attempt_written_after_leaving, upstream_confirmed_by_SOURCE, report_ready_after_leaving, report_foreign, leaving_without_effect. No decision changes: the guard around the write only notes the time.

Result: go test ./gate ./mesh passes (9.7 s, 57.5 s).

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -60,7 +60,7 @@
 	cold        coldLimiter
 	named       namedLimiter
 	namedNotice namedLimitNotice
-	leaving     []port.Incarnation // Incarnations that are leaving or have left.
+	leaving     departures
 	replaced    []port.Incarnation // Incarnations that were replaced.
 	entries     map[link.Key]*entry
 	queue       []*entry
@@ -113,7 +113,7 @@
 // Mode returns how the gate takes work now.
 func (a *Admission) Mode() link.Mode {
 	switch {
-	case a.upstream.ID == "" || a.unconfirmed || a.stopping || a.evacuated || slices.Contains(a.leaving, a.upstream):
+	case a.upstream.ID == "" || a.unconfirmed || a.stopping || a.evacuated || a.leaving.contains(a.upstream):
 		return link.ModeClosed
 	case a.trial:
 		return link.ModeTrial
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -25,6 +25,7 @@
 	target   time.Time
 	cancel   context.CancelFunc // Set while it runs.
 	repeat   bool               // The run repeats another.
+	written  time.Time          // When the write to the upstream began.
 }
 
 // fingerprint returns the request's fingerprint, which is the same for all of its attempts.
@@ -49,7 +50,7 @@
 	defer ao.cancel()
 	started := time.Now()
 	outgoing := port.OutgoingMetadata{TimeLeft: ao.deadline.Sub(started), Upstream: upstream.ID, CallerService: ao.offer.CallerService, Account: ao.offer.Account}
-	a, f := g.client.do(ctx, ao.offer.Content, outgoing, !ao.offer.Retryable)
+	a, f := g.client.do(ctx, ao.offer.Content, outgoing, !ao.offer.Retryable, &attemptGuard{gate: g, attempt: ao, upstream: upstream})
 	took := time.Since(started)
 	if f != nil && f.closedByPeer {
 		f.processEnded = g.client.processEnded(ctx)
@@ -66,6 +67,7 @@
 	if outcome != Good {
 		g.logFailure(ao, f, upstream, outcome, took, a)
 	}
+	g.logLeavingUpstream(ao, upstream, started, outcome)
 	g.observe("upstream_answer", took)
 	g.finish(ao, frame)
 	g.update(Ended{At: time.Now(), Key: ao.offer.Key, Outcome: outcome, Took: took})
--- a/gate/confirm.go
+++ b/gate/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +30,7 @@
 		leaving, source, err := g.checkLeaving(upstream)
 		if err == nil {
 			g.log.Info("upstream confirmed", zap.Stringer("upstream", upstream), zap.Bool("leaving", leaving), zap.String("source", source))
+			g.count("upstream_confirmed_by_" + strings.ReplaceAll(source, " ", "_"))
 			g.update(Confirmed{At: time.Now(), Upstream: upstream, Leaving: leaving})
 			return
 		}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -48,7 +47,7 @@
 // upstreamClient sends requests to the upstream.
 type upstreamClient interface {
 	// do sends a request once and returns the complete answer.
-	do(ctx context.Context, r *link.Content, m port.OutgoingMetadata, once bool) (*answer, *failure)
+	do(ctx context.Context, r *link.Content, m port.OutgoingMetadata, once bool, guard sendGuard) (*answer, *failure)
 	// processEnded reports whether the upstream's process is gone.
 	processEnded(ctx context.Context) bool
 	// checkHealth requests the upstream's health path.
@@ -184,8 +183,12 @@
 	g.mu.Lock()
 	r = g.admission.normalize(r)
 	before := g.admission.upstream
-	planned := slices.Contains(g.admission.leaving, before)
+	planned := g.admission.leaving.contains(before)
+	late := !r.Leaving && g.admission.leaving.contains(r.Incarnation)
 	g.mu.Unlock()
+	if late {
+		g.count("report_ready_after_leaving")
+	}
 	g.update(Reported{At: time.Now(), Report: r})
 	if now := g.Upstream(); before.ID != "" && now != before && !planned {
 		g.attributeCrash(before)
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -47,7 +47,7 @@
 func (a *Admission) reported(m Reported) []Command {
 	r := a.normalize(m.Report)
 	if r.Leaving {
-		a.leaving = addIncarnation(a.leaving, r.Incarnation)
+		a.leaving.add(m.At, r.Incarnation)
 		if r.ID == a.upstream.ID && a.upstream.Before(r.Incarnation) {
 			// The previous incarnation is gone. Make the leaving one current, since work for
 			// the previous one would reach it under the same id.
@@ -56,7 +56,7 @@
 		}
 		return nil
 	}
-	if slices.Contains(a.replaced, r.Incarnation) || slices.Contains(a.leaving, r.Incarnation) || r.Service != a.service {
+	if slices.Contains(a.replaced, r.Incarnation) || a.leaving.contains(r.Incarnation) || r.Service != a.service {
 		return nil
 	}
 	if r.Incarnation == a.upstream {
@@ -89,16 +89,16 @@
 			a.cold.setRemaining(m.HeardAt, m.ColdLeft)
 		}
 	}
-	if !m.Leaving || m.Upstream.ID == "" || slices.Contains(a.leaving, m.Upstream) {
+	if !m.Leaving || m.Upstream.ID == "" || a.leaving.contains(m.Upstream) {
 		return nil
 	}
-	a.leaving = addIncarnation(a.leaving, m.Upstream)
+	a.leaving.add(m.At, m.Upstream)
 	return []Command{RecordLeaving{Upstream: m.Upstream}}
 }
 
 func (a *Admission) confirmed(m Confirmed) {
 	if m.Leaving {
-		a.leaving = addIncarnation(a.leaving, m.Upstream)
+		a.leaving.add(m.At, m.Upstream)
 	}
 	if m.Upstream == a.upstream {
 		a.unconfirmed = false
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -107,7 +107,7 @@
 // modelUpstream simulates the connection to the upstream.
 type modelUpstream struct{ model *model }
 
-func (u modelUpstream) do(ctx context.Context, r *link.Content, _ port.OutgoingMetadata, _ bool) (*answer, *failure) {
+func (u modelUpstream) do(ctx context.Context, r *link.Content, _ port.OutgoingMetadata, _ bool, _ sendGuard) (*answer, *failure) {
 	m := u.model
 	attempt := r.Header["Attempt-Id"][0]
 	switch m.draw(10) {
--- a/gate/nested_test.go
+++ b/gate/nested_test.go
@@ -18,7 +18,7 @@
 // failingClient answers each request with status 500 after some time.
 type failingClient struct{ work time.Duration }
 
-func (u failingClient) do(context.Context, *link.Content, port.OutgoingMetadata, bool) (*answer, *failure) {
+func (u failingClient) do(context.Context, *link.Content, port.OutgoingMetadata, bool, sendGuard) (*answer, *failure) {
 	time.Sleep(u.work)
 	return &answer{status: 500}, nil
 }
--- a/gate/nestedroom_test.go
+++ b/gate/nestedroom_test.go
@@ -25,7 +25,7 @@
 	statuses []int // Of the answers to the nested requests.
 }
 
-func (c nestingClient) do(_ context.Context, r *link.Content, _ port.OutgoingMetadata, _ bool) (*answer, *failure) {
+func (c nestingClient) do(_ context.Context, r *link.Content, _ port.OutgoingMetadata, _ bool, _ sendGuard) (*answer, *failure) {
 	if r.Target != "a1" {
 		time.Sleep(10 * time.Second)
 		return &answer{status: http.StatusOK}, nil
--- a/gate/outcomequery_test.go
+++ b/gate/outcomequery_test.go
@@ -18,7 +18,7 @@
 // instantClient answers every request at once.
 type instantClient struct{ blockingClient }
 
-func (instantClient) do(context.Context, *link.Content, port.OutgoingMetadata, bool) (*answer, *failure) {
+func (instantClient) do(context.Context, *link.Content, port.OutgoingMetadata, bool, sendGuard) (*answer, *failure) {
 	return &answer{status: http.StatusOK, header: http.Header{}}, nil
 }
 
--- a/gate/parent_test.go
+++ b/gate/parent_test.go
@@ -16,7 +16,7 @@
 // blockingClient blocks each request until end is closed.
 type blockingClient struct{ end chan struct{} }
 
-func (w blockingClient) do(context.Context, *link.Content, port.OutgoingMetadata, bool) (*answer, *failure) {
+func (w blockingClient) do(context.Context, *link.Content, port.OutgoingMetadata, bool, sendGuard) (*answer, *failure) {
 	<-w.end
 	return nil, &failure{outcome: NoEvidence}
 }
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -41,7 +41,7 @@
 }
 
 // do sends the request once and reads the whole answer.
-func (c *client) do(ctx context.Context, r *link.Content, m port.OutgoingMetadata, once bool) (*answer, *failure) {
+func (c *client) do(ctx context.Context, r *link.Content, m port.OutgoingMetadata, once bool, guard sendGuard) (*answer, *failure) {
 	conn, err := c.connection(ctx, once)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -51,7 +51,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	idle := conn.idleFor()
-	a, reusable, f := c.exchange(conn, r, m)
+	a, reusable, f := c.exchange(conn, r, m, guard)
 	conn.unused = false
 	c.adaptIdle(idle, f)
 	open := stop()
@@ -68,9 +68,12 @@
 
 // exchange writes the request and reads its answer, and reports whether the connection can be
 // reused.
-func (c *client) exchange(conn *upstreamConn, r *link.Content, m port.OutgoingMetadata) (*answer, bool, *failure) {
+func (c *client) exchange(conn *upstreamConn, r *link.Content, m port.OutgoingMetadata, guard sendGuard) (*answer, bool, *failure) {
 	_ = conn.SetDeadline(time.Now().Add(m.TimeLeft + answerGrace)) // Fails only on a closed connection, as the write does.
-	_, writeErr := conn.Write(c.encode(r, m))
+	request := c.encode(r, m)
+	guard.begin()
+	_, writeErr := conn.Write(request)
+	guard.end()
 	// An upstream may answer before it has read a long body, so a failed write does not mean
 	// that there is no answer.
 	for range maxStaleAnswers {
--- a/gate/upstream_test.go
+++ b/gate/upstream_test.go
@@ -92,6 +92,12 @@
 	return &link.Content{Method: http.MethodPost, Target: "/a/%2Fb?q=1", Host: "office.example", Header: http.Header{"Attempt-Id": {id}}, Body: []byte("text")}
 }
 
+// noGuard lets every request pass.
+type noGuard struct{}
+
+func (noGuard) begin() {}
+func (noGuard) end()   {}
+
 var testMetadata = port.OutgoingMetadata{TimeLeft: 2 * time.Second, Upstream: "i-1", CallerService: "births"}
 
 func TestAnswers(t *testing.T) {
@@ -103,7 +109,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			u := startRaw(t, func(conn *net.TCPConn, r *http.Request, _ []byte) bool { return c.write(conn, r) })
 			client := newTestClient(u.Addr().String())
-			a, f := client.do(context.Background(), testContent("x1"), testMetadata, true)
+			a, f := client.do(context.Background(), testContent("x1"), testMetadata, true, noGuard{})
 			if c.Outcome == "" {
 				require.Nil(t, f)
 				assert.Equal(t, c.Status, a.status)
@@ -135,7 +141,7 @@
 	content := testContent("x1")
 	content.Header["Caller-Service"] = []string{"forged"}
 	content.Header["X-Own"] = []string{"1", "2"}
-	_, f := newTestClient(u.Addr().String()).do(context.Background(), content, testMetadata, true)
+	_, f := newTestClient(u.Addr().String()).do(context.Background(), content, testMetadata, true, noGuard{})
 	require.Nil(t, f)
 	r := <-seen
 	assert.Equal(t, "/a/%2Fb?q=1", r.RequestURI)
@@ -156,11 +162,11 @@
 		return answerCase{Writes: "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"}.write(c, r)
 	})
 	client := newTestClient(u.Addr().String())
-	_, f := client.do(context.Background(), testContent("x1"), testMetadata, true)
+	_, f := client.do(context.Background(), testContent("x1"), testMetadata, true, noGuard{})
 	require.Nil(t, f)
 	require.NoError(t, (<-first).Close())
 	require.Eventually(t, func() bool { return len(client.idle) == 1 && !isUsable(client.idle[0]) }, 5*time.Second, time.Millisecond)
-	_, f = client.do(context.Background(), testContent("x2"), testMetadata, true)
+	_, f = client.do(context.Background(), testContent("x2"), testMetadata, true, noGuard{})
 	require.Nil(t, f)
 	assert.EqualValues(t, 2, u.connections.Load())
 	assert.EqualValues(t, 2, u.requests.Load())
@@ -172,14 +178,14 @@
 		return answerCase{Writes: "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"}.write(c, r)
 	})
 	client := newTestClient(u.Addr().String())
-	_, f := client.do(context.Background(), testContent("x1"), testMetadata, true)
+	_, f := client.do(context.Background(), testContent("x1"), testMetadata, true, noGuard{})
 	require.Nil(t, f)
 	client.idle[0].idleSince = time.Now().Add(-maxIdleTimeOnce)
-	_, f = client.do(context.Background(), testContent("x2"), testMetadata, false)
+	_, f = client.do(context.Background(), testContent("x2"), testMetadata, false, noGuard{})
 	require.Nil(t, f)
 	assert.EqualValues(t, 1, u.connections.Load(), "a retryable request uses it")
 	client.idle[0].idleSince = time.Now().Add(-maxIdleTimeOnce)
-	_, f = client.do(context.Background(), testContent("x3"), testMetadata, true)
+	_, f = client.do(context.Background(), testContent("x3"), testMetadata, true, noGuard{})
 	require.Nil(t, f)
 	assert.EqualValues(t, 2, u.connections.Load(), "another one does not")
 }
@@ -191,12 +197,12 @@
 		return answerCase{Writes: "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"}.write(c, r)
 	})
 	client := newTestClient(u.Addr().String())
-	_, f := client.do(context.Background(), testContent("x1"), testMetadata, false)
+	_, f := client.do(context.Background(), testContent("x1"), testMetadata, false, noGuard{})
 	require.Nil(t, f)
 	client.adaptIdle(time.Second, &failure{outcome: Broken})
 	assert.Equal(t, 700*time.Millisecond, client.idleLimit(false))
 	client.idle[0].idleSince = time.Now().Add(-800 * time.Millisecond)
-	_, f = client.do(context.Background(), testContent("x2"), testMetadata, false)
+	_, f = client.do(context.Background(), testContent("x2"), testMetadata, false, noGuard{})
 	require.Nil(t, f)
 	assert.EqualValues(t, 2, u.connections.Load(), "the rested connection was not used")
 	for range 20 {
@@ -211,7 +217,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
-	_, f := newTestClient(l.Addr().String()).do(context.Background(), testContent("x1"), testMetadata, true)
+	_, f := newTestClient(l.Addr().String()).do(context.Background(), testContent("x1"), testMetadata, true, noGuard{})
 	require.NotNil(t, f)
 	assert.Equal(t, link.ReasonNotConnected, f.reason)
 }
@@ -230,7 +236,7 @@
 		<-started
 		cancel()
 	}()
-	_, f := newTestClient(u.Addr().String()).do(ctx, testContent("x1"), testMetadata, false)
+	_, f := newTestClient(u.Addr().String()).do(ctx, testContent("x1"), testMetadata, false, noGuard{})
 	require.NotNil(t, f)
 	assert.Equal(t, NoEvidence, f.outcome)
 	assert.Equal(t, link.ReasonNone, f.reason, "it may have run")
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -52,8 +52,9 @@
 		return
 	}
 	if foreign := !report.Final && (report.Service != n.self.Service || report.Address != n.settings.Load().Upstream()); foreign {
+		n.metrics.Count("report_foreign")
 		n.log.Warn("report from another upstream than the local one", zap.Stringer("upstream", report.Incarnation),
-			zap.String("service", report.Service), zap.String("address", report.Address))
+			zap.String("service", report.Service), zap.String("address", report.Address), zap.Bool("leaving", report.Leaving))
 		n.platform.AcknowledgeReport(w)
 		return
 	}
@@ -71,6 +72,11 @@
 	ctx, cancel := context.WithTimeout(ctx, min(ackTimeout, n.settings.Load().AcknowledgeTimeout()))
 	defer cancel()
 	err := n.directory.recordLeavingReport(ctx, r.Incarnation)
-	n.log.Info("upstream leaves", zap.Stringer("upstream", r.Incarnation), zap.Bool("final", r.Final), zap.Bool("recorded", err == nil), zap.NamedError("cause", err))
+	closed, unwritten := n.gate.LeavingState(r.Incarnation)
+	if !closed {
+		n.metrics.Count("leaving_without_effect")
+	}
+	n.log.Info("upstream leaves", zap.Stringer("upstream", r.Incarnation), zap.Bool("final", r.Final), zap.Bool("recorded", err == nil), zap.NamedError("cause", err),
+		zap.Bool("closed", closed), zap.Int("unwritten", unwritten))
 	return err == nil
 }
