--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -23,6 +23,7 @@
 	"eiderfold/link"
 	"eiderfold/memory"
 	"eiderfold/platform"
+	"eiderfold/port"
 	"eiderfold/settings"
 )
 
@@ -46,9 +47,11 @@
 	cluster  *testCluster
 	upstream *testUpstream
 	store    *nodeStore
-	yaml     string
-	cancel   context.CancelFunc
-	done     chan struct{}
+	// dialect replaces the platform's if it is set before the node starts.
+	dialect port.Dialect
+	yaml    string
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 // configurationText returns a configuration with a retryable route, one that is not, and
@@ -156,7 +159,11 @@
 	if n.cluster.logs != nil {
 		log = n.cluster.logs.logger()
 	}
-	n.Node = New(s, platform.New(n.store), NewMetrics(), log)
+	p := platform.New(n.store)
+	if n.dialect != nil {
+		p.Dialect = n.dialect
+	}
+	n.Node = New(s, p, NewMetrics(), log)
 	if n.cluster.watchers > 0 {
 		n.config.watchers = n.cluster.watchers
 	}
