gate: no request is written to an upstream after its leaving is acknowledged

Cause: decided under a lock, done later. The gate decides under its lock that a request starts; a goroutine then takes or dials a connection, for up to a second, or as long as the process stands still, and writes. Nothing looked again, and a report that the upstream leaves was acknowledged meanwhile.

Change: a guard right before the first write decides again, under the same lock that takes the report. A request that it stops has not run, is refused with 'closed' and is offered elsewhere, an order too. Writes that it allowed are counted until their first bytes are in the socket, and a leaving is acknowledged when none is in progress: a process that stands still between the last check and the write has not acknowledged yet. A long body is written in two parts, so that a slow reader does not hold up the acknowledgement. Why it works: whatever the delays, a write to the upstream either ends before the acknowledgement is sent or does not begin.

TestLeavingSettledWhileWriteInProgress controls the moment between check and write. go test ./gate ./mesh ./ingress passes.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -46,7 +46,7 @@
 
 // upstreamClient sends requests to the upstream.
 type upstreamClient interface {
-	// do sends a request once and returns the complete answer.
+	// do sends a request once, if the guard still allows it, and returns the complete answer.
 	do(ctx context.Context, r *link.Content, m port.OutgoingMetadata, once bool, guard sendGuard) (*answer, *failure)
 	// processEnded reports whether the upstream's process is gone.
 	processEnded(ctx context.Context) bool
@@ -69,7 +69,8 @@
 	admission    *Admission
 	active       map[link.Key]*activeOffer
 	ended        map[link.Key]endedAttempt
-	expiredUpTo  map[uint64]uint64 // By origin, the highest number of a non-retryable request whose result is no longer kept.
+	writes       map[port.Incarnation]*pendingWrites // First writes in progress.
+	expiredUpTo  map[uint64]uint64                   // By origin, the highest number of a non-retryable request whose result is no longer kept.
 	failures     []localFailure
 	tracker      *quarantine.SharedTracker
 	abandoned    abandonedList
@@ -118,6 +119,7 @@
 		path:        func() string { return "" },
 		active:      map[link.Key]*activeOffer{},
 		ended:       map[link.Key]endedAttempt{},
+		writes:      map[port.Incarnation]*pendingWrites{},
 		expiredUpTo: map[uint64]uint64{},
 		done:        make(chan struct{}),
 	}
--- a/gate/sendguard.go
+++ b/gate/sendguard.go
@@ -1,19 +1,31 @@
 package gate
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"eiderfold/port"
 )
 
-// sendGuard is called before and after the first write of a request to the upstream.
+// sendGuard decides right before the first write of a request to the upstream whether it is still
+// written. The decision to start the request may be older: a connection had to be made, or the process
+// stood still.
 type sendGuard interface {
-	begin()
+	// begin reports whether the request may be written. If so, end must be called.
+	begin() bool
+	// end is called once the first bytes were handed to the kernel, or could not be.
 	end()
 }
 
+// pendingWrites counts the first writes in progress to an incarnation.
+type pendingWrites struct {
+	count int
+	none  chan struct{} // Closed when the count drops to 0.
+}
+
 // attemptGuard is the sendGuard of an attempt.
 type attemptGuard struct {
 	gate     *Gate
@@ -21,17 +33,54 @@
 	upstream port.Incarnation
 }
 
-// begin notes when the write begins.
-func (w *attemptGuard) begin() {
-	w.gate.mu.Lock()
-	defer w.gate.mu.Unlock()
+// begin refuses a request whose upstream has said that it leaves since the request was started.
+func (w *attemptGuard) begin() bool {
+	g := w.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.admission.leaving.contains(w.upstream) {
+		g.count("attempt_not_written")
+		return false
+	}
 	w.attempt.written = time.Now()
-	if w.gate.admission.leaving.contains(w.upstream) {
-		w.gate.count("attempt_written_after_leaving")
+	p := g.writes[w.upstream]
+	if p == nil {
+		p = &pendingWrites{none: make(chan struct{})}
+		g.writes[w.upstream] = p
 	}
+	p.count++
+	return true
 }
 
-func (w *attemptGuard) end() {}
+// end ends a write that begin allowed.
+func (w *attemptGuard) end() {
+	g := w.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.writes[w.upstream]
+	p.count--
+	if p.count == 0 {
+		close(p.none)
+		delete(g.writes, w.upstream)
+	}
+}
+
+// AwaitWrites waits until no first write to an incarnation that leaves is in progress. After that none
+// follows, so that the leaving can be acknowledged.
+func (g *Gate) AwaitWrites(ctx context.Context, upstream port.Incarnation) error {
+	g.mu.Lock()
+	p := g.writes[upstream]
+	g.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	select {
+	case <-p.none:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "writes to the upstream")
+	}
+}
 
 // LeavingState returns whether an incarnation is the current one and leaves, so that its report had an
 // effect, and how many started attempts have not begun to write their requests.
--- /dev/null
+++ b/gate/sendguard_test.go
@@ -0,0 +1,61 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"eiderfold/link"
+	"eiderfold/platform"
+	"eiderfold/port"
+)
+
+// writingClient stands still between the guard's permission and the write until release is closed.
+type writingClient struct {
+	blockingClient
+	begun   chan bool // What the guard answered.
+	release chan struct{}
+}
+
+func (c writingClient) do(_ context.Context, _ *link.Content, _ port.OutgoingMetadata, _ bool, guard sendGuard) (*answer, *failure) {
+	allowed := guard.begin()
+	c.begun <- allowed
+	if !allowed {
+		return nil, &failure{outcome: NoEvidence, reason: link.ReasonClosed}
+	}
+	<-c.release
+	guard.end()
+	return &answer{status: http.StatusOK, header: http.Header{}}, nil
+}
+
+// While a process stands still between the last check and the write, the leaving of the upstream must not
+// count as settled; later requests must not be written.
+func TestLeavingSettledWhileWriteInProgress(t *testing.T) {
+	g := New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
+	c := writingClient{begun: make(chan bool, 1), release: make(chan struct{})}
+	g.client = c
+	upstream := port.Incarnation{ID: "i-1"}
+	g.Report(port.Report{Incarnation: upstream, Service: "a", Slots: 4, Sequence: 1})
+	require.Eventually(t, func() bool { return g.Status().Mode == link.ModeOpen }, 5*time.Second, time.Millisecond)
+	sent := make(sentFrames, 8)
+	order := link.Key{Origin: 7, Number: 1}
+	g.Handle(sent, &link.Frame{Offer: &link.Offer{Key: order, Service: "a", TimeLeft: time.Minute}})
+	require.NotNil(t, (<-sent).Granted)
+	g.Handle(sent, &link.Frame{Commit: &link.Commit{Key: order, TimeLeft: time.Minute, Content: &link.Content{}}})
+	require.True(t, <-c.begun)
+
+	g.Report(port.Report{Incarnation: upstream, Service: "a", Leaving: true})
+	passed, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	require.Error(t, g.AwaitWrites(passed, upstream))
+	late := &attemptGuard{gate: g, attempt: &activeOffer{offer: &link.Offer{}}, upstream: upstream}
+	assert.False(t, late.begin())
+	close(c.release)
+	require.NoError(t, g.AwaitWrites(t.Context(), upstream))
+	assert.NotNil(t, (<-sent).Answer)
+}
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -21,6 +22,9 @@
 	answerGrace = 150 * time.Millisecond
 	// maxStaleAnswers bounds how many answers to earlier requests are skipped.
 	maxStaleAnswers = 3
+	// firstWriteBytes is how much of a request is written first. The socket of an idle connection
+	// takes it without waiting for the upstream.
+	firstWriteBytes = 16 << 10
 )
 
 // Upstream identifies the process beside the node.
@@ -40,7 +44,7 @@
 	adaptedIdle time.Duration // Adapted idle limit; 0 for maxIdleTime.
 }
 
-// do sends the request once and reads the whole answer.
+// do sends the request once, if the guard still allows it, and reads the whole answer.
 func (c *client) do(ctx context.Context, r *link.Content, m port.OutgoingMetadata, once bool, guard sendGuard) (*answer, *failure) {
 	conn, err := c.connection(ctx, once)
 	if err != nil {
@@ -49,9 +53,16 @@
 		}
 		return nil, &failure{outcome: Unreached, reason: link.ReasonNotConnected, detail: err.Error(), processEnded: connectionRefused(err)}
 	}
+	request := c.encode(r, m)
+	if !guard.begin() {
+		c.putIdle(conn)
+		return nil, &failure{outcome: NoEvidence, reason: link.ReasonClosed, detail: "not written, as the upstream leaves"}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	idle := conn.idleFor()
-	a, reusable, f := c.exchange(conn, r, m, guard)
+	_ = conn.SetDeadline(time.Now().Add(m.TimeLeft + answerGrace)) // Fails only on a closed connection, as the write does.
+	writeErr := write(conn, request, guard.end)
+	a, reusable, f := c.receive(conn, r, writeErr)
 	conn.unused = false
 	c.adaptIdle(idle, f)
 	open := stop()
@@ -66,14 +77,21 @@
 	return a, f
 }
 
-// exchange writes the request and reads its answer, and reports whether the connection can be
-// reused.
-func (c *client) exchange(conn *upstreamConn, r *link.Content, m port.OutgoingMetadata, guard sendGuard) (*answer, bool, *failure) {
-	_ = conn.SetDeadline(time.Now().Add(m.TimeLeft + answerGrace)) // Fails only on a closed connection, as the write does.
-	request := c.encode(r, m)
-	guard.begin()
-	_, writeErr := conn.Write(request)
-	guard.end()
+// write writes a request and calls begun once its first bytes are written: an upstream may take long to
+// read the rest.
+func write(conn net.Conn, request []byte, begun func()) error {
+	first := min(len(request), firstWriteBytes)
+	_, err := conn.Write(request[:first])
+	begun()
+	if err != nil || first == len(request) {
+		return err
+	}
+	_, err = conn.Write(request[first:])
+	return err
+}
+
+// receive reads the answer to a request, and reports whether the connection can be reused.
+func (c *client) receive(conn *upstreamConn, r *link.Content, writeErr error) (*answer, bool, *failure) {
 	// An upstream may answer before it has read a long body, so a failed write does not mean
 	// that there is no answer.
 	for range maxStaleAnswers {
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -37,9 +37,9 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// serveReport handles a report from the local upstream. That it leaves takes effect at once
-// and is acknowledged when the store has recorded it, because a process that replaces this
-// one has to find the record.
+// serveReport handles a report from the local upstream. That it leaves takes effect at once. It is
+// acknowledged when the store has recorded it, because a process that replaces this one has to find the
+// record, and no request is being written to the upstream.
 func (n *Node) serveReport(w http.ResponseWriter, r *http.Request) {
 	if !n.platform.IsReport(r) {
 		http.NotFound(w, r)
@@ -60,23 +60,28 @@
 	}
 	report.Incarnation = n.gate.Report(report)
 	n.directory.upstreamGone.Store(report.Final)
-	if report.Leaving && !n.recordLeaving(r.Context(), report) {
-		http.Error(w, "not recorded yet", http.StatusServiceUnavailable)
+	if report.Leaving && !n.settleLeaving(r.Context(), report) {
+		http.Error(w, "not in effect yet", http.StatusServiceUnavailable)
 		return
 	}
 	n.platform.AcknowledgeReport(w)
 }
 
-// recordLeaving reports whether the store recorded it before the sender's timeout.
-func (n *Node) recordLeaving(ctx context.Context, r port.Report) bool {
+// settleLeaving reports whether, before the sender's timeout, the store has recorded it and writes in
+// progress have ended.
+func (n *Node) settleLeaving(ctx context.Context, r port.Report) bool {
 	ctx, cancel := context.WithTimeout(ctx, min(ackTimeout, n.settings.Load().AcknowledgeTimeout()))
 	defer cancel()
 	err := n.directory.recordLeavingReport(ctx, r.Incarnation)
+	recorded := err == nil
+	if recorded {
+		err = n.gate.AwaitWrites(ctx, r.Incarnation)
+	}
 	closed, unwritten := n.gate.LeavingState(r.Incarnation)
 	if !closed {
 		n.metrics.Count("leaving_without_effect")
 	}
-	n.log.Info("upstream leaves", zap.Stringer("upstream", r.Incarnation), zap.Bool("final", r.Final), zap.Bool("recorded", err == nil), zap.NamedError("cause", err),
+	n.log.Info("upstream leaves", zap.Stringer("upstream", r.Incarnation), zap.Bool("final", r.Final), zap.Bool("recorded", recorded), zap.NamedError("cause", err),
 		zap.Bool("closed", closed), zap.Int("unwritten", unwritten))
 	return err == nil
 }
