mesh: nodes that have seen an upstream's leaving tell a new process of its gate

What callers saw: requests on an upstream that leaves (rule DRAIN), from the new process of a node whose earlier process had acknowledged the leaving, while the store turned the node away.

Cause: known only to the process before. The record in the store was the only copy of an acknowledgement; a process that can't read it went by the health answer, which may be 200 though the upstream leaves.

Change: a gate's status says whether its upstream leaves, and is announced when that begins, also by a gate that is closed already. Nodes keep it as they keep what answers say, by incarnation for ten minutes, and offer such a gate nothing. On a new link, before the configuration, and on a status that contradicts it, they send the gate a notice, and it closes for that incarnation. Without the store a gate needs the configuration of another node before it can check the upstream's health, so the notice on that link comes first. What answers say ('leaving' in an answer) is told to a new process in the same way. A node of an earlier build ignores both fields.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -52,6 +52,7 @@
 	slots    int
 	sequence uint64
 	mode     link.Mode // As last announced.
+	departed bool      // The upstream leaves, as last announced.
 	// unconfirmed is set until a lookup has shown whether an earlier process acknowledged the
 	// incarnation as leaving.
 	unconfirmed bool
@@ -125,7 +126,7 @@
 // Status returns the status that is sent to other nodes.
 func (a *Admission) Status() link.Status {
 	return link.Status{Mode: a.Mode(), Upstream: a.upstream.ID, StartedAt: a.upstream.StartedAt, Slots: a.slots, MeanResponseTime: a.meanResponseTime,
-		Suspicion: a.suspicion, Heard: !a.named.heardAt.IsZero(), Limited: a.named.limited, Limit: a.named.rate}
+		Suspicion: a.suspicion, Leaving: a.leaving.contains(a.upstream), Heard: !a.named.heardAt.IsZero(), Limited: a.named.limited, Limit: a.named.rate}
 }
 
 // offered grants a slot, queues the offer, or refuses it.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -201,6 +201,12 @@
 	return r.Incarnation
 }
 
+// NoteLeaving records that an incarnation is leaving or has left, which an earlier process of this node
+// has acknowledged, or an answer has said.
+func (g *Gate) NoteLeaving(upstream port.Incarnation) {
+	g.update(Confirmed{At: time.Now(), Upstream: upstream, Leaving: true})
+}
+
 // Upstream returns the current incarnation.
 func (g *Gate) Upstream() port.Incarnation {
 	g.mu.Lock()
--- a/gate/reconcile.go
+++ b/gate/reconcile.go
@@ -68,8 +68,10 @@
 	out = append(out, a.admitQueued(at)...)
 	out = append(out, a.refuseWithoutBudget(at)...)
 	limitChanged := a.namedNotice.due(at, &a.named)
-	if mode != a.mode {
-		a.mode = mode
+	departed := a.leaving.contains(a.upstream)
+	changed := mode != a.mode || departed && !a.departed
+	a.mode, a.departed = mode, departed
+	if changed {
 		out = append(out, Announce{Why: mode.String()})
 	} else if limitChanged {
 		out = append(out, Announce{Why: "limit"})
--- a/ingress/room.go
+++ b/ingress/room.go
@@ -167,6 +167,7 @@
 	}
 	e.noteRoom(room, true, now)
 	e.SetStatus(s, now)
+	f.endpoints.statements.noteStatus(s, now)
 }
 
 // checkRoom reports whether a room is valid, and counts and logs it if not.
--- a/ingress/statement.go
+++ b/ingress/statement.go
@@ -18,12 +18,12 @@
 	leavingRetention = 10 * time.Minute
 )
 
-// statements holds what upstreams have said of themselves in answers to this node, by incarnation.
-// The gates beside them act on it. This node keeps it because a gate's process may be replaced.
+// statements holds what upstreams have said of themselves in answers to this node, or in reports to the
+// gates beside them, by incarnation. The gates act on it. This node keeps it because a gate's process may be replaced.
 type statements struct {
 	mu      sync.Mutex // Held by writers.
 	limits  map[port.Incarnation]heardLimit
-	leaving atomic.Pointer[map[port.Incarnation]time.Time] // When each first said so; replaced by modified copies.
+	leaving atomic.Pointer[map[port.Incarnation]time.Time] // When this node first heard so; replaced by modified copies.
 }
 
 // heardLimit is the limit that an upstream last named.
@@ -50,6 +50,25 @@
 	}
 }
 
+// noteStatus records that an upstream leaves by the status of its gate.
+func (s *statements) noteStatus(gate link.Status, now time.Time) {
+	if !gate.Leaving || s.leaves(gate) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteLeaving(incarnationOf(gate), now)
+}
+
+// LeavingNotice returns the notice for a gate whose last status this is, nil if its upstream is not known to
+// leave.
+func (f *Forwarder) LeavingNotice(gate link.Status) *link.LeavingNotice {
+	if gate.Upstream == "" || !f.endpoints.statements.leaves(gate) {
+		return nil
+	}
+	return &link.LeavingNotice{Upstream: gate.Upstream, StartedAt: gate.StartedAt}
+}
+
 // noteLimit records a limit and evicts the oldest one if there are too many. The lock must be held.
 func (s *statements) noteLimit(upstream port.Incarnation, l heardLimit) {
 	if s.limits == nil {
@@ -83,7 +102,7 @@
 	s.leaving.Store(&next)
 }
 
-// leaves reports whether the upstream beside a gate has said that it leaves.
+// leaves reports whether the upstream beside a gate is known to leave.
 func (s *statements) leaves(gate link.Status) bool {
 	leaving := s.leaving.Load()
 	if leaving == nil {
--- a/link/message.go
+++ b/link/message.go
@@ -210,6 +210,14 @@
 	Limited          bool          `cbor:"8,keyasint,omitempty"` // The upstream names a limit.
 	Limit            float64       `cbor:"9,keyasint,omitempty"` // That limit, in requests per second.
 	Room             *Room         `cbor:"10,keyasint,omitempty"`
+	Leaving          bool          `cbor:"11,keyasint,omitempty"` // The upstream is leaving or has left.
+}
+
+// LeavingNotice reports to a gate that its upstream is leaving or has left. The gate's process may have
+// replaced the one that knew.
+type LeavingNotice struct {
+	Upstream  string `cbor:"1,keyasint"`
+	StartedAt int64  `cbor:"2,keyasint,omitempty"` // When the incarnation started; see port.Incarnation.
 }
 
 // Hello is the first message of each side of a link.
@@ -335,5 +343,6 @@
 	Operator   *OperatorState      `cbor:"23,keyasint,omitempty"`
 	Digest     *Digest             `cbor:"24,keyasint,omitempty"`
 	// Packed holds many membership records, compressed.
-	Packed []byte `cbor:"25,keyasint,omitempty"`
+	Packed  []byte         `cbor:"25,keyasint,omitempty"`
+	Leaving *LeavingNotice `cbor:"26,keyasint,omitempty"`
 }
--- a/link/meter.go
+++ b/link/meter.go
@@ -19,7 +19,7 @@
 	switch {
 	case f.Hello != nil:
 		return "hello"
-	case f.Status != nil:
+	case f.Status != nil, f.Leaving != nil:
 		return "status"
 	case f.Offer != nil && f.Offer.Content != nil:
 		return "offer_with_content"
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -8,6 +8,7 @@
 
 	"eiderfold/link"
 	"eiderfold/listener"
+	"eiderfold/port"
 )
 
 // accept serves links that other nodes dial, until the listener is closed.
@@ -101,6 +102,14 @@
 	l.node.log.Debug("inbound link ended", zap.String("from", in.RemoteAddr()), zap.Error(err))
 }
 
+// handleLeaving closes the gate for an upstream that leaves by the notice of another node.
+func (l *links) handleLeaving(in *link.Link, m *link.LeavingNotice) {
+	upstream := port.Incarnation{ID: m.Upstream, StartedAt: m.StartedAt}
+	l.node.metrics.Count("leaving_notice")
+	l.node.log.Info("upstream leaves by another node's notice", zap.Stringer("upstream", upstream), zap.String("from", in.RemoteAddr()))
+	l.node.gate.NoteLeaving(upstream)
+}
+
 // handleInbound dispatches a message from a node that dialed.
 func (l *links) handleInbound(in *link.Link, f *link.Frame) {
 	switch {
@@ -119,6 +128,8 @@
 		l.handleDigest(in, f.Digest)
 	case len(f.Records) > 0, len(f.Packed) > 0:
 		l.handleRecords(f)
+	case f.Leaving != nil:
+		l.handleLeaving(in, f.Leaving)
 	case f.LimitRequest != nil:
 		l.node.limits.handleRequest(in, f.LimitRequest)
 	case f.HomeNotice != nil:
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -125,6 +125,9 @@
 		p.handleHello(l, f.Hello)
 	case f.Status != nil:
 		n.forwarder.ReceiveStatus(p.currentEndpoint(), *f.Status, time.Now())
+		if !f.Status.Leaving {
+			p.notifyLeaving(l, *f.Status)
+		}
 	case f.LimitReply != nil:
 		n.limits.handleReply(f.LimitReply)
 	case f.LimitProbeReply != nil:
@@ -163,6 +166,7 @@
 			n.endpoints.Add(endpoint)
 		}
 	}
+	p.notifyLeaving(l, endpoint.Status()) // Before the configuration, without which no health check confirms the upstream.
 	n.forwarder.ReceiveStatus(endpoint, h.Status, time.Now())
 	p.links.learn(h.Record())
 	p.links.countBytes(l, h.Member.DataCentre == n.self.DataCentre)
@@ -176,6 +180,13 @@
 	n.log.Info("link up", zap.String("node", h.Member.Name), zap.String("service", h.Member.Service), zap.Stringer("mode", h.Status.Mode))
 }
 
+// notifyLeaving sends a gate that its upstream, by a status of its, leaves, if this node knows that.
+func (p *peer) notifyLeaving(l *link.Link, s link.Status) {
+	if m := p.links.node.forwarder.LeavingNotice(s); m != nil {
+		l.Send(&link.Frame{Leaving: m})
+	}
+}
+
 // currentLink returns the link to the node; nil while there is none.
 func (p *peer) currentLink() *link.Link {
 	p.mu.Lock()
