gate, mesh: a deregistration without a start holds for the starts before it

What callers saw: requests on an upstream that had deregistered (rule DRAIN), where upstreams report their starts and a deregistration comes without one.

Cause: known only to the process before, and a name that is not the same. An incarnation is an id and a start. A deregistration without a start is attributed to the current incarnation; a process that has just been started has none, so it noted and recorded the bare id, and a delayed report of 'ready' that names the start was taken for another incarnation.

Change: a departure covers the incarnations that it can mean: without a start each start of its id until it was last reported, otherwise that start and earlier ones of the id, which are gone. The record in the store has the time at which it was made as its value; one of an earlier build, with the node's name, counts as made when it is read. A process without a current upstream takes the leaving one as such, so that its status names it to other nodes. A record that an earlier process made is renewed for a report without a start, as it may be of a later start. Why it works: a report can't be of a start that is later than it, and upstream and node share the instance's clock.

--- a/gate/departure.go
+++ b/gate/departure.go
@@ -10,7 +10,24 @@
 // departure is an incarnation that is leaving or has left.
 type departure struct {
 	port.Incarnation
-	at time.Time // When the gate learned of it.
+	at    time.Time // When the gate learned of it.
+	until time.Time // When it was last reported.
+}
+
+// covers reports whether the departure concerns an incarnation. A departure without a start time concerns
+// each start of its id until it was last reported, by the clock that the upstream shares with the node.
+// Earlier starts of an id are gone.
+func (d departure) covers(i port.Incarnation) bool {
+	switch {
+	case d.ID != i.ID:
+		return false
+	case i.StartedAt == 0:
+		return true
+	case d.StartedAt == 0:
+		return i.StartedAt <= d.until.UnixMilli()
+	default:
+		return i.StartedAt <= d.StartedAt
+	}
 }
 
 // departures holds the latest departures, at most maxIncarnations.
@@ -18,11 +35,11 @@
 
 // index returns the position of an incarnation's departure, -1 if there is none.
 func (d departures) index(i port.Incarnation) int {
-	return slices.IndexFunc(d, func(o departure) bool { return o.Incarnation == i })
+	return slices.IndexFunc(d, func(o departure) bool { return o.covers(i) })
 }
 
 // contains reports whether an incarnation is leaving or has left.
-func (d departures) contains(i port.Incarnation) bool { return d.index(i) >= 0 }
+func (d departures) contains(i port.Incarnation) bool { return i.ID != "" && d.index(i) >= 0 }
 
 // learnedAt returns when the gate learned that an incarnation leaves; false if it does not leave.
 func (d departures) learnedAt(i port.Incarnation) (time.Time, bool) {
@@ -33,13 +50,15 @@
 	return d[n].at, true
 }
 
-// add adds an incarnation unless it is known, and evicts the oldest one if there are too many.
+// add adds an incarnation, or notes that it was reported again. It evicts the oldest one if there are too
+// many.
 func (d *departures) add(at time.Time, i port.Incarnation) {
-	if d.contains(i) {
+	if n := slices.IndexFunc(*d, func(o departure) bool { return o.Incarnation == i }); n >= 0 {
+		(*d)[n].until = at
 		return
 	}
 	if len(*d) >= maxIncarnations {
 		*d = (*d)[1:]
 	}
-	*d = append(*d, departure{Incarnation: i, at: at})
+	*d = append(*d, departure{Incarnation: i, at: at, until: at})
 }
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -48,9 +48,10 @@
 	r := a.normalize(m.Report)
 	if r.Leaving {
 		a.leaving.add(m.At, r.Incarnation)
-		if r.ID == a.upstream.ID && a.upstream.Before(r.Incarnation) {
-			// The previous incarnation is gone. Make the leaving one current, since work for
-			// the previous one would reach it under the same id.
+		if a.upstream.ID == "" || r.ID == a.upstream.ID && a.upstream.Before(r.Incarnation) {
+			// The previous incarnation is gone, or known only to the previous process. Make the
+			// leaving one current: work for the previous one would reach it under the same id,
+			// and the status names it to other nodes.
 			a.retire()
 			a.upstream = r.Incarnation
 		}
--- a/gate/sendguard.go
+++ b/gate/sendguard.go
@@ -82,12 +82,13 @@
 	}
 }
 
-// LeavingState returns whether an incarnation is the current one and leaves, so that its report had an
-// effect, and how many started attempts have not begun to write their requests.
+// LeavingState returns whether the gate is closed for all incarnations with the id of one that leaves, and
+// how many started attempts have not begun to write their requests.
 func (g *Gate) LeavingState(upstream port.Incarnation) (closed bool, unwritten int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return upstream == g.admission.upstream && g.admission.leaving.contains(upstream), g.unwritten()
+	current := g.admission.upstream
+	return upstream.ID != current.ID || g.admission.leaving.contains(current), g.unwritten()
 }
 
 // unwritten returns how many attempts have started and not begun to write. The caller holds the
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -69,11 +69,11 @@
 	restored     chan struct{}        // Signals that the store may have lost this node's records.
 	firstRead    map[string]time.Time // When each record of a leaving upstream was first read.
 	mu           sync.Mutex
-	leaving      map[string]bool // Incarnations of the local upstream that are recorded as leaving.
+	leaving      map[string]leavingRecord // Records of incarnations of the local upstream, by key segment.
 }
 
 func newDirectory(n *Node) *directory {
-	return &directory{node: n, leaving: map[string]bool{}, firstRead: map[string]time.Time{}, restored: make(chan struct{}, 1),
+	return &directory{node: n, leaving: map[string]leavingRecord{}, firstRead: map[string]time.Time{}, restored: make(chan struct{}, 1),
 		retry: backoff{min: storeRetry, max: storeRetryMax}}
 }
 
@@ -188,11 +188,11 @@
 // date.
 func (d *directory) read(ctx context.Context, entries []port.Entry) (registered bool) {
 	var records []link.Record
-	var segments []string
+	var leaving []leavingRecord
 	for _, e := range entries {
 		segment, leaves := strings.CutPrefix(e.Key, d.leavingPrefix())
 		if leaves {
-			segments = append(segments, segment)
+			leaving = append(leaving, leavingRecord{segment: segment, at: decodeLeaving(e.Value, time.Now())})
 			continue
 		}
 		if strings.Contains(e.Key, leavingSegment) {
@@ -210,7 +210,7 @@
 		}
 	}
 	d.node.links.learn(records...)
-	d.noteLeavingRecords(ctx, segments, time.Now())
+	d.noteLeavingRecords(ctx, leaving, time.Now())
 	return registered
 }
 
--- a/mesh/leaving.go
+++ b/mesh/leaving.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -41,54 +43,90 @@
 	return d.isLeaving(upstream), nil
 }
 
-// isLeaving reports whether an incarnation is known to be recorded as leaving.
-func (d *directory) isLeaving(upstream port.Incarnation) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.leaving[keySegment(upstream)]
+// leavingRecord is the record of a leaving upstream.
+type leavingRecord struct {
+	segment string    // Its name in the key.
+	at      time.Time // When it was recorded.
+	own     bool      // Recorded by this process.
+}
+
+// covers reports whether the record concerns an incarnation. One without a start time concerns each start of
+// the id until it was recorded, by the clock that the upstream shares with the node.
+func (r leavingRecord) covers(upstream port.Incarnation) bool {
+	if r.segment == keySegment(upstream) {
+		return true
+	}
+	if upstream.StartedAt == 0 {
+		return false
+	}
+	return r.segment == keySegment(port.Incarnation{ID: upstream.ID}) && upstream.StartedAt <= r.at.UnixMilli()
 }
 
+// encodeLeaving returns the value of a record: when it was made, in Unix milliseconds.
+func encodeLeaving(at time.Time) []byte { return strconv.AppendInt(nil, at.UnixMilli(), 10) }
+
+// decodeLeaving returns when a record was made. One of an earlier build has another value; it was made before
+// it was read.
+func decodeLeaving(value []byte, read time.Time) time.Time {
+	ms, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil {
+		return read
+	}
+	return time.UnixMilli(ms)
+}
+
+// isLeaving reports whether an incarnation is known to be recorded as leaving.
+func (d *directory) isLeaving(upstream port.Incarnation) bool { return len(d.recordsOf(upstream)) > 0 }
+
 // markLeaving notes that an incarnation is recorded as leaving.
-func (d *directory) markLeaving(segment string) {
+func (d *directory) markLeaving(r leavingRecord) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.leaving[segment] = true
+	if !d.leaving[r.segment].own {
+		d.leaving[r.segment] = r
+	}
 }
 
 // noteLeavingRecords notes the incarnations whose records were read. An incarnation other
 // than the current one whose record was first read leavingRetention ago has terminated, and
 // its record is removed. The age is needed because reads may follow one another at once
 // while calls to the store fail.
-func (d *directory) noteLeavingRecords(ctx context.Context, segments []string, now time.Time) {
-	current := keySegment(d.node.gate.Upstream())
-	for _, segment := range segments {
-		d.markLeaving(segment)
-		first, ok := d.firstRead[segment]
+func (d *directory) noteLeavingRecords(ctx context.Context, records []leavingRecord, now time.Time) {
+	current := d.node.gate.Upstream()
+	for _, r := range records {
+		d.markLeaving(r)
+		first, ok := d.firstRead[r.segment]
 		if !ok {
-			d.firstRead[segment] = now
+			d.firstRead[r.segment] = now
 			continue
 		}
-		if segment == current || now.Sub(first) < leavingRetention {
+		if r.covers(current) || now.Sub(first) < leavingRetention {
 			continue
 		}
-		if err := d.node.platform.Store.Remove(ctx, d.leavingPrefix()+segment); err != nil {
-			d.node.log.Info("record of leaving upstream not removed", zap.String("upstream", segment), zap.Error(err))
+		if err := d.node.platform.Store.Remove(ctx, d.leavingKey(r.segment)); err != nil {
+			d.node.log.Info("record of leaving upstream not removed", zap.String("upstream", r.segment), zap.Error(err))
 		}
 	}
 }
 
 // putLeaving records once that an incarnation leaves.
 func (d *directory) putLeaving(ctx context.Context, upstream port.Incarnation) error {
-	if d.isLeaving(upstream) {
+	if d.isRecorded(upstream) {
 		return nil
 	}
-	err := d.node.platform.Store.Put(ctx, d.leavingKey(upstream), []byte(d.node.self.Name))
+	r := leavingRecord{segment: keySegment(upstream), at: time.Now(), own: true}
+	err := d.putRecord(ctx, r)
 	if err == nil {
-		d.markLeaving(keySegment(upstream))
+		d.markLeaving(r)
 	}
 	return err
 }
 
+// putRecord writes the record of a leaving upstream.
+func (d *directory) putRecord(ctx context.Context, r leavingRecord) error {
+	return d.node.platform.Store.Put(ctx, d.leavingKey(r.segment), encodeLeaving(r.at))
+}
+
 // recordLeavingReport records an incarnation that leaves by its report. It tries once more after a
 // failed call, unless the previous report failed too: the store charges for refused calls, and an
 // upstream repeats its report.
@@ -130,14 +168,34 @@
 	for _, e := range entries {
 		present[strings.TrimPrefix(e.Key, d.leavingPrefix())] = true
 	}
-	current := keySegment(d.node.gate.Upstream())
+	for _, r := range d.recordsOf(d.node.gate.Upstream()) { // Earlier incarnations have terminated.
+		if present[r.segment] {
+			continue
+		}
+		if err := d.putRecord(ctx, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// isRecorded reports whether an incarnation needs no further record. Without a start time it may be a later
+// start than the one that an earlier process has recorded.
+func (d *directory) isRecorded(upstream port.Incarnation) bool {
+	return slices.ContainsFunc(d.recordsOf(upstream), func(r leavingRecord) bool { return r.own || upstream.StartedAt != 0 })
+}
+
+// recordsOf returns the records that concern an incarnation.
+func (d *directory) recordsOf(upstream port.Incarnation) []leavingRecord {
 	d.mu.Lock()
-	missing := d.leaving[current] && !present[current] // Earlier ones have terminated.
-	d.mu.Unlock()
-	if !missing {
-		return nil
+	defer d.mu.Unlock()
+	var out []leavingRecord
+	for _, r := range d.leaving {
+		if r.covers(upstream) {
+			out = append(out, r)
+		}
 	}
-	return d.node.platform.Store.Put(ctx, d.leavingPrefix()+current, []byte(d.node.self.Name))
+	return out
 }
 
 // leavingSegment separates a node's key from the names of its leaving upstreams, so that
@@ -148,9 +206,7 @@
 func (d *directory) leavingPrefix() string { return nodeKey(d.node.self.Address) + leavingSegment }
 
 // leavingKey returns the store key of an incarnation's record.
-func (d *directory) leavingKey(upstream port.Incarnation) string {
-	return d.leavingPrefix() + keySegment(upstream)
-}
+func (d *directory) leavingKey(segment string) string { return d.leavingPrefix() + segment }
 
 // keySegment returns an incarnation's name as part of a key. A long name loses its
 // beginning, as its end distinguishes the incarnations of one id.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -78,7 +78,7 @@
 	assert.Equal(t, link.ModeClosed, one.gateMode())
 	b.store.SetFaults(memory.Faults{})
 	assert.Equal(t, 200, one.report(3, true))
-	_, _, err := b.store.Get(context.Background(), one.directory.leavingKey(port.Incarnation{ID: "i-one"}))
+	_, _, err := b.store.Get(context.Background(), one.directory.leavingKey(keySegment(port.Incarnation{ID: "i-one"})))
 	assert.NoError(t, err)
 }
 
@@ -293,7 +293,7 @@
 	}
 	entries := records()
 	require.Len(t, entries, 1)
-	assert.Equal(t, d.leavingKey(port.Incarnation{ID: "i-one"}), entries[0].Key, "it is still the current upstream")
+	assert.Equal(t, d.leavingKey(keySegment(port.Incarnation{ID: "i-one"})), entries[0].Key, "it is still the current upstream")
 	left, err := d.Leaving(ctx, port.Incarnation{ID: "i-old/1"})
 	require.NoError(t, err)
 	assert.True(t, left, "this process still has it marked")
