mesh: a report that an upstream leaves is not acknowledged where it has no effect

What callers saw: requests on an upstream whose leaving was acknowledged (rule DRAIN), if its report names another service or address than the node's settings.

Cause: an acknowledgement without effect. Such a report was taken for one of another upstream, acknowledged and dropped.

Change: it is refused with 409 and the reason, so that its sender knows and asks another node; the warning and its counter stay. A 'ready' report of another upstream is acknowledged as before, which promises nothing.

--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -51,11 +51,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if foreign := !report.Final && (report.Service != n.self.Service || report.Address != n.settings.Load().Upstream()); foreign {
-		n.metrics.Count("report_foreign")
-		n.log.Warn("report from another upstream than the local one", zap.Stringer("upstream", report.Incarnation),
-			zap.String("service", report.Service), zap.String("address", report.Address), zap.Bool("leaving", report.Leaving))
-		n.platform.AcknowledgeReport(w)
+	if n.isForeign(report) {
+		n.refuseForeign(w, report)
 		return
 	}
 	report.Incarnation = n.gate.Report(report)
@@ -67,6 +64,24 @@
 	n.platform.AcknowledgeReport(w)
 }
 
+// isForeign reports whether a report names another service or address than those of the local upstream.
+func (n *Node) isForeign(r port.Report) bool {
+	return !r.Final && (r.Service != n.self.Service || r.Address != n.settings.Load().Upstream())
+}
+
+// refuseForeign handles a report of another upstream, which has no effect. That one leaves is not
+// acknowledged: its sender would take that as a promise.
+func (n *Node) refuseForeign(w http.ResponseWriter, r port.Report) {
+	n.metrics.Count("report_foreign")
+	n.log.Warn("report from another upstream than the local one", zap.Stringer("upstream", r.Incarnation),
+		zap.String("service", r.Service), zap.String("address", r.Address), zap.Bool("leaving", r.Leaving))
+	if r.Leaving {
+		http.Error(w, "the upstream beside this node has another service or address", http.StatusConflict)
+		return
+	}
+	n.platform.AcknowledgeReport(w)
+}
+
 // settleLeaving reports whether, before the sender's timeout, the store has recorded it and writes in
 // progress have ended.
 func (n *Node) settleLeaving(ctx context.Context, r port.Report) bool {
