mesh: after a reload, reports of the upstream that the gate sends to keep their effect

What callers saw: requests on an upstream whose leaving was acknowledged (rule DRAIN), after the settings file had changed its address and SIGHUP had been sent.

Cause: an acknowledgement without effect. A reload says that a changed address needs a restart, and the gate goes on sending to the old one; reports were compared with the new one, and dropped as another upstream's.

Only suspected as the incident's cause.

Change: reports are compared with the service and address that the gate uses.

--- a/mesh/leaving_test.go
+++ b/mesh/leaving_test.go
@@ -15,6 +15,7 @@
 	"eiderfold/link"
 	"eiderfold/platform"
 	"eiderfold/port"
+	"eiderfold/settings"
 )
 
 // storeReadTime is how long a node may take to read the store once it can be reached: the longest pause
@@ -177,3 +178,17 @@
 		assert.False(t, status == http.StatusOK && one.gateMode() == link.ModeOpen, body)
 	}
 }
+
+// After a reload that names another address, which needs a restart, reports of the upstream that the gate
+// still sends to must keep their effect.
+func TestLeavingIgnoredAfterReload(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	one := b.add("one", "births")
+	b.awaitReady()
+	changed, err := settings.ParseMesh("test", []byte(strings.Replace(one.yaml, one.upstream.address, "127.0.0.1:1", 1)))
+	require.NoError(t, err)
+	one.Reload(changed)
+	require.Equal(t, http.StatusOK, one.report(2, true))
+	assert.Equal(t, link.ModeClosed, one.gateMode())
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -32,6 +32,7 @@
 	log          *zap.Logger
 	metrics      *Metrics
 	self         link.Member
+	upstream     gate.Upstream // As the gate uses it: changed settings need a restart.
 	process      uint64 // Identifies this process; differs after a restart.
 	endpoints    *ingress.Endpoints
 	forwarder    *ingress.Forwarder
@@ -56,6 +57,7 @@
 		log:       log,
 		metrics:   metrics,
 		self:      link.Member{Name: s.Node(), Address: s.Advertised(), DataCentre: s.DataCentre(), Service: s.Service()},
+		upstream:  gate.Upstream{Address: s.Upstream(), Service: s.Service()},
 		process:   rand.Uint64(),
 		endpoints: ingress.NewEndpoints(s.DataCentre(), s.FloorShare()),
 	}
@@ -81,7 +83,7 @@
 	n.evacuation = newEvacuation(n)
 	n.links = newLinks(n)
 	n.limits.homes = quota.NewHomes(fleetView{n.links})
-	n.gate = gate.New(gate.Upstream{Address: s.Upstream(), Service: s.Service()}, p.Dialect, log,
+	n.gate = gate.New(n.upstream, p.Dialect, log,
 		gate.WithBudget(n.budget),
 		gate.WithSwitches(s.Switches()),
 		gate.WithQuarantine(n.quarantine.tracker),
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -64,9 +64,9 @@
 	n.platform.AcknowledgeReport(w)
 }
 
-// isForeign reports whether a report names another service or address than those of the local upstream.
+// isForeign reports whether a report names another service or address than those that the gate uses.
 func (n *Node) isForeign(r port.Report) bool {
-	return !r.Final && (r.Service != n.self.Service || r.Address != n.settings.Load().Upstream())
+	return !r.Final && (r.Service != n.upstream.Service || r.Address != n.upstream.Address)
 }
 
 // refuseForeign handles a report of another upstream, which has no effect. That one leaves is not
