gate: no request is written after its data centre was evacuated

What callers saw: nothing yet; found by looking for the same class. A request that was started before an evacuation could reach an upstream there as long after it as its connection, or its process, took.

Cause: decided under a lock, done later, as with the leaving of an upstream.

Change: the guard before the write also refuses while the data centre is evacuated; the request has not run and is offered elsewhere. A node that stops lets started requests go on, as before (TestStopRefusesStartedRequest).

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -238,6 +238,12 @@
 	a.evacuated = m.On
 }
 
+// mayWrite reports whether a started request may still be written to an incarnation. A node that stops
+// lets it: it waits for requests that have started.
+func (a *Admission) mayWrite(upstream port.Incarnation) bool {
+	return !a.evacuated && !a.leaving.contains(upstream)
+}
+
 // Saturated reports whether all slots are taken.
 func (a *Admission) Saturated() bool { return a.busy() >= a.slots }
 
--- a/gate/sendguard.go
+++ b/gate/sendguard.go
@@ -33,12 +33,12 @@
 	upstream port.Incarnation
 }
 
-// begin refuses a request whose upstream has said that it leaves since the request was started.
+// begin refuses a request whose upstream may get no new work any more since the request was started.
 func (w *attemptGuard) begin() bool {
 	g := w.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.admission.leaving.contains(w.upstream) {
+	if !g.admission.mayWrite(w.upstream) {
 		g.count("attempt_not_written")
 		return false
 	}
--- a/gate/sendguard_test.go
+++ b/gate/sendguard_test.go
@@ -33,6 +33,58 @@
 	return &answer{status: http.StatusOK, header: http.Header{}}, nil
 }
 
+// heldClient waits before it asks the guard until release is closed.
+type heldClient struct {
+	blockingClient
+	held    chan struct{} // Gets a value for each request that waits.
+	release chan struct{}
+}
+
+func (c heldClient) do(_ context.Context, _ *link.Content, _ port.OutgoingMetadata, _ bool, guard sendGuard) (*answer, *failure) {
+	c.held <- struct{}{}
+	<-c.release
+	if !guard.begin() {
+		return nil, &failure{outcome: NoEvidence, reason: link.ReasonClosed}
+	}
+	guard.end()
+	return &answer{status: http.StatusOK, header: http.Header{}}, nil
+}
+
+// startHeld returns an open gate with an order that is started and held before its write.
+func startHeld(t *testing.T) (g *Gate, c heldClient, sent sentFrames) {
+	t.Helper()
+	g = New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
+	c = heldClient{held: make(chan struct{}, 1), release: make(chan struct{})}
+	g.client = c
+	g.Report(port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: "a", Slots: 4, Sequence: 1})
+	require.Eventually(t, func() bool { return g.Status().Mode == link.ModeOpen }, 5*time.Second, time.Millisecond)
+	sent = make(sentFrames, 8)
+	order := link.Key{Origin: 7, Number: 1}
+	g.Handle(sent, &link.Frame{Offer: &link.Offer{Key: order, Service: "a", TimeLeft: time.Minute}})
+	require.NotNil(t, (<-sent).Granted)
+	g.Handle(sent, &link.Frame{Commit: &link.Commit{Key: order, TimeLeft: time.Minute, Content: &link.Content{Method: http.MethodPost, Target: "/x"}}})
+	<-c.held
+	return g, c, sent
+}
+
+// A request that was started before the data centre was evacuated must not be written afterwards.
+func TestRequestWrittenAfterEvacuation(t *testing.T) {
+	g, c, sent := startHeld(t)
+	g.Evacuate(true)
+	close(c.release)
+	refused := (<-sent).Refused
+	require.NotNil(t, refused)
+	assert.Equal(t, link.ReasonClosed, refused.Reason)
+}
+
+// A planned stop must let requests go on that were started before it.
+func TestStopRefusesStartedRequest(t *testing.T) {
+	g, c, sent := startHeld(t)
+	g.Stop()
+	close(c.release)
+	assert.NotNil(t, (<-sent).Answer)
+}
+
 // While a process stands still between the last check and the write, the leaving of the upstream must not
 // count as settled; later requests must not be written.
 func TestLeavingSettledWhileWriteInProgress(t *testing.T) {
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -56,7 +56,7 @@
 	request := c.encode(r, m)
 	if !guard.begin() {
 		c.putIdle(conn)
-		return nil, &failure{outcome: NoEvidence, reason: link.ReasonClosed, detail: "not written, as the upstream leaves"}
+		return nil, &failure{outcome: NoEvidence, reason: link.ReasonClosed, detail: "not written, as the upstream may get no new work any more"}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	idle := conn.idleFor()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -33,7 +33,7 @@
 	metrics      *Metrics
 	self         link.Member
 	upstream     gate.Upstream // As the gate uses it: changed settings need a restart.
-	process      uint64 // Identifies this process; differs after a restart.
+	process      uint64        // Identifies this process; differs after a restart.
 	endpoints    *ingress.Endpoints
 	forwarder    *ingress.Forwarder
 	budget       *budget.Budget
