gate: no request is written after it was quarantined

What callers saw: nothing yet; found by looking for the same class. The gate looks for a quarantine right before it starts a request. A request that was started and not yet written when the record came, with a connection to be made or a process that stood still, ended one more upstream.

Cause: decided under a lock, done later.

Change: the guard before the write looks again. It returns the failure now, so that the refusal has its reason and the rest of the hold as Retry-After.

Result: TestRequestWrittenAfterQuarantine fails without the change (the held order is answered) and passes; go test ./gate passes.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -103,7 +103,8 @@
 // failure describes why an attempt got no answer.
 type failure struct {
 	outcome      Outcome
-	reason       link.Reason // Set only if the request has certainly not run.
+	reason       link.Reason   // Set only if the request has certainly not run.
+	retryAfter   time.Duration // When it may be sent again, with a reason; 0 for no advice.
 	detail       string
 	closedByPeer bool // The upstream closed the connection.
 	// processEnded is set if nothing listened at the upstream's address when the attempt failed.
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -116,7 +116,7 @@
 	k := ao.offer.Key
 	switch {
 	case f != nil && f.reason != link.ReasonNone:
-		return &link.Frame{Refused: &link.Refused{Key: k, Reason: f.reason}}, f.outcome
+		return &link.Frame{Refused: &link.Refused{Key: k, Reason: f.reason, RetryAfter: f.retryAfter}}, f.outcome
 	case f != nil:
 		return &link.Frame{Failed: &link.Failed{Key: k, Detail: f.detail}}, f.outcome
 	}
--- a/gate/sendguard.go
+++ b/gate/sendguard.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"eiderfold/link"
 	"eiderfold/port"
 )
 
@@ -14,8 +15,9 @@
 // written. The decision to start the request may be older: a connection had to be made, or the process
 // stood still.
 type sendGuard interface {
-	// begin reports whether the request may be written. If so, end must be called.
-	begin() bool
+	// begin returns nil if the request may be written, and end must be called then. Otherwise it returns
+	// why the request has not run.
+	begin() *failure
 	// end is called once the first bytes were handed to the kernel, or could not be.
 	end()
 }
@@ -33,23 +35,29 @@
 	upstream port.Incarnation
 }
 
-// begin refuses a request whose upstream may get no new work any more since the request was started.
-func (w *attemptGuard) begin() bool {
+// begin refuses a request that was quarantined since it was started, or whose upstream may get no new work any
+// more.
+func (w *attemptGuard) begin() *failure {
 	g := w.gate
+	now := time.Now()
+	if left := g.tracker.Remaining(now, w.attempt.fingerprint); left > 0 {
+		g.count("attempt_not_written")
+		return &failure{outcome: NoEvidence, reason: link.ReasonQuarantined, retryAfter: left, detail: "quarantined before it was written"}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.admission.mayWrite(w.upstream) {
 		g.count("attempt_not_written")
-		return false
+		return &failure{outcome: NoEvidence, reason: link.ReasonClosed, detail: "not written, as the upstream may get no new work any more"}
 	}
-	w.attempt.written = time.Now()
+	w.attempt.written = now
 	p := g.writes[w.upstream]
 	if p == nil {
 		p = &pendingWrites{none: make(chan struct{})}
 		g.writes[w.upstream] = p
 	}
 	p.count++
-	return true
+	return nil
 }
 
 // end ends a write that begin allowed.
--- a/gate/sendguard_test.go
+++ b/gate/sendguard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"eiderfold/link"
 	"eiderfold/platform"
 	"eiderfold/port"
+	"eiderfold/quarantine"
 )
 
 // writingClient stands still between the guard's permission and the write until release is closed.
@@ -23,10 +25,10 @@
 }
 
 func (c writingClient) do(_ context.Context, _ *link.Content, _ port.OutgoingMetadata, _ bool, guard sendGuard) (*answer, *failure) {
-	allowed := guard.begin()
-	c.begun <- allowed
-	if !allowed {
-		return nil, &failure{outcome: NoEvidence, reason: link.ReasonClosed}
+	f := guard.begin()
+	c.begun <- f == nil
+	if f != nil {
+		return nil, f
 	}
 	<-c.release
 	guard.end()
@@ -43,8 +45,8 @@
 func (c heldClient) do(_ context.Context, _ *link.Content, _ port.OutgoingMetadata, _ bool, guard sendGuard) (*answer, *failure) {
 	c.held <- struct{}{}
 	<-c.release
-	if !guard.begin() {
-		return nil, &failure{outcome: NoEvidence, reason: link.ReasonClosed}
+	if f := guard.begin(); f != nil {
+		return nil, f
 	}
 	guard.end()
 	return &answer{status: http.StatusOK, header: http.Header{}}, nil
@@ -77,6 +79,21 @@
 	assert.Equal(t, link.ReasonClosed, refused.Reason)
 }
 
+// A request that was started before it was quarantined must not be written afterwards.
+func TestRequestWrittenAfterQuarantine(t *testing.T) {
+	g, c, sent := startHeld(t)
+	request := quarantine.FingerprintOf(http.MethodPost, "", "/x", "", nil)
+	for n := range 8 {
+		g.tracker.Crashed(time.Now(), request, fmt.Sprintf("i-%d", n+2), time.Now())
+	}
+	require.Positive(t, g.tracker.Remaining(time.Now(), func() quarantine.Fingerprint { return request }))
+	close(c.release)
+	refused := (<-sent).Refused
+	require.NotNil(t, refused)
+	assert.Equal(t, link.ReasonQuarantined, refused.Reason)
+	assert.Positive(t, refused.RetryAfter)
+}
+
 // A planned stop must let requests go on that were started before it.
 func TestStopRefusesStartedRequest(t *testing.T) {
 	g, c, sent := startHeld(t)
@@ -105,8 +122,8 @@
 	passed, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	require.Error(t, g.AwaitWrites(passed, upstream))
-	late := &attemptGuard{gate: g, attempt: &activeOffer{offer: &link.Offer{}}, upstream: upstream}
-	assert.False(t, late.begin())
+	late := &attemptGuard{gate: g, attempt: &activeOffer{offer: &link.Offer{Content: &link.Content{}}}, upstream: upstream}
+	assert.NotNil(t, late.begin())
 	close(c.release)
 	require.NoError(t, g.AwaitWrites(t.Context(), upstream))
 	assert.NotNil(t, (<-sent).Answer)
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -54,9 +54,9 @@
 		return nil, &failure{outcome: Unreached, reason: link.ReasonNotConnected, detail: err.Error(), processEnded: connectionRefused(err)}
 	}
 	request := c.encode(r, m)
-	if !guard.begin() {
+	if f := guard.begin(); f != nil {
 		c.putIdle(conn)
-		return nil, &failure{outcome: NoEvidence, reason: link.ReasonClosed, detail: "not written, as the upstream may get no new work any more"}
+		return nil, f
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	idle := conn.idleFor()
--- a/gate/upstream_test.go
+++ b/gate/upstream_test.go
@@ -95,8 +95,8 @@
 // noGuard lets every request pass.
 type noGuard struct{}
 
-func (noGuard) begin() bool { return true }
-func (noGuard) end()        {}
+func (noGuard) begin() *failure { return nil }
+func (noGuard) end()            {}
 
 var testMetadata = port.OutgoingMetadata{TimeLeft: 2 * time.Second, Upstream: "i-1", CallerService: "births"}
 
