soak: upstreams deregister first, report late and serve on while their nodes are disturbed

Its upstreams always report 'draining', which a new process hears again with the next heartbeat, their health answers are true, their reports are never late, and after the drain time they serve for half a second only.

The bound of the check stays.

Waiting writes are counted by id now instead of incarnation: earlier starts of an id would reach the one that leaves.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -42,6 +42,7 @@
 	operator := c.Flags().Bool("operator", false, "data centres are evacuated, and the store is restored from a copy")
 	uploads := c.Flags().Bool("uploads", false, "some orders have large bodies that are sent slowly")
 	limits := c.Flags().Bool("limits", false, "upstreams name limits in their answers, or that they leave")
+	leaving := c.Flags().Bool("leaving", false, "upstreams report late or deregister first, and their nodes are disturbed right after the acknowledgement")
 	commit := c.Flags().String("previous", "", "a commit: its build runs beside today's, nodes are replaced one after the other")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		dir, err := os.MkdirTemp("", "eiderfold-soak")
@@ -60,7 +61,7 @@
 		}
 		failed := 0
 		for seed := *from; seed < *from+*seeds; seed++ {
-			violated, err := runSeed(c, soak.Options{Program: program, Previous: previous, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads, Limits: *limits})
+			violated, err := runSeed(c, soak.Options{Program: program, Previous: previous, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads, Limits: *limits, Leaving: *leaving})
 			if err != nil {
 				return err
 			}
--- a/bench/soak/cost_test.go
+++ b/bench/soak/cost_test.go
@@ -39,7 +39,7 @@
 	dir := b.TempDir()
 	program, err := buildProgram(dir, "", "eiderfold/bench/cmd/passthrough")
 	require.NoError(b, err)
-	u, err := startUpstream(b.Context(), "127.0.0.1:0", "127.0.0.1:1", newChecker(true))
+	u, err := startUpstream(b.Context(), "127.0.0.1:0", "127.0.0.1:1", newChecker(true), func() time.Duration { return 0 })
 	require.NoError(b, err)
 	p, address, err := fleet.StartStandin(b.Context(), "passthrough", dir, program, u.address)
 	require.NoError(b, err)
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -38,6 +38,9 @@
 	if s.options.Limits {
 		faultKinds = append(faultKinds, faultKind{s.limitUpstream, noNode}, faultKind{s.limitUpstream, noNode}, faultKind{s.limitUpstream, noNode}, faultKind{s.leaveByAnswers, noNode})
 	}
+	if s.options.Leaving {
+		faultKinds = append(faultKinds, faultKind{s.leave, noNode}, faultKind{s.leave, noNode}, faultKind{s.leave, noNode}, faultKind{s.leave, noNode})
+	}
 	if s.options.Operator {
 		faultKinds = append(faultKinds, faultKind{s.evacuate, noNode}, faultKind{s.evacuate, noNode}, faultKind{s.restoreStore, allNodes})
 	}
--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return errors.Wrap(err, "cutter")
 	}
-	if n.upstream, err = startUpstream(ctx, upstreamAddress, reports, s.checker); err != nil {
+	if n.upstream, err = startUpstream(ctx, upstreamAddress, reports, s.checker, s.lateness); err != nil {
 		return err
 	}
 	n.upstream.crashingRequests, n.upstream.nodeConnected = s.crashingRequests, n.connectivity.connected
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -65,6 +65,9 @@
 	// Limits adds upstreams that name limits in their answers, or that they leave. With an earlier
 	// build beside today's, whether that is kept is not checked.
 	Limits bool
+	// Leaving adds upstreams that report late, deregister first, serve long after their leaving was
+	// acknowledged, and whose nodes are paused or restarted right after that.
+	Leaving bool
 }
 
 // Report is the result of a run.
@@ -94,6 +97,7 @@
 	crashingRequests map[string]*crashingRequest
 	kernel           kernelCounters // Values at the start of the run.
 	version          int
+	leaving          *leavingRandom
 	// evacuations holds the data centres under evacuation.
 	evacuations evacuations
 }
@@ -153,6 +157,7 @@
 		checker:     newChecker(o.Previous == ""),
 		kernel:      readKernelCounters(),
 		evacuations: evacuations{start: map[string]time.Time{}},
+		leaving:     newLeavingRandom(o.Seed),
 	}
 	if o.Ending {
 		s.crashingRequests = newCrashingRequests()
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -47,11 +47,14 @@
 	generation       int
 	startedAt        int64 // Start of the incarnation, in Unix milliseconds.
 	state            string
+	silent           bool // It has deregistered and sends no more heartbeats.
+	lies             bool // Its health answers are good although it leaves.
 	seq              int
 	said             said
 	drainingSince    time.Time                   // When the draining state was acknowledged; zero if it was not.
 	server           *http.Server                // nil while the upstream is down.
 	closed           bool                        // The run has ended.
+	lateness         func() time.Duration        // Returns how late the next heartbeat arrives.
 	crashingRequests map[string]*crashingRequest // Requests that crash it, by path.
 	nodeConnected    func() bool                 // Reports whether the node beside it is connected.
 	// evacuatedSince returns when the evacuation of its data centre began; the zero time
@@ -59,12 +62,12 @@
 	evacuatedSince func() time.Time
 }
 
-func startUpstream(ctx context.Context, address, reportAddress string, c *checker) (*upstream, error) {
+func startUpstream(ctx context.Context, address, reportAddress string, c *checker, lateness func() time.Duration) (*upstream, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream")
 	}
-	u := &upstream{address: listener.Addr().String(), reportAddress: reportAddress, checker: c, state: "ready"}
+	u := &upstream{address: listener.Addr().String(), reportAddress: reportAddress, checker: c, state: "ready", lateness: lateness}
 	u.newIncarnation(false)
 	u.serve(ctx, listener)
 	go u.sendHeartbeats(ctx)
@@ -105,17 +108,18 @@
 	u.id = "i-" + u.address + "-" + strconv.Itoa(u.generation)
 	u.startedAt = time.Now().UnixMilli()
 	u.state, u.seq, u.drainingSince, u.said = "ready", 0, time.Time{}, said{}
+	u.silent, u.lies = false, false
 }
 
 // ServeHTTP implements http.Handler.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
-	id, stamp, state, drainingSince := u.id, u.stamp(), u.state, u.drainingSince
+	id, stamp, state, drainingSince, lies := u.id, u.stamp(), u.state, u.drainingSince, u.lies
 	u.mu.Unlock()
 	if r.URL.Path == "/health" {
 		u.writeStatements(w.Header())
 		w.Header().Set("Instance-Id", id)
-		if state != "ready" {
+		if state != "ready" && !lies {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -171,7 +175,11 @@
 	t := time.NewTicker(heartbeatInterval)
 	defer t.Stop()
 	for {
-		u.heartbeat(ctx)
+		if late := u.lateness(); late > 0 {
+			go u.heartbeatLate(ctx, late)
+		} else {
+			u.heartbeat(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -181,38 +189,31 @@
 }
 
 // heartbeat sends one heartbeat and reports whether it was acknowledged within a second.
-func (u *upstream) heartbeat(ctx context.Context) bool {
+func (u *upstream) heartbeat(ctx context.Context) bool { return u.heartbeatLate(ctx, 0) }
+
+// heartbeatLate is heartbeat for one that says what holds now and arrives late.
+func (u *upstream) heartbeatLate(ctx context.Context, late time.Duration) bool {
 	u.mu.Lock()
-	if u.server == nil {
+	if u.server == nil || u.silent {
 		u.mu.Unlock()
 		return false
 	}
-	u.seq++
-	id, state := u.id, u.state
-	body := fmt.Sprintf(`{"service":"a","address":%q,"zone":"d","version":"v1","slots":%d,"state":%q,"coldLeftMs":0,"callSeq":%d,"born":%d}`, u.address, slots, state, u.seq, u.startedAt)
+	id, state, body := u.id, u.state, u.nextHeartbeat()
 	u.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.reportAddress+"/-/rpc?call=instances.heartbeat&of="+id, strings.NewReader(body))
-	if err != nil {
-		return false
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	acknowledged := resp.StatusCode == http.StatusOK
+	time.Sleep(late)
+	acknowledged := u.report(ctx, "instances.heartbeat", id, body)
 	if acknowledged && state != "ready" {
-		u.mu.Lock()
-		if u.drainingSince.IsZero() && u.id == id {
-			u.drainingSince = time.Now()
-		}
-		u.mu.Unlock()
+		u.noteAcknowledged(id)
 	}
 	return acknowledged
 }
 
+// nextHeartbeat returns the body of the next heartbeat. The lock must be held.
+func (u *upstream) nextHeartbeat() string {
+	u.seq++
+	return fmt.Sprintf(`{"service":"a","address":%q,"zone":"d","version":"v1","slots":%d,"state":%q,"coldLeftMs":0,"callSeq":%d,"born":%d}`, u.address, slots, u.state, u.seq, u.startedAt)
+}
+
 // drain reports this incarnation as draining, continues to serve for drainDuration and
 // then starts the next incarnation.
 func (u *upstream) drain(ctx context.Context) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -69,8 +69,8 @@
 	admission    *Admission
 	active       map[link.Key]*activeOffer
 	ended        map[link.Key]endedAttempt
-	writes       map[port.Incarnation]*pendingWrites // First writes in progress.
-	expiredUpTo  map[uint64]uint64                   // By origin, the highest number of a non-retryable request whose result is no longer kept.
+	writes       map[string]*pendingWrites // First writes in progress, by id of the upstream.
+	expiredUpTo  map[uint64]uint64         // By origin, the highest number of a non-retryable request whose result is no longer kept.
 	failures     []localFailure
 	tracker      *quarantine.SharedTracker
 	abandoned    abandonedList
@@ -119,7 +119,7 @@
 		path:        func() string { return "" },
 		active:      map[link.Key]*activeOffer{},
 		ended:       map[link.Key]endedAttempt{},
-		writes:      map[port.Incarnation]*pendingWrites{},
+		writes:      map[string]*pendingWrites{},
 		expiredUpTo: map[uint64]uint64{},
 		done:        make(chan struct{}),
 	}
--- a/gate/sendguard.go
+++ b/gate/sendguard.go
@@ -22,7 +22,7 @@
 	end()
 }
 
-// pendingWrites counts the first writes in progress to an incarnation.
+// pendingWrites counts the first writes in progress to the incarnations with one id.
 type pendingWrites struct {
 	count int
 	none  chan struct{} // Closed when the count drops to 0.
@@ -41,43 +41,47 @@
 	g := w.gate
 	now := time.Now()
 	if left := g.tracker.Remaining(now, w.attempt.fingerprint); left > 0 {
-		g.count("attempt_not_written")
-		return &failure{outcome: NoEvidence, reason: link.ReasonQuarantined, retryAfter: left, detail: "quarantined before it was written"}
+		return g.notWritten(link.ReasonQuarantined, left)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.admission.mayWrite(w.upstream) {
-		g.count("attempt_not_written")
-		return &failure{outcome: NoEvidence, reason: link.ReasonClosed, detail: "not written, as the upstream may get no new work any more"}
+		return g.notWritten(link.ReasonClosed, 0)
 	}
 	w.attempt.written = now
-	p := g.writes[w.upstream]
+	p := g.writes[w.upstream.ID]
 	if p == nil {
 		p = &pendingWrites{none: make(chan struct{})}
-		g.writes[w.upstream] = p
+		g.writes[w.upstream.ID] = p
 	}
 	p.count++
 	return nil
 }
 
+// notWritten returns the failure of a started request that is not written.
+func (g *Gate) notWritten(reason link.Reason, retryAfter time.Duration) *failure {
+	g.count("attempt_not_written")
+	return &failure{outcome: NoEvidence, reason: reason, retryAfter: retryAfter, detail: "not written: " + reason.String()}
+}
+
 // end ends a write that begin allowed.
 func (w *attemptGuard) end() {
 	g := w.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := g.writes[w.upstream]
+	p := g.writes[w.upstream.ID]
 	p.count--
 	if p.count == 0 {
 		close(p.none)
-		delete(g.writes, w.upstream)
+		delete(g.writes, w.upstream.ID)
 	}
 }
 
-// AwaitWrites waits until no first write to an incarnation that leaves is in progress. After that none
-// follows, so that the leaving can be acknowledged.
+// AwaitWrites waits until no first write to an upstream that leaves is in progress. After that none follows, so
+// that the leaving can be acknowledged. Writes to earlier starts of its id count: they would reach it.
 func (g *Gate) AwaitWrites(ctx context.Context, upstream port.Incarnation) error {
 	g.mu.Lock()
-	p := g.writes[upstream]
+	p := g.writes[upstream.ID]
 	g.mu.Unlock()
 	if p == nil {
 		return nil
