ingress: a choice reads each gate's mean response time once

What callers saw: a node ended by itself, with all requests that it held ('index out of range [0] with length 0' in Endpoints.oneOf, called by best).

Cause: a value read twice. The median of the gates' mean response times was taken, then each gate was compared with it by another read; an answer in between may have raised the only open gate's time above the bound, so that no gate was left to choose from.

Change: the times are read once, and the median and the comparison use the same ones (also where requests spill over).

--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -175,8 +175,9 @@
 
 // best returns the better of two random open gates, preferring the own data centre.
 func (e *Endpoints) best(open []*Endpoint, now time.Time) selection {
-	median := medianResponseTime(open, now)
-	pool := withoutSlow(open, median, now)
+	gates := timed(open, now)
+	median := medianResponseTime(gates)
+	pool := withoutSlow(gates, median)
 	if !e.switches.On(switches.SlowLast) {
 		pool = open
 	}
@@ -231,21 +232,6 @@
 	return out
 }
 
-// withoutSlow filters out gates whose mean response time is far above the median.
-func withoutSlow(list []*Endpoint, median time.Duration, now time.Time) []*Endpoint {
-	bound := time.Duration(slowFactor * float64(median))
-	if bound == 0 {
-		return list
-	}
-	var out []*Endpoint
-	for _, n := range list {
-		if n.responseTime.at(now) <= bound {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 // cost estimates the time a request would take at the gate. A gate without a recent
 // response time counts as the median.
 func (e *Endpoint) cost(median time.Duration, now time.Time) float64 {
--- a/ingress/endpoint_test.go
+++ b/ingress/endpoint_test.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -160,3 +162,22 @@
 	counts := chosen(endpoints, all, criteria{})
 	assert.InDelta(t, 4000/3, counts[0], 300)
 }
+
+// Choosing a gate must not fail while an answer changes the mean response time of the only open one.
+func TestChoosePanicsWhileResponseTimeChanges(t *testing.T) {
+	endpoints, all := gates("O")
+	now := time.Unix(1000, 0)
+	ctx, stop := context.WithCancel(t.Context())
+	var answers sync.WaitGroup
+	answers.Go(func() {
+		for ctx.Err() == nil {
+			all[0].responseTime.note(time.Millisecond, now)
+			all[0].responseTime.note(100*time.Millisecond, now)
+		}
+	})
+	defer answers.Wait()
+	defer stop()
+	for range 200_000 {
+		require.Equal(t, all[0], endpoints.choose(criteria{service: "a"}, now).endpoint)
+	}
+}
--- a/ingress/repeat.go
+++ b/ingress/repeat.go
@@ -76,7 +76,7 @@
 // usualTime returns how long an answer usually takes: the service's median, but no longer than all
 // but a few of the route's answers take. It returns 0 if no gate has reported a recent mean.
 func (f *inFlightRequest) usualTime(now time.Time) time.Duration {
-	return min(medianResponseTime(f.forwarder.endpoints.Of(f.service), now), f.latency.Threshold())
+	return min(medianResponseTime(timed(f.forwarder.endpoints.Of(f.service), now)), f.latency.Threshold())
 }
 
 // wasShed reports whether the request was shed and no attempt of it has run or runs.
--- a/ingress/responsetime.go
+++ b/ingress/responsetime.go
@@ -33,13 +33,28 @@
 	return time.Duration(p.mean.Load())
 }
 
+// timedEndpoint is a gate with its mean response time, read once: answers change it at any moment.
+type timedEndpoint struct {
+	*Endpoint
+	mean time.Duration // 0 for unknown.
+}
+
+// timed returns gates with their mean response times.
+func timed(list []*Endpoint, now time.Time) []timedEndpoint {
+	out := make([]timedEndpoint, len(list))
+	for i, n := range list {
+		out[i] = timedEndpoint{Endpoint: n, mean: n.responseTime.at(now)}
+	}
+	return out
+}
+
 // medianResponseTime returns the median of the known mean response times, 0 if none is
 // known.
-func medianResponseTime(list []*Endpoint, now time.Time) time.Duration {
+func medianResponseTime(list []timedEndpoint) time.Duration {
 	times := make([]time.Duration, 0, len(list))
 	for _, n := range list {
-		if mean := n.responseTime.at(now); mean > 0 {
-			times = append(times, mean)
+		if n.mean > 0 {
+			times = append(times, n.mean)
 		}
 	}
 	if len(times) == 0 {
@@ -48,3 +63,16 @@
 	slices.Sort(times)
 	return times[len(times)/2]
 }
+
+// withoutSlow returns the gates whose mean response time is not far above the median. The gate with the
+// median is always among them.
+func withoutSlow(list []timedEndpoint, median time.Duration) []*Endpoint {
+	bound := time.Duration(slowFactor * float64(median))
+	out := make([]*Endpoint, 0, len(list))
+	for _, n := range list {
+		if median == 0 || n.mean <= bound {
+			out = append(out, n.Endpoint)
+		}
+	}
+	return out
+}
--- a/ingress/spill.go
+++ b/ingress/spill.go
@@ -48,8 +48,9 @@
 	if wait, known := c.local.wait(); !known || wait <= crit.maxLocalWait {
 		return nil
 	}
-	median := medianResponseTime(c.open, now)
-	pool := e.spillTargets(withoutSlow(c.open, median, now), now)
+	gates := timed(c.open, now)
+	median := medianResponseTime(gates)
+	pool := e.spillTargets(withoutSlow(gates, median), now)
 	if len(pool) == 0 {
 		return nil
 	}
