gate: no attempt is sent again on a connection that has refused it or answered it with an error

Cause: an answer was assigned by the attempt's id, which is the same at each try. An upstream that refuses part of its requests and sends a late copy of some answers: the attempt was offered again, got the same kept connection, and the late copy of the refusal was taken for its answer, while it ran.

Change: a connection remembers the attempts that it has answered with a refusal or an error, the ones that may be sent again, and is not used for them; after 64 it is closed. Late copies for other attempts are told apart by their ids, as before. Why it works: on a connection each attempt that is not finished is sent once, so a second answer with its id belongs to no later try.

--- a/gate/connection.go
+++ b/gate/connection.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -39,6 +40,9 @@
 	readBufferBytes = 4 << 10
 	// maxIdleConns bounds the idle connections that are kept.
 	maxIdleConns = 16
+	// maxUnfinished is how many attempts may be refused or answered with an error on a connection
+	// before it is closed.
+	maxUnfinished = 64
 )
 
 // upstreamConn is a connection to the upstream with its read buffer and idle times.
@@ -48,10 +52,14 @@
 	idleUntil time.Time // By the upstream's Keep-Alive header or maxIdleTime.
 	idleSince time.Time
 	unused    bool // Nothing has been sent on it yet.
+	// unfinished holds the attempts that were refused or answered with an error on it. They may be sent
+	// again, and late copies of these answers could not be told from new ones.
+	unfinished []string
 }
 
-// connection returns a usable idle connection or dials a new one.
-func (c *client) connection(ctx context.Context, once bool) (*upstreamConn, error) {
+// connection returns a usable idle connection or dials a new one. An attempt gets no connection on which it
+// was sent before.
+func (c *client) connection(ctx context.Context, attempt string, once bool) (*upstreamConn, error) {
 	now := time.Now()
 	for {
 		conn := c.takeIdle()
@@ -59,7 +67,7 @@
 			break
 		}
 		fresh := now.Before(conn.idleUntil) && now.Sub(conn.idleSince) < c.idleLimit(once)
-		if fresh && isUsable(conn) {
+		if fresh && !slices.Contains(conn.unfinished, attempt) && isUsable(conn) {
 			return conn, nil
 		}
 		_ = conn.Close()
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -46,7 +46,7 @@
 
 // do sends the request once, if the guard still allows it, and reads the whole answer.
 func (c *client) do(ctx context.Context, r *link.Content, m port.OutgoingMetadata, once bool, guard sendGuard) (*answer, *failure) {
-	conn, err := c.connection(ctx, once)
+	conn, err := c.connection(ctx, c.attemptOf(r), once)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, &failure{outcome: NoEvidence, reason: link.ReasonExpired, detail: "canceled before a connection was established"}
@@ -100,11 +100,15 @@
 			return nil, false, c.failed(err, writeErr)
 		}
 		meta := c.dialect.Answer(a.status, a.header)
-		if meta.Attempt != "" && meta.Attempt != http.Header(r.Header).Get(c.dialect.AttemptHeader()) {
+		if meta.Attempt != "" && meta.Attempt != c.attemptOf(r) {
 			continue // The answer to an earlier request; ours may follow.
 		}
 		said := statementOf(a, meta)
 		answered, reusable, f := c.classify(a, meta, reusable && writeErr == nil)
+		if f != nil || a.status >= http.StatusInternalServerError {
+			conn.unfinished = append(conn.unfinished, c.attemptOf(r))
+			reusable = reusable && len(conn.unfinished) < maxUnfinished
+		}
 		if f != nil {
 			f.said = said
 		} else {
@@ -115,6 +119,11 @@
 	return nil, false, &failure{outcome: Broken, detail: "answers of other requests only"}
 }
 
+// attemptOf returns the id of the caller's attempt, which is the same each time that it is sent.
+func (c *client) attemptOf(r *link.Content) string {
+	return http.Header(r.Header).Get(c.dialect.AttemptHeader())
+}
+
 // encode returns the request as the caller sent it, with the headers for the upstream.
 func (c *client) encode(r *link.Content, m port.OutgoingMetadata) []byte {
 	h := http.Header(r.Header).Clone()
@@ -139,7 +148,7 @@
 
 // checkHealth requests the upstream's health path.
 func (c *client) checkHealth(ctx context.Context, path string) (*healthAnswer, error) {
-	conn, err := c.connection(ctx, true)
+	conn, err := c.connection(ctx, "", true)
 	if err != nil {
 		return nil, err
 	}
