ingress: a stop ends also the requests that have no offer at any gate

Cause: the end of what is in flight went to the requests that are registered by an offer. A request between two rounds, for which no gate had room at that moment, was told nothing, and the process ended.

Change: a forwarder keeps all requests that have no final answer, and Finish ends each of them with what is known of its outcome; one that begins later ends at once. One that has not run gets 503 with when to come back.

--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -75,10 +75,34 @@
 	f.broadcast(event{endpoint: e, lost: true})
 }
 
+// begin adds a request to those that Finish ends. After Finish it ends at once.
+func (f *Forwarder) begin(req *inFlightRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[req] = struct{}{}
+	if f.finished {
+		req.notify(event{finish: true})
+	}
+}
+
+// end removes a request that has its final answer.
+func (f *Forwarder) end(req *inFlightRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running, req)
+}
+
 // Finish ends every request in flight with what is known of its outcome.
-func (f *Forwarder) Finish() { f.broadcast(event{finish: true}) }
+func (f *Forwarder) Finish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.finished = true
+	for req := range f.running {
+		req.notify(event{finish: true})
+	}
+}
 
-// broadcast notifies every request once, however many offers it has.
+// broadcast notifies every request that has offers once, however many it has.
 func (f *Forwarder) broadcast(e event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -58,7 +58,9 @@
 	nextRoomLog atomic.Int64
 	latencies   sync.Map // *core.LatencyPercentile by route name.
 	mu          sync.Mutex
-	requests    map[uint64]*inFlightRequest
+	requests    map[uint64]*inFlightRequest   // By number of their offers.
+	running     map[*inFlightRequest]struct{} // All that have no final answer, with or without an offer.
+	finished    bool                          // Finish was called.
 }
 
 // Option configures a Forwarder in NewForwarder.
@@ -105,6 +107,7 @@
 		configured: make(chan struct{}),
 		origin:     rand.Uint64(),
 		requests:   map[uint64]*inFlightRequest{},
+		running:    map[*inFlightRequest]struct{}{},
 	}
 	for _, o := range options {
 		o(f)
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -78,6 +78,8 @@
 // run processes the request until its final answer. It returns nil if the caller has left.
 func (f *inFlightRequest) run(ctx context.Context) *Response {
 	defer f.withdrawAll()
+	f.forwarder.begin(f)
+	defer f.forwarder.end(f)
 	f.offerNext(time.Now())
 	timer := time.NewTimer(time.Until(f.nextWake()))
 	defer timer.Stop()
--- a/ingress/stopping_test.go
+++ b/ingress/stopping_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,9 @@
 	"github.com/stretchr/testify/require"
 
 	"eiderfold/core"
+	"eiderfold/link"
+	"eiderfold/overload"
+	"eiderfold/route"
 )
 
 // A call that arrives just before a stopping node ends what is in flight must be refused, and an
@@ -38,3 +42,26 @@
 		assert.Equal(t, http.StatusServiceUnavailable, refused.Status)
 	}
 }
+
+// A stopping node must answer a request that has no offer at any gate when it finishes, or begins afterwards.
+func TestFinishLosesRequestWithoutOffer(t *testing.T) {
+	for _, finishFirst := range []bool{false, true} {
+		f := newTestForwarder()
+		now := time.Now()
+		req := &inFlightRequest{forwarder: f, route: &route.Route{Target: time.Hour, Attempts: 2}, service: "a", latency: &core.LatencyPercentile{},
+			content: &link.Content{}, arrived: now, deadline: now.Add(time.Hour), events: make(chan event, eventBuffer), saturated: func() bool { return true },
+			deliveries: 1} // An upstream has shed it; it waits for another gate.
+		req.requirements = overload.NewRequirements(0, now, req.route.Target, req.deadline)
+		if finishFirst {
+			f.Finish()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if !finishFirst {
+			time.AfterFunc(20*time.Millisecond, f.Finish)
+		}
+		r := req.run(ctx)
+		require.NotNil(t, r, "no answer")
+		assert.Equal(t, http.StatusServiceUnavailable, r.Status)
+	}
+}
