ingress: ready answers go out before the wait for a later one

Cause: answers were flushed only when no request was queued behind them on the connection, so that a caller who always has one more outstanding got nothing until 4 KiB had gathered.

Change: before the writer waits for an answer it flushes what is ready. Ready answers still go out together.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -236,19 +236,23 @@
 func (c *serverConn) write() {
 	out := bufio.NewWriterSize(pieceWriter{c.Conn}, bufferBytes)
 	failed := false
+	flush := func() {
+		if !failed && out.Flush() != nil {
+			failed = true
+			_ = c.Conn.Close() // The caller does not read, so no further answer can reach it.
+		}
+	}
 	for p := range c.answers {
-		r := <-p.response
+		r := p.await(flush)
 		last := c.end(p, r != nil)
 		if r == nil || failed {
 			failed = true
 			continue
 		}
 		encode(out, r, p.method, last)
-		// While later requests are queued, answers stay in the buffer as far as they fit. They go
-		// out once an answer has no request queued behind it, however long that takes.
-		if len(c.answers) == 0 && out.Flush() != nil {
-			failed = true
-			_ = c.Conn.Close() // The caller does not read, so no further answer can reach it.
+		// Answers that are ready go out together, without waiting for another one.
+		if len(c.answers) == 0 {
+			flush()
 		}
 		if last {
 			c.wakeReader()
@@ -257,6 +261,17 @@
 	_ = out.Flush() // The caller may be gone.
 }
 
+// await returns the answer, and calls flush before it waits for it.
+func (p *pendingAnswer) await(flush func()) *Response {
+	select {
+	case r := <-p.response:
+		return r
+	default:
+		flush()
+		return <-p.response
+	}
+}
+
 // end counts a request as done and reports whether its answer is the last one. answered is false
 // if its caller has left.
 func (c *serverConn) end(p *pendingAnswer, answered bool) bool {
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -70,6 +70,27 @@
 	assert.Equal(t, []string{"/1", "/2"}, []string{one, two})
 }
 
+// A ready answer must not wait for that of a later request on the connection.
+func TestReadyAnswerWaitsForLaterRequest(t *testing.T) {
+	first, second := make(chan bool), make(chan bool)
+	_, address := testServer(t, func(_ context.Context, r *Request) *Response {
+		if r.RequestURI == "/1" {
+			<-first
+		} else {
+			close(first) // Both have been read.
+			<-second
+		}
+		return text(200, r.RequestURI)
+	}, route.Limits{})
+	c, in := dialServer(t, address)
+	defer close(second)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, one := readAnswer(t, in)
+	assert.Equal(t, "/1", one)
+}
+
 // TestBodies sends a body with a length, one in chunks, and none.
 func TestBodies(t *testing.T) {
 	_, address := testServer(t, func(_ context.Context, r *Request) *Response { return text(200, string(r.Body)) }, route.Limits{})
