--- a/gate/sendguard_test.go
+++ b/gate/sendguard_test.go
@@ -52,11 +52,10 @@
 	return &answer{status: http.StatusOK, header: http.Header{}}, nil
 }
 
-// startHeld returns an open gate with an order that is started and held before its write.
-func startHeld(t *testing.T) (g *Gate, c heldClient, sent sentFrames) {
+// startOrder returns an open gate with a client, which has started an order, and the frames that it sends.
+func startOrder(t *testing.T, c upstreamClient) (g *Gate, sent sentFrames) {
 	t.Helper()
 	g = New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
-	c = heldClient{held: make(chan struct{}, 1), release: make(chan struct{})}
 	g.client = c
 	g.Report(port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: "a", Slots: 4, Sequence: 1})
 	require.Eventually(t, func() bool { return g.Status().Mode == link.ModeOpen }, 5*time.Second, time.Millisecond)
@@ -65,6 +64,14 @@
 	g.Handle(sent, &link.Frame{Offer: &link.Offer{Key: order, Service: "a", TimeLeft: time.Minute}})
 	require.NotNil(t, (<-sent).Granted)
 	g.Handle(sent, &link.Frame{Commit: &link.Commit{Key: order, TimeLeft: time.Minute, Content: &link.Content{Method: http.MethodPost, Target: "/x"}}})
+	return g, sent
+}
+
+// startHeld is startOrder with the order held before its write.
+func startHeld(t *testing.T) (g *Gate, c heldClient, sent sentFrames) {
+	t.Helper()
+	c = heldClient{held: make(chan struct{}, 1), release: make(chan struct{})}
+	g, sent = startOrder(t, c)
 	<-c.held
 	return g, c, sent
 }
@@ -105,17 +112,9 @@
 // While a process stands still between the last check and the write, the leaving of the upstream must not
 // count as settled; later requests must not be written.
 func TestLeavingSettledWhileWriteInProgress(t *testing.T) {
-	g := New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
 	c := writingClient{begun: make(chan bool, 1), release: make(chan struct{})}
-	g.client = c
+	g, sent := startOrder(t, c)
 	upstream := port.Incarnation{ID: "i-1"}
-	g.Report(port.Report{Incarnation: upstream, Service: "a", Slots: 4, Sequence: 1})
-	require.Eventually(t, func() bool { return g.Status().Mode == link.ModeOpen }, 5*time.Second, time.Millisecond)
-	sent := make(sentFrames, 8)
-	order := link.Key{Origin: 7, Number: 1}
-	g.Handle(sent, &link.Frame{Offer: &link.Offer{Key: order, Service: "a", TimeLeft: time.Minute}})
-	require.NotNil(t, (<-sent).Granted)
-	g.Handle(sent, &link.Frame{Commit: &link.Commit{Key: order, TimeLeft: time.Minute, Content: &link.Content{}}})
 	require.True(t, <-c.begun)
 
 	g.Report(port.Report{Incarnation: upstream, Service: "a", Leaving: true})
--- a/mesh/leaving.go
+++ b/mesh/leaving.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -13,8 +12,6 @@
 )
 
 const (
-	// maxUpstreamName keeps a key within the store's limit of 200 bytes.
-	maxUpstreamName = 150
 	// recordRetry is the first pause between attempts to record a leaving upstream.
 	recordRetry = 150 * time.Millisecond
 	// recordRetryMax is the longest pause between attempts to record an upstream that says in its
@@ -43,38 +40,6 @@
 	return d.isLeaving(upstream), nil
 }
 
-// leavingRecord is the record of a leaving upstream.
-type leavingRecord struct {
-	segment string    // Its name in the key.
-	at      time.Time // When it was recorded.
-	own     bool      // Recorded by this process.
-}
-
-// covers reports whether the record concerns an incarnation. One without a start time concerns each start of
-// the id until it was recorded, by the clock that the upstream shares with the node.
-func (r leavingRecord) covers(upstream port.Incarnation) bool {
-	if r.segment == keySegment(upstream) {
-		return true
-	}
-	if upstream.StartedAt == 0 {
-		return false
-	}
-	return r.segment == keySegment(port.Incarnation{ID: upstream.ID}) && upstream.StartedAt <= r.at.UnixMilli()
-}
-
-// encodeLeaving returns the value of a record: when it was made, in Unix milliseconds.
-func encodeLeaving(at time.Time) []byte { return strconv.AppendInt(nil, at.UnixMilli(), 10) }
-
-// decodeLeaving returns when a record was made. One of an earlier build has another value; it was made before
-// it was read.
-func decodeLeaving(value []byte, read time.Time) time.Time {
-	ms, err := strconv.ParseInt(string(value), 10, 64)
-	if err != nil {
-		return read
-	}
-	return time.UnixMilli(ms)
-}
-
 // isLeaving reports whether an incarnation is known to be recorded as leaving.
 func (d *directory) isLeaving(upstream port.Incarnation) bool { return len(d.recordsOf(upstream)) > 0 }
 
@@ -197,23 +162,3 @@
 	}
 	return out
 }
-
-// leavingSegment separates a node's key from the names of its leaving upstreams, so that
-// one range read returns both.
-const leavingSegment = "/leaving/"
-
-// leavingPrefix returns the store prefix of this instance's leaving upstreams.
-func (d *directory) leavingPrefix() string { return nodeKey(d.node.self.Address) + leavingSegment }
-
-// leavingKey returns the store key of an incarnation's record.
-func (d *directory) leavingKey(segment string) string { return d.leavingPrefix() + segment }
-
-// keySegment returns an incarnation's name as part of a key. A long name loses its
-// beginning, as its end distinguishes the incarnations of one id.
-func keySegment(upstream port.Incarnation) string {
-	name := upstream.String()
-	if len(name) > maxUpstreamName {
-		name = name[len(name)-maxUpstreamName:]
-	}
-	return strings.ReplaceAll(name, "/", "_")
-}
--- a/mesh/leaving_test.go
+++ b/mesh/leaving_test.go
@@ -50,6 +50,14 @@
 	return r.StatusCode
 }
 
+// startWithoutStore starts a node that the store refuses, which gets a report from before its upstream left.
+func (n *testNode) startWithoutStore() {
+	n.cluster.t.Helper()
+	n.store.denied.Store(true)
+	n.start()
+	require.Equal(n.cluster.t, http.StatusOK, n.report(1, false))
+}
+
 // arrivedAfter returns the attempts that reached the upstream after a time.
 func (u *testUpstream) arrivedAfter(at time.Time) []string {
 	var late []string
@@ -112,9 +120,7 @@
 	one.stopNode()
 	two.stopNode()
 	two.start() // It has the configuration, and has not heard of the leaving.
-	one.store.denied.Store(true)
-	one.start()
-	require.Equal(t, http.StatusOK, one.report(1, false), "a delayed report from before it left")
+	one.startWithoutStore()
 	require.Eventually(t, func() bool { return one.gateMode() == link.ModeOpen }, waitTimeout, time.Millisecond, "by the health answer")
 	one.store.denied.Store(false)
 	assert.Eventually(t, func() bool { return one.gateMode() == link.ModeClosed }, storeReadTime, time.Millisecond)
@@ -129,9 +135,7 @@
 	b.awaitReady()
 	require.Equal(t, http.StatusOK, one.report(2, true))
 	one.stopNode()
-	one.store.denied.Store(true)
-	one.start()
-	require.Equal(t, http.StatusOK, one.report(1, false), "a delayed report from before it left")
+	one.startWithoutStore()
 	require.Eventually(t, func() bool {
 		p := two.Dump().Peers
 		return len(p) == 1 && p[0].Reachable && one.gate.Upstream().ID != ""
