proxy: TestRetryUsesAnotherUpstream sends until a request has met the failing upstream

It sent five requests and wanted a counted failure, but which upstream a request meets first is drawn, and five may all meet the other one.

Change: it sends five requests and more until the failing upstream has got one, and then wants each of that upstream's failures counted, not one at least, so that it checks more than before.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -271,14 +271,19 @@
 }
 
 // TestRetryUsesAnotherUpstream checks that every lookup is answered although one
-// upstream fails, and that its failures are still counted.
+// upstream fails, and that each of its failures is still counted.
 func TestRetryUsesAnotherUpstream(t *testing.T) {
-	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }))
+	var failures atomic.Int32
+	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		failures.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
 	defer failing.Close()
 	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }))
 	defer good.Close()
 	b := newTestCluster(t, failing.Listener.Addr().String(), good.Listener.Addr().String())
-	for range 5 {
+	for sent := 0; sent < 5 || failures.Load() == 0; sent++ {
+		require.Less(t, sent, 1000, "no request meets the failing upstream")
 		_, _, text, err := b.send(t, http.MethodGet, "/get/1", "", "")
 		require.NoError(t, err)
 		assert.Equal(t, "done", text)
@@ -287,7 +292,7 @@
 	for _, u := range b.service.Upstreams() {
 		counts[u.Name()] = u.Drain()
 	}
-	assert.NotZero(t, counts["u0"].Failed, "the failures of retried requests are not counted")
+	assert.EqualValues(t, failures.Load(), counts["u0"].Failed, "failures of retried requests are not counted")
 	assert.Zero(t, counts["u1"].Failed)
 }
 
