gate: a connection with an answer that names no request is not used again

What callers saw: nothing was reported.

Cause: tells late copies apart by the attempts that were refused on a connection. A refusal without an id names none of them, and its connection was kept, so that its late copy was taken for the answer to any next request.

Change: a connection is not used again after an answer without an id. Then an answer without one belongs to the only request of its connection.

--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -104,7 +104,9 @@
 			continue // The answer to an earlier request; ours may follow.
 		}
 		said := statementOf(a, meta)
-		answered, reusable, f := c.classify(a, meta, reusable && writeErr == nil)
+		// Late copies of an answer without an id can't be told from answers to later requests.
+		reusable = reusable && writeErr == nil && meta.Attempt != ""
+		answered, reusable, f := c.classify(a, meta, reusable)
 		if f != nil || a.status >= http.StatusInternalServerError {
 			conn.unfinished = append(conn.unfinished, c.attemptOf(r))
 			reusable = reusable && len(conn.unfinished) < maxUnfinished
--- a/gate/upstream_test.go
+++ b/gate/upstream_test.go
@@ -172,13 +172,12 @@
 	assert.EqualValues(t, 2, u.requests.Load())
 }
 
-// A late copy of a refusal must not be taken for the answer to the next try of the same attempt: it would be
-// reported as not run although it has run.
-func TestLateCopyOfRefusalAnswersNextTry(t *testing.T) {
-	const refusal = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+// startRepeatingRefusal starts an upstream that refuses its first request and writes the refusal once more before
+// its answer to the next request on that connection. It serves all others.
+func startRepeatingRefusal(t *testing.T, refusal string) *rawUpstream {
 	const served = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"
 	var refusedOn atomic.Pointer[net.TCPConn]
-	u := startRaw(t, func(c *net.TCPConn, r *http.Request, _ []byte) bool {
+	return startRaw(t, func(c *net.TCPConn, r *http.Request, _ []byte) bool {
 		switch {
 		case refusedOn.CompareAndSwap(nil, c):
 			return answerCase{Writes: refusal}.write(c, r)
@@ -188,6 +187,12 @@
 			return answerCase{Writes: served}.write(c, r)
 		}
 	})
+}
+
+// A late copy of a refusal must not be taken for the answer to the next try of the same attempt: it would be
+// reported as not run although it has run.
+func TestLateCopyOfRefusalAnswersNextTry(t *testing.T) {
+	u := startRepeatingRefusal(t, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	client := newTestClient(u.Addr().String())
 	_, f := client.do(context.Background(), testContent("x1"), testMetadata, true, noGuard{})
 	require.NotNil(t, f)
@@ -197,6 +202,19 @@
 	assert.Equal(t, http.StatusOK, a.status)
 }
 
+// A late copy of a refusal that names no request must not be taken for the answer to the next request on the
+// connection: that one would be reported as not run although it has run.
+func TestLateRefusalWithoutIDAnswersNextRequest(t *testing.T) {
+	u := startRepeatingRefusal(t, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	client := newTestClient(u.Addr().String())
+	_, f := client.do(context.Background(), testContent("x1"), testMetadata, true, noGuard{})
+	require.NotNil(t, f)
+	require.Equal(t, link.ReasonShed, f.reason)
+	a, f := client.do(context.Background(), testContent("x2"), testMetadata, true, noGuard{})
+	require.Nil(t, f)
+	assert.Equal(t, http.StatusOK, a.status)
+}
+
 // A request that may run only once must not use a connection that has been idle for long.
 func TestOnceUsesNoLongIdleConnection(t *testing.T) {
 	u := startRaw(t, func(c *net.TCPConn, r *http.Request, _ []byte) bool {
