gate: an answer is read while a long request is still being written

Cause: the whole request was written before anything was read.

Change: after the first bytes the rest is written in the background while the answer is read. When the answer has come, a write that is still in progress is broken off, and the connection is closed: where the rest of the body is due, nothing else may be written. A write that we broke off is not taken for the upstream's failure.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -62,16 +62,20 @@
 // failed returns the failure for a missing answer. A timeout is no evidence against the
 // upstream, since the deadline may have been short.
 func (c *client) failed(err, writeErr error) *failure {
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	if timedOut(err) {
 		return &failure{outcome: NoEvidence, detail: "no answer within the deadline"}
 	}
-	if writeErr != nil {
+	if writeErr != nil && !timedOut(writeErr) {
 		return &failure{outcome: Broken, detail: "send: " + writeErr.Error(), closedByPeer: true}
 	}
 	return &failure{outcome: Broken, detail: err.Error(), closedByPeer: closedByPeer(err)}
 }
 
+func timedOut(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
 // closedByPeer reports whether an error means that the upstream closed the connection.
 func closedByPeer(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -61,8 +61,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	idle := conn.idleFor()
 	_ = conn.SetDeadline(time.Now().Add(m.TimeLeft + answerGrace)) // Fails only on a closed connection, as the write does.
-	writeErr := write(conn, request, guard.end)
-	a, reusable, f := c.receive(conn, r, writeErr)
+	writing := startWrite(conn, request, guard.end)
+	a, reusable, f := c.receive(conn, r, writing)
 	conn.unused = false
 	c.adaptIdle(idle, f)
 	open := stop()
@@ -77,35 +77,52 @@
 	return a, f
 }
 
-// write writes a request and calls begun once its first bytes are written: an upstream may take long to
-// read the rest.
-func write(conn net.Conn, request []byte, begun func()) error {
+// requestWrite is a request that is being written to the upstream.
+type requestWrite struct {
+	conn  net.Conn
+	ended chan error // Gets the result of the write.
+}
+
+// startWrite writes the first bytes of a request, calls begun, and writes the rest in the background: an upstream
+// may take long to read it, and answer before.
+func startWrite(conn net.Conn, request []byte, begun func()) *requestWrite {
+	w := &requestWrite{conn: conn, ended: make(chan error, 1)}
 	first := min(len(request), firstWriteBytes)
 	_, err := conn.Write(request[:first])
 	begun()
 	if err != nil || first == len(request) {
-		return err
+		w.ended <- err
+		return w
 	}
-	_, err = conn.Write(request[first:])
-	return err
+	go func() {
+		_, err := conn.Write(request[first:])
+		w.ended <- err
+	}()
+	return w
+}
+
+// stop breaks off the write unless it has ended, and returns nil if the whole request was written.
+func (w *requestWrite) stop() error {
+	_ = w.conn.SetWriteDeadline(time.Now()) // Fails only on a closed connection, as the write does.
+	return <-w.ended
 }
 
-// receive reads the answer to a request, and reports whether the connection can be reused.
-func (c *client) receive(conn *upstreamConn, r *link.Content, writeErr error) (*answer, bool, *failure) {
-	// An upstream may answer before it has read a long body, so a failed write does not mean
-	// that there is no answer.
+// receive reads the answer to a request, and reports whether the connection can be reused. The answer may come
+// before the whole request is written, or after the write has failed.
+func (c *client) receive(conn *upstreamConn, r *link.Content, writing *requestWrite) (*answer, bool, *failure) {
 	for range maxStaleAnswers {
 		a, reusable, err := c.read(conn, r.Method)
 		if err != nil {
-			return nil, false, c.failed(err, writeErr)
+			return nil, false, c.failed(err, writing.stop())
 		}
 		meta := c.dialect.Answer(a.status, a.header)
 		if meta.Attempt != "" && meta.Attempt != c.attemptOf(r) {
 			continue // The answer to an earlier request; ours may follow.
 		}
 		said := statementOf(a, meta)
-		// Late copies of an answer without an id can't be told from answers to later requests.
-		reusable = reusable && writeErr == nil && meta.Attempt != ""
+		// A request that was not wholly written leaves the upstream waiting for its rest. Late copies of an answer
+		// without an id can't be told from answers to later requests.
+		reusable = writing.stop() == nil && reusable && meta.Attempt != ""
 		answered, reusable, f := c.classify(a, meta, reusable)
 		if f != nil || a.status >= http.StatusInternalServerError {
 			conn.unfinished = append(conn.unfinished, c.attemptOf(r))
@@ -118,6 +135,7 @@
 		}
 		return answered, reusable, f
 	}
+	_ = writing.stop() // The connection is closed.
 	return nil, false, &failure{outcome: Broken, detail: "answers of other requests only"}
 }
 
--- a/gate/upstream_test.go
+++ b/gate/upstream_test.go
@@ -215,6 +215,32 @@
 	assert.Equal(t, http.StatusOK, a.status)
 }
 
+// An answer that comes before the upstream has read a long body must not wait for the write of that body: a refusal
+// was known only at the deadline, as an attempt of unknown outcome.
+func TestEarlyAnswerWaitsForWriteOfLongBody(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	go listener.Serve(l, func(c net.Conn) {
+		go func() {
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				answerCase{Writes: refusal}.write(c.(*net.TCPConn), r) // It never reads the body.
+			}
+		}()
+	})
+	client := newTestClient(l.Addr().String())
+	content := testContent("x1")
+	content.Body = make([]byte, 32<<20) // More than the sockets hold.
+	started := time.Now()
+	_, f := client.do(context.Background(), content, testMetadata, true, noGuard{})
+	require.NotNil(t, f)
+	assert.Equal(t, link.ReasonShed, f.reason)
+	assert.Less(t, time.Since(started), testMetadata.TimeLeft/2)
+	assert.Empty(t, client.idle, "connections kept with a part of a request on them")
+}
+
 // A request that may run only once must not use a connection that has been idle for long.
 func TestOnceUsesNoLongIdleConnection(t *testing.T) {
 	u := startRaw(t, func(c *net.TCPConn, r *http.Request, _ []byte) bool {
