ingress: "100 Continue" is written by the writer of answers, in its place

Cause: two writers on one connection. The goroutine that reads requests wrote the interim answer straight to the connection, the other one writes answers in pieces.

Change: a request takes its place in the order of answers once its header is read; the writer sends the interim answer when that place has come. The time for a body starts with it. A body that is sent without waiting is read at once.

Result: TestContinueWithinAnswerToEarlierRequest and TestBodyWaitsForAnswerToEarlierRequest failed before (bytes within the answer; the interim answer first) and pass; go test ./ingress passes, these also with -race.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,10 +29,12 @@
 
 // pendingAnswer is a request's position in the order of answers.
 type pendingAnswer struct {
-	method     string
-	closeAfter bool // HTTP/1.0, or the caller asked to close the connection.
-	last       bool // No request is read after it.
-	response   chan *Response
+	method    string
+	last      bool        // No request is read after it.
+	expects   bool        // The caller waits for "100 Continue" before it sends the body.
+	continued atomic.Bool // It was sent.
+	unread    bool        // The body was not read whole.
+	response  chan *Response
 }
 
 // serverConn is a caller's connection: one goroutine reads requests, one writes
@@ -47,6 +50,7 @@
 	answered int
 	pending  int  // Requests that were read and are not answered.
 	reading  bool // Part of a request was read that is not pending yet.
+	aborted  bool // What is still being read is given up.
 	closing  bool // It closes unless a request has arrived already.
 	// announced is whether the caller was told that no further request is read.
 	announced bool
@@ -112,19 +116,23 @@
 		if !c.beginReading() {
 			return false
 		}
-		r, fault := c.request()
-		c.begin()
 		p := &pendingAnswer{response: make(chan *Response, 1)}
+		r, fault := c.header()
+		if fault == nil {
+			p.method = r.Method
+			p.last = !r.ProtoAtLeast(1, 1) || r.Close
+			p.expects = r.expectsContinue()
+		}
+		c.answers <- p // Before the body is read: "100 Continue" has its place among the answers.
+		if fault == nil {
+			fault = c.body(p, r)
+		}
+		c.begin()
 		if fault != nil {
-			p.last = true
+			p.last, p.unread = true, true
 			p.response <- fault
-			c.answers <- p
 			return false
 		}
-		p.method = r.Method
-		p.closeAfter = !r.ProtoAtLeast(1, 1) || r.Close
-		p.last = p.closeAfter
-		c.answers <- p
 		go c.answer(ctx, p, r)
 		if p.last {
 			return c.leavesEarly()
@@ -243,7 +251,7 @@
 		}
 	}
 	for p := range c.answers {
-		r := p.await(flush)
+		r := p.await(out, flush)
 		last := c.end(p, r != nil)
 		if r == nil || failed {
 			failed = true
@@ -261,17 +269,27 @@
 	_ = out.Flush() // The caller may be gone.
 }
 
-// await returns the answer, and calls flush before it waits for it.
-func (p *pendingAnswer) await(flush func()) *Response {
+// await returns the answer, and flushes what is ready before it waits.
+func (p *pendingAnswer) await(out *bufio.Writer, flush func()) *Response {
 	select {
 	case r := <-p.response:
+		if p.expects && !p.unread {
+			writeContinue(out)
+		}
 		return r
 	default:
-		flush()
-		return <-p.response
 	}
+	if p.expects {
+		writeContinue(out)
+	}
+	flush()
+	p.continued.Store(true)
+	return <-p.response
 }
 
+// writeContinue writes the interim answer; the writer keeps its first error, which Flush returns.
+func writeContinue(out *bufio.Writer) { _, _ = out.WriteString("HTTP/1.1 100 Continue\r\n\r\n") }
+
 // end counts a request as done and reports whether its answer is the last one. answered is false
 // if its caller has left.
 func (c *serverConn) end(p *pendingAnswer, answered bool) bool {
@@ -317,10 +335,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.reading {
+		c.aborted = true
 		c.wakeReader()
 	}
 }
 
+func (c *serverConn) isAborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aborted
+}
+
 func (c *serverConn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net/http"
 	"strings"
@@ -10,7 +11,6 @@
 	"github.com/pkg/errors"
 
 	"eiderfold/result"
-	"eiderfold/route"
 )
 
 const (
@@ -28,11 +28,12 @@
 	*http.Request
 	body        []byte
 	reservation *reservation // Memory reserved for the body.
+	bodyLimit   int64        // In bytes.
 	arrived     time.Time
 }
 
-// request reads one request with its body, or returns the refusal of an invalid one.
-func (c *serverConn) request() (*parsed, *Response) {
+// header reads the header of one request, or returns the refusal of an invalid one.
+func (c *serverConn) header() (*parsed, *Response) {
 	l := c.server.limits()
 	_ = c.SetReadDeadline(time.Now().Add(orDefaultTime(l.HeaderTimeout, defaultHeaderTimeout))) // Fails only on a closed connection, as the read does.
 	r, err := http.ReadRequest(c.reader)
@@ -46,38 +47,40 @@
 	case !strings.HasPrefix(r.RequestURI, "/") || r.Host == "":
 		return nil, refusal(result.New(result.BadRequest, "no path or no host"))
 	}
-	p := &parsed{Request: r, reservation: &reservation{memory: c.server.bodyMemory}}
-	fault := c.body(p, l)
-	if fault != nil {
-		p.reservation.release()
-	}
-	p.arrived = time.Now()
-	return p, fault
+	return &parsed{Request: r, reservation: &reservation{memory: c.server.bodyMemory}, bodyLimit: cmp.Or(l.BodyBytes, defaultBodyBytes)}, nil
+}
+
+// expectsContinue reports whether the caller waits for "100 Continue" before it sends the body.
+func (r *parsed) expectsContinue() bool {
+	return r.Body != http.NoBody && strings.EqualFold(r.Header.Get("Expect"), "100-continue") && r.ProtoAtLeast(1, 1)
 }
 
 // body reads a request's body, or returns the refusal if it is invalid, late or too large.
-func (c *serverConn) body(r *parsed, l route.Limits) *Response {
-	limit := l.BodyBytes
-	if limit == 0 {
-		limit = defaultBodyBytes
+func (c *serverConn) body(p *pendingAnswer, r *parsed) *Response {
+	fault := c.bodyFault(p, r)
+	if fault != nil {
+		r.reservation.release()
 	}
-	if r.ContentLength > limit {
+	r.arrived = time.Now()
+	return fault
+}
+
+// bodyFault reads the body, and returns the refusal if that fails.
+func (c *serverConn) bodyFault(p *pendingAnswer, r *parsed) *Response {
+	if r.ContentLength > r.bodyLimit {
 		return refusal(result.New(result.BodyTooLarge, ""))
 	}
 	if r.Body == http.NoBody {
 		return nil
 	}
-	c.limit.N = limit + limit/8 + bufferBytes // Leaves space for chunk headers.
-	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return refusal(result.New(result.SlowCaller, "the caller has left"))
-		}
+	c.limit.N = r.bodyLimit + r.bodyLimit/8 + bufferBytes // Leaves space for chunk headers.
+	err := c.awaitBody(p)
+	if err == nil {
+		_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+		r.body, err = r.readBody(r.bodyLimit)
 	}
-	var err error
-	r.body, err = r.readBody(limit)
 	switch {
-	case int64(len(r.body)) > limit:
+	case int64(len(r.body)) > r.bodyLimit:
 		return refusal(result.New(result.BodyTooLarge, ""))
 	case errors.Is(err, errNoMemory):
 		return c.refuseBody()
@@ -89,6 +92,19 @@
 	return nil
 }
 
+// awaitBody waits for the first byte of a body. A caller who waits for "100 Continue" has the whole time from then
+// on: it may come late, behind the answers to earlier requests.
+func (c *serverConn) awaitBody(p *pendingAnswer) error {
+	for {
+		mayBegin := !p.expects || p.continued.Load()
+		_ = c.SetReadDeadline(time.Now().Add(bodyTimeout)) // Fails only on a closed connection, as the read does.
+		_, err := c.reader.Peek(1)
+		if !timedOut(err) || mayBegin || c.isAborted() {
+			return err
+		}
+	}
+}
+
 // readBody reads at most limit+1 bytes. It reserves memory as bytes arrive, so that a slow
 // sender holds no memory for bytes it has not sent.
 func (r *parsed) readBody(limit int64) ([]byte, error) {
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -91,6 +91,51 @@
 	assert.Equal(t, "/1", one)
 }
 
+// An interim answer must not stand within the answer to an earlier request, nor before it: a caller who reads that
+// one slowly got "100 Continue" in the middle of its body.
+func TestContinueWithinAnswerToEarlierRequest(t *testing.T) {
+	long := strings.Repeat("x", 16<<20) // More than the sockets hold.
+	_, address := testServer(t, func(_ context.Context, r *Request) *Response {
+		if r.RequestURI == "/1" {
+			return text(200, long)
+		}
+		return text(200, string(r.Body))
+	}, route.Limits{})
+	c, in := dialServer(t, address)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPUT /2 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond) // The server has read both, and its writer is blocked.
+	_, one := readAnswer(t, in)
+	assert.True(t, one == long, "the answer to the first request is changed")
+	interim, _ := readAnswer(t, in)
+	require.Equal(t, http.StatusContinue, interim.StatusCode)
+	_, err = io.WriteString(c, "body")
+	require.NoError(t, err)
+	_, two := readAnswer(t, in)
+	assert.Equal(t, "body", two)
+}
+
+// A body that is sent without waiting for "100 Continue" must be read though an earlier answer is still awaited.
+func TestBodyWaitsForAnswerToEarlierRequest(t *testing.T) {
+	read := make(chan bool)
+	_, address := testServer(t, func(_ context.Context, r *Request) *Response {
+		if r.RequestURI == "/1" {
+			<-read
+		} else {
+			close(read)
+		}
+		return text(200, string(r.Body))
+	}, route.Limits{})
+	c, in := dialServer(t, address)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbody")
+	require.NoError(t, err)
+	readAnswer(t, in)
+	interim, _ := readAnswer(t, in)
+	require.Equal(t, http.StatusContinue, interim.StatusCode)
+	_, two := readAnswer(t, in)
+	assert.Equal(t, "body", two)
+}
+
 // TestBodies sends a body with a length, one in chunks, and none.
 func TestBodies(t *testing.T) {
 	_, address := testServer(t, func(_ context.Context, r *Request) *Response { return text(200, string(r.Body)) }, route.Limits{})
