ingress: a stop waits until callers have got their answers

Beside it, without a stop: a caller that sends more behind its last answer and reads slowly lost the end of that answer.

Cause: what a stop owes was known for requests that are read or waited for only. A request counted as done before its answer was written, so that Busy was 0 and the process ended 200 ms later. And a connection was closed half a second after its last write, with its answer still in the kernel: bytes of the caller that arrive after that make the kernel drop the rest.

Change: a connection is busy until the caller's system has acknowledged all bytes of its answers; a connection that ends discards what the caller sends until then, as long as the caller reads a piece in ten seconds.

--- a/ingress/bodymemory_test.go
+++ b/ingress/bodymemory_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -107,23 +106,6 @@
 	assert.True(t, r.bytes.TryAcquire(100))
 }
 
-// Guards against a caller that does not read its answer holding the connection forever: a
-// piece that is not read within pieceTimeout ends it.
-func TestUnreadAnswerEndsItsConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		caller, node := net.Pipe()
-		w := pieceWriter{node}
-		go func() {
-			time.Sleep(pieceTimeout / 2)
-			_, _ = io.ReadFull(caller, make([]byte, 3*pieceBytes/2))
-		}()
-		n, err := w.Write(make([]byte, 2*pieceBytes))
-		assert.True(t, timedOut(err))
-		assert.Less(t, n, 2*pieceBytes)
-		assert.GreaterOrEqual(t, n, pieceBytes)
-	})
-}
-
 // BenchmarkUploads reports the peak heap size of 200 concurrent uploads with memory for
 // eleven.
 func BenchmarkUploads(b *testing.B) {
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"eiderfold/socket"
 )
 
 const (
@@ -23,6 +25,9 @@
 	// freshTime is how long a new connection is kept open for its first request when the
 	// server stops.
 	freshTime = 200 * time.Millisecond
+	// pieceTimeout is how long a caller may take to make room for a piece of its answer. The node holds the
+	// answer in memory meanwhile.
+	pieceTimeout = 10 * time.Second
 	// bufferBytes is the size of a connection's buffers: most headers fit.
 	bufferBytes = 4 << 10
 )
@@ -50,6 +55,7 @@
 	answered int
 	pending  int  // Requests that were read and are not answered.
 	reading  bool // Part of a request was read that is not pending yet.
+	writing  bool // Answers of requests that are no longer pending are being written.
 	aborted  bool // What is still being read is given up.
 	closing  bool // It closes unless a request has arrived already.
 	// announced is whether the caller was told that no further request is read.
@@ -101,12 +107,30 @@
 // finish closes the connection without losing the last answer.
 func (c *serverConn) finish() {
 	if t, ok := c.Conn.(*net.TCPConn); ok && t.CloseWrite() == nil {
-		_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // Fails only on a closed connection.
-		_, _ = io.Copy(io.Discard, c.Conn)                // Later requests are discarded.
+		c.linger()
 	}
 	_ = c.Close()
 }
 
+// linger discards later requests until the caller closes the connection or has got its answers. Bytes of the caller
+// that arrive after the close would make the system drop what the caller has not got.
+func (c *serverConn) linger() {
+	left := socket.Unacknowledged(c.Conn)
+	giveUpAt := time.Now().Add(pieceTimeout)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // Fails only on a closed connection, as the read does.
+		_, err := io.Copy(io.Discard, c.Conn)
+		before := left
+		left = socket.Unacknowledged(c.Conn)
+		if left < before {
+			giveUpAt = time.Now().Add(pieceTimeout)
+		}
+		if !timedOut(err) || left == 0 || time.Now().After(giveUpAt) {
+			return
+		}
+	}
+}
+
 // read reads requests until the connection ends, and reports whether the caller closed it.
 func (c *serverConn) read(ctx context.Context) bool {
 	for {
@@ -242,13 +266,14 @@
 
 // write sends answers in the order of their requests.
 func (c *serverConn) write() {
-	out := bufio.NewWriterSize(pieceWriter{c.Conn}, bufferBytes)
+	out := bufio.NewWriterSize(socket.PieceWriter{Conn: c.Conn, Timeout: pieceTimeout}, bufferBytes)
 	failed := false
 	flush := func() {
 		if !failed && out.Flush() != nil {
 			failed = true
 			_ = c.Conn.Close() // The caller does not read, so no further answer can reach it.
 		}
+		c.written()
 	}
 	for p := range c.answers {
 		r := p.await(out, flush)
@@ -266,7 +291,7 @@
 			c.wakeReader()
 		}
 	}
-	_ = out.Flush() // The caller may be gone.
+	flush()
 }
 
 // await returns the answer, and flushes what is ready before it waits.
@@ -290,12 +315,13 @@
 // writeContinue writes the interim answer; the writer keeps its first error, which Flush returns.
 func writeContinue(out *bufio.Writer) { _, _ = out.WriteString("HTTP/1.1 100 Continue\r\n\r\n") }
 
-// end counts a request as done and reports whether its answer is the last one. answered is false
-// if its caller has left.
+// end counts a request as done, its answer as being written, and reports whether that is the last one. answered is
+// false if its caller has left.
 func (c *serverConn) end(p *pendingAnswer, answered bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	c.writing = true
 	if answered {
 		c.answered++
 	}
@@ -306,24 +332,32 @@
 	return c.announced
 }
 
+// written records that the answers of all requests that are no longer pending were written, or can't be.
+func (c *serverConn) written() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+}
+
 // wakeReader interrupts a read that waits for the next request.
 func (c *serverConn) wakeReader() { _ = c.SetReadDeadline(time.Now()) }
 
 // idle reports whether no request is pending or being read. The lock must be held.
 func (c *serverConn) idle() bool { return c.pending == 0 && !c.reading }
 
-// busy reports whether a request is pending or being read.
+// busy reports whether a request is pending or being read, or the caller has not got all of an answer.
 func (c *serverConn) busy() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.idle()
+	active := !c.idle() || c.writing
+	c.mu.Unlock()
+	return active || socket.Unacknowledged(c.Conn) > 0
 }
 
-// closeIdle closes the connection if it is idle and not new.
+// closeIdle closes the connection if it is idle, has no answer to write and is not new.
 func (c *serverConn) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle() && now.After(c.keepUntil) {
+	if c.idle() && !c.writing && now.After(c.keepUntil) {
 		c.closing = true
 		c.wakeReader()
 	}
--- a/ingress/connectionstate.go
+++ b/ingress/connectionstate.go
@@ -14,16 +14,19 @@
 	Answered int  // Requests that were answered, without those whose caller left.
 	Pending  int  // Requests that were read and are not answered.
 	Reading  bool // Part of a further request was read.
+	Writing  bool // Answers that are not counted as pending were not written whole.
 }
 
-// unanswered reports whether the connection has an unanswered request, or no request yet.
-func (s ConnectionState) unanswered() bool { return s.Answered == 0 || s.Pending > 0 || s.Reading }
+// unanswered reports whether the connection has a request without a whole answer, or no request yet.
+func (s ConnectionState) unanswered() bool {
+	return s.Answered == 0 || s.Pending > 0 || s.Reading || s.Writing
+}
 
 // state returns the connection's state.
 func (c *serverConn) state() ConnectionState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return ConnectionState{Remote: c.RemoteAddr(), Accepted: c.accepted, Answered: c.answered, Pending: c.pending, Reading: c.reading}
+	return ConnectionState{Remote: c.RemoteAddr(), Accepted: c.accepted, Answered: c.answered, Pending: c.pending, Reading: c.reading, Writing: c.writing}
 }
 
 // Unanswered returns the open connections that have an unanswered request, or no request yet.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -81,7 +81,7 @@
 	return len(s.conns)
 }
 
-// Busy returns on how many connections a request is pending or being read.
+// Busy returns on how many connections a request is pending or being read, or the caller has not got all of an answer.
 func (s *Server) Busy() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -136,6 +136,44 @@
 	assert.Equal(t, "body", two)
 }
 
+// A stop must wait for an answer until its caller has got all of it: a slow reader's answer was cut.
+func TestStopCutsAnswerBeingWritten(t *testing.T) {
+	long := strings.Repeat("x", 16<<20) // More than the sockets hold.
+	s, address := testServer(t, func(context.Context, *Request) *Response { return text(200, long) }, route.Limits{})
+	c, in := dialServer(t, address)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	_, err = in.Peek(1)
+	require.NoError(t, err)
+	s.Stop()
+	for range 10 { // The stop's polls.
+		assert.Equal(t, 1, s.Busy(), "connections with work, while an answer is being written")
+		s.CloseIdle()
+		time.Sleep(5 * time.Millisecond)
+	}
+	_, body := readAnswer(t, in)
+	assert.True(t, body == long, "the answer is changed")
+	require.Eventually(t, func() bool { return s.Busy() == 0 }, 5*time.Second, time.Millisecond)
+}
+
+// A caller that sends more behind its last answer must get all of that answer, however slowly it reads: the close of
+// a connection with unread requests made the system drop the rest.
+func TestLaterRequestCutsLastAnswer(t *testing.T) {
+	long := strings.Repeat("x", 512<<10) // The sockets hold it.
+	_, address := testServer(t, func(context.Context, *Request) *Response { return text(200, long) }, route.Limits{})
+	c, in := dialServer(t, address)
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
+	const request = "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+	_, err := io.WriteString(c, request)
+	require.NoError(t, err)
+	time.Sleep(3 * lingerTime)
+	_, err = io.WriteString(c, request)
+	require.NoError(t, err)
+	time.Sleep(lingerTime / 10)
+	_, body := readAnswer(t, in)
+	assert.True(t, body == long, "the answer is cut")
+}
+
 // TestBodies sends a body with a length, one in chunks, and none.
 func TestBodies(t *testing.T) {
 	_, address := testServer(t, func(_ context.Context, r *Request) *Response { return text(200, string(r.Body)) }, route.Limits{})
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -82,5 +82,5 @@
 func (n *Node) logUnanswered(text string, c ingress.ConnectionState) {
 	n.metrics.Count("stop_connection_unanswered")
 	n.log.Info(text, zap.Stringer("from", c.Remote), zap.Duration("age", time.Since(c.Accepted)),
-		zap.Int("answered", c.Answered), zap.Int("pending", c.Pending), zap.Bool("reading", c.Reading))
+		zap.Int("answered", c.Answered), zap.Int("pending", c.Pending), zap.Bool("reading", c.Reading), zap.Bool("writing", c.Writing))
 }
