mesh: a stop waits until its gate's answers have reached the nodes that asked

Cause: what a stop owes was known to the gate only. An attempt is no longer active once its answer is queued on the link; nothing waited for the queue, the write and the kernel's buffer.

Change: after the last attempt the stop takes the delivery of each inbound link, what is queued on it at that moment, and waits, within the grace time, until it is written and acknowledged. Gossip and pings that follow do not prolong that.

--- a/link/link.go
+++ b/link/link.go
@@ -57,7 +57,10 @@
 	closeOnce    sync.Once
 	lastReceived atomic.Int64 // UnixNano of the last message.
 	lastPong     atomic.Int64 // UnixNano of the last ping reply.
-	meter        atomic.Pointer[Meter]
+	// writtenFrames and writtenBytes are what the connection has taken so far.
+	writtenFrames atomic.Uint64
+	writtenBytes  atomic.Uint64
+	meter         atomic.Pointer[Meter]
 }
 
 // Dial connects to a node from the given local IP address. A node passes the one at which it
@@ -213,14 +216,21 @@
 	out := writerPool.Get().(*bufio.Writer)
 	defer writerPool.Put(out)
 	out.Reset(l.conn)
+	bytes := 0
 	for _, f := range frames {
 		n, err := encode(out, f)
 		if err != nil {
 			return err
 		}
 		l.count(f, n)
+		bytes += n
 	}
-	return errors.Wrap(out.Flush(), "write")
+	if err := out.Flush(); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	l.writtenBytes.Add(uint64(bytes))
+	l.writtenFrames.Add(uint64(len(frames)))
+	return nil
 }
 
 // encode writes one length-prefixed message and returns its size in bytes, prefix included.
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -53,6 +53,22 @@
 	require.Eventually(t, func() bool { return time.Since(a.LastReceived()) < time.Minute }, 5*time.Second, time.Millisecond)
 }
 
+// A message must not count as delivered before the peer's system has it: a process that ends before then may lose it.
+func TestDeliveryAwaitsThePeer(t *testing.T) {
+	a, b := pair(t)
+	go a.Run(func(*Frame) {})                                                    //nolint:errcheck // It ends with the test.
+	require.True(t, a.Send(&Frame{Answer: &Answer{Body: make([]byte, 32<<20)}})) // More than the sockets hold.
+	d := a.Delivery()
+	for range 10 {
+		assert.False(t, d.Done())
+		time.Sleep(5 * time.Millisecond)
+	}
+	go b.Run(func(*Frame) {}) //nolint:errcheck // It ends with the test.
+	require.Eventually(t, d.Done, 5*time.Second, time.Millisecond)
+	a.Close()
+	assert.True(t, a.Delivery().Done(), "nothing more is delivered over a closed link")
+}
+
 // TestClosed checks that closing one end closes the other and makes Send fail on both.
 func TestClosed(t *testing.T) {
 	a, b := pair(t)
--- a/link/outbox.go
+++ b/link/outbox.go
@@ -12,6 +12,7 @@
 	ready  chan struct{} // Has an element while messages are queued.
 	mu     sync.Mutex
 	frames []*Frame
+	total  uint64 // How many messages were queued so far.
 }
 
 func newOutbox() *outbox { return &outbox{ready: make(chan struct{}, 1)} }
@@ -24,6 +25,7 @@
 		return false
 	}
 	o.frames = append(o.frames, f)
+	o.total++
 	select {
 	case o.ready <- struct{}{}:
 	default: // The writer is already notified.
@@ -39,3 +41,10 @@
 	o.frames = nil
 	return frames
 }
+
+// queued returns how many messages were queued so far.
+func (o *outbox) queued() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.total
+}
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -144,3 +145,22 @@
 		l.node.gate.Handle(in, f)
 	}
 }
+
+// awaitDelivery waits until the nodes that dialed have got what was sent to them so far, the last answers among it,
+// but not for longer than until a time.
+func (l *links) awaitDelivery(until time.Time) {
+	l.mu.Lock()
+	var pending []*link.Delivery
+	for in := range l.inbound {
+		pending = append(pending, in.Delivery())
+	}
+	l.mu.Unlock()
+	for time.Now().Before(until) {
+		pending = slices.DeleteFunc(pending, (*link.Delivery).Done)
+		if len(pending) == 0 {
+			return
+		}
+		time.Sleep(stopPoll)
+	}
+	l.node.log.Warn("stopped with undelivered messages to other nodes", zap.Int("links", len(pending)))
+}
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -45,6 +45,7 @@
 		n.server.CloseIdle()
 		time.Sleep(stopPoll)
 	}
+	n.links.awaitDelivery(kill)
 	n.forwarder.Finish() // Requests whose outcome is unknown get an answer instead of a broken connection.
 	_ = l.callers.Close()
 	for end := time.Now().Add(finishTimeout); time.Now().Before(end) && n.server.CloseIdle() > 0; {
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"eiderfold/link"
 	"eiderfold/platform"
 	"eiderfold/result"
 	"eiderfold/settings"
@@ -141,3 +142,47 @@
 	assert.Equal(t, http.StatusOK, <-status)
 	<-marriages.done
 }
+
+// A stop must not end before an answer of its gate has reached the node that asked, however slowly that one reads: the
+// answer was lost with the process.
+func TestStopLosesAnswerOnTheLink(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	n := b.newNode("one", "births")
+	n.yaml = strings.Replace(n.yaml, "grace: 2s", "grace: 6s", 1)
+	n.start()
+	conn, err := net.Dial("tcp4", n.settings.Load().Links())
+	require.NoError(t, err)
+	asking := link.New(conn)
+	defer asking.Close()
+	hold := make(chan bool)
+	answer := make(chan int, 1)
+	go asking.Run(func(f *link.Frame) { //nolint:errcheck // It ends with the test.
+		<-hold
+		if f.Answer != nil {
+			answer <- len(f.Answer.Body)
+		}
+	})
+	const size = 32 << 20 // More than the sockets hold.
+	require.Eventually(t, func() bool { return n.inboundLink() != nil }, waitTimeout, time.Millisecond)
+	require.True(t, n.inboundLink().Send(&link.Frame{Answer: &link.Answer{Body: make([]byte, size)}}))
+	n.cancel()
+	time.AfterFunc(3*time.Second, func() { close(hold) }) // The stop's first part takes 2.5 s.
+	select {
+	case got := <-answer:
+		assert.Equal(t, size, got)
+	case <-n.done:
+		t.Error("the process has ended")
+	}
+	<-n.done
+}
+
+// inboundLink returns a link that another node has dialed; nil if there is none.
+func (n *testNode) inboundLink() *link.Link {
+	n.links.mu.Lock()
+	defer n.links.mu.Unlock()
+	for in := range n.links.inbound {
+		return in
+	}
+	return nil
+}
