link: a long message neither ends the link nor makes it look stalled

What callers saw: nothing was reported; by the code, a body or an answer of many megabytes on a slow link ended the link with all requests on it: their outcome has to be asked for again, and what is not known gets 502.

Cause: one message holds back all others and their pings, and two bounds were meant for a peer that takes or sends nothing: four seconds for the write of everything that was queued, and 2.5 s without a whole message after a ping.

Change: each piece of 64 KiB has the four seconds, and bytes that arrive, not whole messages, show that a link is not stalled. A peer that takes nothing is found as soon as before.

Still so: small messages wait behind a long one.

--- a/link/link.go
+++ b/link/link.go
@@ -2,7 +2,7 @@
 // TCP connection, in both directions. It preserves order and never blocks a sender.
 // It answers pings and records when messages and ping replies arrived, so that its user
 // can detect an unresponsive peer. A link closes itself if too many messages are queued, if
-// a write takes longer than four seconds or, if it was dialed, if sent bytes stay
+// the peer makes no room for 64 KiB within four seconds or, if it was dialed, if sent bytes stay
 // unacknowledged for as long.
 //
 // # Usage
@@ -25,6 +25,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"eiderfold/socket"
 )
 
 const (
@@ -55,7 +57,7 @@
 	outbox       *outbox
 	closed       chan struct{}
 	closeOnce    sync.Once
-	lastReceived atomic.Int64 // UnixNano of the last message.
+	lastReceived atomic.Int64 // UnixNano of the last bytes.
 	lastPong     atomic.Int64 // UnixNano of the last ping reply.
 	// writtenFrames and writtenBytes are what the connection has taken so far.
 	writtenFrames atomic.Uint64
@@ -118,7 +120,7 @@
 // Closed returns a channel that is closed when the link is.
 func (l *Link) Closed() <-chan struct{} { return l.closed }
 
-// LastReceived returns when the last message arrived.
+// LastReceived returns when the last bytes arrived: a long message may take long.
 func (l *Link) LastReceived() time.Time { return time.Unix(0, l.lastReceived.Load()) }
 
 // LastPong returns when the last ping reply arrived. Unlike any other message, a reply
@@ -139,11 +141,23 @@
 // reader returns the reader of the connection, which only one goroutine may use at a time.
 func (l *Link) reader() *bufio.Reader {
 	if l.in == nil {
-		l.in = bufio.NewReaderSize(l.conn, bufferBytes)
+		l.in = bufio.NewReaderSize(arrivals{l}, bufferBytes)
 	}
 	return l.in
 }
 
+// arrivals reads from a link's connection and records when bytes arrive.
+type arrivals struct{ link *Link }
+
+// Read implements io.Reader.
+func (a arrivals) Read(p []byte) (int, error) {
+	n, err := a.link.conn.Read(p)
+	if n > 0 {
+		a.link.lastReceived.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // Run writes queued messages and passes received ones to handle until the link
 // fails or is closed. It returns the error that ended reading. If the link was closed at
 // this end, which includes a failed write and a full outbox, that is the error of reading
@@ -157,7 +171,6 @@
 		if err != nil {
 			return err
 		}
-		l.lastReceived.Store(time.Now().UnixNano())
 		if f.Ping == nil {
 			handle(f)
 			continue
@@ -202,9 +215,6 @@
 		case <-l.closed:
 			return
 		}
-		// Set before encoding: a message larger than the buffer is partly written
-		// before the flush.
-		_ = l.conn.SetWriteDeadline(time.Now().Add(ackTimeout)) // Fails only on a closed connection, as the write then does.
 		if l.writeBatch(l.outbox.take()) != nil {
 			return
 		}
@@ -215,7 +225,7 @@
 func (l *Link) writeBatch(frames []*Frame) error {
 	out := writerPool.Get().(*bufio.Writer)
 	defer writerPool.Put(out)
-	out.Reset(l.conn)
+	out.Reset(socket.PieceWriter{Conn: l.conn, Timeout: ackTimeout})
 	bytes := 0
 	for _, f := range frames {
 		n, err := encode(out, f)
