link: text that is not UTF-8 is carried as it is

Cause: headers, path and host travel as CBOR text, and the decoder refused what is not UTF-8, which ended the link with all that was under way on it. One request ended those of many.

Change: the decoder accepts any bytes in text; they are passed on as they came, as HTTP has them. Earlier nodes read what they could read before.

Result: TestHeaderThatIsNotUTF8EndsLink failed before (no message arrives) and passes; go test ./link -run UTF8 passes.

--- a/link/link.go
+++ b/link/link.go
@@ -198,7 +198,18 @@
 		return nil, errors.Wrap(err, "read")
 	}
 	f := &Frame{}
-	return f, errors.Wrap(cbor.Unmarshal(payload, f), "decode")
+	return f, errors.Wrap(decoding.Unmarshal(payload, f), "decode")
+}
+
+// decoding accepts text that is not UTF-8: headers and paths may hold any bytes, and are passed on unchanged.
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return mode
 }
 
 // writerPool holds write buffers. A link holds one only while it writes, because a
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -71,6 +71,26 @@
 	assert.True(t, a.Delivery().Done(), "nothing more is delivered over a closed link")
 }
 
+// A byte that is not UTF-8 in a header or path must arrive unchanged: it ended the link with all requests on it.
+func TestHeaderThatIsNotUTF8EndsLink(t *testing.T) {
+	a, b := pair(t)
+	const latin1 = "Garc\xeda"
+	content := &Content{Method: "GET", Target: "/" + latin1, Host: latin1, Header: map[string][]string{"X-" + latin1: {latin1}}}
+	sent := []*Frame{{Commit: &Commit{Key: Key{1, 2}, Content: content}}, {Answer: &Answer{Key: Key{1, 2}, Header: content.Header}}}
+	got := make(chan *Frame, len(sent))
+	go a.Run(func(*Frame) {}) //nolint:errcheck // It ends with the test.
+	for _, f := range sent {
+		require.True(t, a.Send(f))
+	}
+	go func() {
+		_ = b.Run(func(f *Frame) { got <- f })
+		close(got)
+	}()
+	for _, f := range sent {
+		assert.Equal(t, f, <-got)
+	}
+}
+
 // A long message to a node that reads it slowly must not end the link with all that is under way on it: the whole
 // message had to be written within the timeout of one write.
 func TestLongMessageEndsLink(t *testing.T) {
