peer: recorded answers may have headers that are not UTF-8

What callers saw: nothing was reported; on the older path one recorded answer with such a header made the message that hands over a node's memory of operations undecodable, so that every key in it became unknown to the next node.

Cause: as on the mesh's links: headers travel as CBOR text, and the decoder refuses what is not UTF-8. One request's bytes decide over those of many.

Change: the decoder accepts any bytes in text.

Result: TestHeaderThatIsNotUTF8EndsHandover failed before ("cbor: invalid UTF-8 string") and passes; go test ./peer passes.

--- a/peer/message.go
+++ b/peer/message.go
@@ -231,6 +231,7 @@
 		MaxMapPairs:      1 << 20,
 		MaxNestedLevels:  16,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		UTF8:             cbor.UTF8DecodeInvalid, // Headers of recorded answers may hold any bytes.
 	}.DecMode()
 	if err != nil {
 		panic(err) // The options are constant.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -42,6 +42,16 @@
 	assert.Equal(t, key[:], reply.Inquire.Answer.Body)
 }
 
+// One recorded answer with a header that is not UTF-8 must not keep all records from the node that takes them over.
+func TestHeaderThatIsNotUTF8EndsHandover(t *testing.T) {
+	sent := &Request{Handover: &Handover{Entries: []core.Entry{{Stage: core.Done, Answer: &core.Recorded{Status: 200, Header: map[string]string{"X-Town": "Garc\xeda"}}}}}}
+	data, err := Encode(sent)
+	require.NoError(t, err)
+	got := &Request{}
+	require.NoError(t, Decode(data, got))
+	assert.Equal(t, sent, got)
+}
+
 // TestUntrustedPeersAreRefused guards against accepting a peer with a certificate of
 // another authority, whether it dials or is dialled.
 func TestUntrustedPeersAreRefused(t *testing.T) {
