gate: an offer that was reported as never seen does not start

What callers saw: nothing was reported (the review and a lead read it). A commit on the old link and the query on the new one within microseconds would end the node with all its requests by a nil pointer; after a lost commit the offer kept its slot until it expired.

Cause: a message about an offer was handled in two locked parts, and answerQuery forgot the offer between them without the admission's knowledge, having said that it never starts.

Change: what changes an offer does so in one locked part, for the gate and its admission together: a query withdraws the offer, and a message whose offer is gone by its second part is dropped, a commit with "never seen".

Result: TestNeverSeenOfferIsStarted failed before (panic in start) and passes; go test ./gate passes, with the model.

--- a/gate/execute.go
+++ b/gate/execute.go
@@ -11,7 +11,28 @@
 // update passes a message to the admission and carries out the resulting commands.
 func (g *Gate) update(m Message) {
 	g.mu.Lock()
+	announced := g.apply(m)
+	g.mu.Unlock()
+	g.announceMode(m, announced)
+}
+
+// updateOffer does the same for a message about an offer and reports whether it did: not if the offer was withdrawn or
+// forgotten, also if that was in the middle of handling the message.
+func (g *Gate) updateOffer(ao *activeOffer, m Message) bool {
+	g.mu.Lock()
+	active := g.active[ao.offer.Key] == ao
 	var announced *link.Status
+	if active {
+		announced = g.apply(m)
+	}
+	g.mu.Unlock()
+	g.announceMode(m, announced)
+	return active
+}
+
+// apply passes a message to the admission, carries out the resulting commands and returns the status to announce, nil
+// for none. The caller holds the lock.
+func (g *Gate) apply(m Message) (announced *link.Status) {
 	for _, c := range g.admission.Update(m) {
 		if _, ok := c.(Announce); ok {
 			s := g.admission.Status()
@@ -20,12 +41,18 @@
 		}
 		g.execute(m.at(), c)
 	}
-	g.mu.Unlock()
-	if announced != nil {
-		g.log.Info("gate mode", zap.Stringer("mode", announced.Mode), zap.String("upstream", announced.Upstream),
-			zap.Float64("suspicion", announced.Suspicion), zap.Duration("usual", announced.MeanResponseTime), zap.Bool("limited", announced.Limited), zap.Float64("limit", announced.Limit), zap.String("cause", cause(m)))
-		g.announce()
+	return announced
+}
+
+// announceMode logs and announces the status that a message has led to, unless it is nil. The caller does not hold the
+// lock.
+func (g *Gate) announceMode(m Message, announced *link.Status) {
+	if announced == nil {
+		return
 	}
+	g.log.Info("gate mode", zap.Stringer("mode", announced.Mode), zap.String("upstream", announced.Upstream),
+		zap.Float64("suspicion", announced.Suspicion), zap.Duration("usual", announced.MeanResponseTime), zap.Bool("limited", announced.Limited), zap.Float64("limit", announced.Limit), zap.String("cause", cause(m)))
+	g.announce()
 }
 
 // cause returns the log text for the message that changed the mode.
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -19,7 +19,7 @@
 	case f.Withdraw != nil:
 		g.withdraw(now, f.Withdraw.Key)
 	case f.OutcomeQuery != nil:
-		g.answerQuery(from, f.OutcomeQuery.Key)
+		g.answerQuery(now, from, f.OutcomeQuery.Key)
 	}
 }
 
@@ -41,7 +41,7 @@
 	if o.Content != nil && g.refuseQuarantined(now, ao) {
 		return
 	}
-	g.update(Offered{
+	g.updateOffer(ao, Offered{
 		At:             now,
 		Key:            o.Key,
 		Service:        o.Service,
@@ -90,14 +90,19 @@
 	}
 	g.mu.Unlock()
 	if ao == nil {
-		from.Send(&link.Frame{Refused: &link.Refused{Key: m.Key, Reason: link.ReasonNeverSeen}})
+		from.Send(neverSeen(m.Key))
 		return
 	}
-	if !g.refuseQuarantined(now, ao) {
-		g.update(Committed{At: now, Key: m.Key})
+	if !g.refuseQuarantined(now, ao) && !g.updateOffer(ao, Committed{At: now, Key: m.Key}) {
+		from.Send(neverSeen(m.Key))
 	}
 }
 
+// neverSeen returns the refusal of an offer that did not start and never will.
+func neverSeen(k link.Key) *link.Frame {
+	return &link.Frame{Refused: &link.Refused{Key: k, Reason: link.ReasonNeverSeen}}
+}
+
 // refuseQuarantined refuses a quarantined request and reports whether it did. The gate checks
 // just before the start, as the ingress may not have the record yet.
 func (g *Gate) refuseQuarantined(now time.Time, ao *activeOffer) bool {
@@ -113,35 +118,54 @@
 
 // withdraw drops an offer that does not run. A running one is kept until it ends.
 func (g *Gate) withdraw(now time.Time, k link.Key) {
-	g.update(Withdrawn{At: now, Key: k})
+	m := Withdrawn{At: now, Key: k}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if ao := g.active[k]; ao != nil && ao.cancel == nil {
-		delete(g.active, k)
-	}
+	announced := g.drop(m)
+	g.mu.Unlock()
+	g.announceMode(m, announced)
+}
+
+// drop drops an offer that does not run, and returns the status to announce, nil for none. The caller holds the lock,
+// without which the admission could start the offer in between.
+func (g *Gate) drop(m Withdrawn) (announced *link.Status) {
+	announced = g.apply(m)
+	if ao := g.active[m.Key]; ao != nil && ao.cancel == nil {
+		delete(g.active, m.Key)
+	}
+	return announced
 }
 
 // answerQuery answers the ingress about a committed offer whose link broke.
-func (g *Gate) answerQuery(from Sink, k link.Key) {
+func (g *Gate) answerQuery(now time.Time, from Sink, k link.Key) {
+	m := Withdrawn{At: now, Key: k}
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	frame := g.outcome(from, k)
+	var announced *link.Status
+	if frame == nil {
+		announced = g.drop(m) // Its commit, if it comes after all, is refused.
+		frame = neverSeen(k)
+	}
+	from.Send(frame)
+	g.mu.Unlock()
+	g.announceMode(m, announced)
+}
+
+// outcome returns what is known of an offer that has started, and nil if it has not. From now on its messages go to the
+// ingress that asks. The caller holds the lock.
+func (g *Gate) outcome(from Sink, k link.Key) *link.Frame {
 	if ao := g.active[k]; ao != nil && ao.cancel != nil {
 		ao.sink = from
-		from.Send(&link.Frame{Granted: &link.Granted{Key: k, Started: true}})
-		return
+		return &link.Frame{Granted: &link.Granted{Key: k, Started: true}}
 	}
 	if e, ok := g.ended[k]; ok {
-		from.Send(stripRoom(e.frame))
-		return
+		return stripRoom(e.frame)
 	}
 	if g.active[k] == nil && k.Number <= g.expiredUpTo[k.Origin] {
 		// It may have run and its result may have expired: the asking node may have been
 		// suspended, and its clock with it, so its OutcomeQuery can come at any later time.
-		from.Send(&link.Frame{Failed: &link.Failed{Key: k, Detail: "its end is no longer kept"}})
-		return
+		return &link.Frame{Failed: &link.Failed{Key: k, Detail: "its end is no longer kept"}}
 	}
-	delete(g.active, k) // If it is granted after all, its commit is refused.
-	from.Send(&link.Frame{Refused: &link.Refused{Key: k, Reason: link.ReasonNeverSeen}})
+	return nil
 }
 
 // LinkLost withdraws the offers that came over a broken link. Running non-retryable requests
--- a/gate/outcomequery_test.go
+++ b/gate/outcomequery_test.go
@@ -57,3 +57,25 @@
 		assert.Equal(t, link.ReasonNeverSeen, refused.Reason)
 	}
 }
+
+// An offer that was reported as never seen must not start, nor end the process: its commit may be under way when the
+// query comes over another link.
+func TestNeverSeenOfferIsStarted(t *testing.T) {
+	g := New(Upstream{Service: "a"}, platform.Headers{}, zap.NewNop())
+	g.client = instantClient{}
+	g.Report(port.Report{Incarnation: port.Incarnation{ID: "i-1"}, Service: "a", Slots: 1, Sequence: 1})
+	require.Eventually(t, func() bool { return g.Status().Mode == link.ModeOpen }, 5*time.Second, time.Millisecond)
+	sent := make(sentFrames, 8)
+	offer := func(number uint64) link.Key {
+		k := link.Key{Origin: 7, Number: number}
+		g.Handle(sent, &link.Frame{Offer: &link.Offer{Key: k, Service: "a", TimeLeft: time.Second}})
+		require.NotNil(t, (<-sent).Granted, "a slot for offer %d", number)
+		return k
+	}
+	k := offer(1)
+	g.Handle(sent, &link.Frame{OutcomeQuery: &link.OutcomeQuery{Key: k}})
+	require.Equal(t, link.ReasonNeverSeen, (<-sent).Refused.Reason)
+	g.update(Committed{At: time.Now(), Key: k}) // The second part of a commit that found the offer before the query.
+	offer(2)                                    // The slot is free.
+	assert.Empty(t, sent)
+}
