ingress: no event of a request is dropped, and the end of a stop is none

What callers saw: nothing was reported; by the code, a request whose goroutine did not run while 64 link changes were queued lost what came then: its answer, so that it ended at its deadline as unknown (504 for a request that had run), or the end of a stop, so that its connection closed without an answer (rule LOST).

Cause: a queue that drops, and in it messages that come once. The end of a stop was one event among others, sent to a list of requests kept for that alone.

Change: the queue of events grows. Finish closes a channel that each request selects, so that the list is gone; a request that sees it takes the answer that has just arrived, if there is one, and starts nothing more. One that begins later is not offered to any gate first.

--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -26,7 +26,7 @@
 	req := f.requests[k.Number]
 	f.mu.Unlock()
 	if req != nil {
-		req.notify(event{frame: frame, key: k.Number})
+		req.events.put(event{frame: frame, key: k.Number})
 	}
 }
 
@@ -50,15 +50,6 @@
 	}
 }
 
-// notify queues an event. The channel has space for all events of a request; if it is full
-// nevertheless, the event is dropped and the request's timers apply.
-func (f *inFlightRequest) notify(e event) {
-	select {
-	case f.events <- e:
-	default:
-	}
-}
-
 // Connected sets the link to an endpoint's process and notifies the requests in flight.
 func (f *Forwarder) Connected(e *Endpoint, sink Sink, process uint64) {
 	e.link.Store(&gateLink{sink: sink, process: process})
@@ -75,32 +66,8 @@
 	f.broadcast(event{endpoint: e, lost: true})
 }
 
-// begin adds a request to those that Finish ends. After Finish it ends at once.
-func (f *Forwarder) begin(req *inFlightRequest) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.running[req] = struct{}{}
-	if f.finished {
-		req.notify(event{finish: true})
-	}
-}
-
-// end removes a request that has its final answer.
-func (f *Forwarder) end(req *inFlightRequest) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.running, req)
-}
-
-// Finish ends every request in flight with what is known of its outcome.
-func (f *Forwarder) Finish() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.finished = true
-	for req := range f.running {
-		req.notify(event{finish: true})
-	}
-}
+// Finish ends every request in flight, and each that begins later, with what is known of its outcome.
+func (f *Forwarder) Finish() { f.finish.Do(func() { close(f.finished) }) }
 
 // broadcast notifies every request that has offers once, however many it has.
 func (f *Forwarder) broadcast(e event) {
@@ -110,7 +77,7 @@
 	for _, req := range f.requests {
 		if !notified[req] {
 			notified[req] = true
-			req.notify(e)
+			req.events.put(e)
 		}
 	}
 }
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -20,13 +20,8 @@
 	"eiderfold/switches"
 )
 
-const (
-	// defaultCallerTimeout applies if neither the caller nor the route sets a timeout.
-	defaultCallerTimeout = 30 * time.Second
-	// eventBuffer is how many events may wait for one request; each of its few offers gets
-	// at most three messages.
-	eventBuffer = 64
-)
+// defaultCallerTimeout applies if neither the caller nor the route sets a timeout.
+const defaultCallerTimeout = 30 * time.Second
 
 // Counters records metrics. It lists what this package needs, independently of the same
 // interface in package gate.
@@ -58,9 +53,9 @@
 	nextRoomLog atomic.Int64
 	latencies   sync.Map // *core.LatencyPercentile by route name.
 	mu          sync.Mutex
-	requests    map[uint64]*inFlightRequest   // By number of their offers.
-	running     map[*inFlightRequest]struct{} // All that have no final answer, with or without an offer.
-	finished    bool                          // Finish was called.
+	requests    map[uint64]*inFlightRequest // By number of their offers.
+	finish      sync.Once
+	finished    chan struct{} // Closed by Finish.
 }
 
 // Option configures a Forwarder in NewForwarder.
@@ -107,7 +102,7 @@
 		configured: make(chan struct{}),
 		origin:     rand.Uint64(),
 		requests:   map[uint64]*inFlightRequest{},
-		running:    map[*inFlightRequest]struct{}{},
+		finished:   make(chan struct{}),
 	}
 	for _, o := range options {
 		o(f)
@@ -234,7 +229,7 @@
 		saturated:    f.saturated,
 		repeatState:  repeatState{inRepeat: parent.Repeat},
 		parent:       metadata.Parent,
-		events:       make(chan event, eventBuffer),
+		events:       newEventQueue(),
 	}, nil
 }
 
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -13,14 +13,12 @@
 	"eiderfold/switches"
 )
 
-// event is a gate's message about an offer, a change of the link to a gate, or the end of
-// the node.
+// event is a gate's message about an offer or a change of the link to a gate.
 type event struct {
 	frame    *link.Frame
 	key      uint64
 	lost     bool
 	endpoint *Endpoint // Endpoint whose link was lost or is back.
-	finish   bool      // The node shuts down: the request ends with what is known of its outcome.
 }
 
 // refusals are the refusals of a request by gates.
@@ -56,7 +54,7 @@
 	deadline       time.Time
 	requirements   overload.Requirements
 	saturated      func() bool // Reports whether the upstream beside this node has no free slot.
-	events         chan event
+	events         *eventQueue
 	offers         []*offer
 	tried          []*Endpoint
 	offersMade     int                // Offers made, in all rounds.
@@ -78,18 +76,23 @@
 // run processes the request until its final answer. It returns nil if the caller has left.
 func (f *inFlightRequest) run(ctx context.Context) *Response {
 	defer f.withdrawAll()
-	f.forwarder.begin(f)
-	defer f.forwarder.end(f)
+	select {
+	case <-f.forwarder.finished:
+		return f.final(time.Now())
+	default:
+	}
 	f.offerNext(time.Now())
 	timer := time.NewTimer(time.Until(f.nextWake()))
 	defer timer.Stop()
 	for f.finalResponse == nil {
 		var r *Response
 		select {
-		case e := <-f.events:
-			r = f.handle(e, time.Now())
+		case <-f.events.ready:
+			r = f.handleQueued(time.Now())
 		case <-timer.C:
 			r = f.tick(time.Now())
+		case <-f.forwarder.finished:
+			return f.finish(time.Now())
 		case <-ctx.Done():
 			return nil
 		}
@@ -101,6 +104,30 @@
 	return f.finalResponse
 }
 
+// handleQueued handles the queued events. It returns the final answer, if there is one.
+func (f *inFlightRequest) handleQueued(now time.Time) *Response {
+	for _, e := range f.events.take() {
+		if r := f.handle(e, now); r != nil || f.finalResponse != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// finish returns the answer of a request that is in flight when the node shuts down: the one that has just arrived, or
+// what is known of its outcome. It starts no further attempt.
+func (f *inFlightRequest) finish(now time.Time) *Response {
+	for _, e := range f.events.take() {
+		if e.frame != nil && e.frame.Granted != nil && !e.frame.Granted.Started {
+			continue
+		}
+		if r := f.handle(e, now); r != nil {
+			return r
+		}
+	}
+	return f.final(now)
+}
+
 // offerNext offers the request to another gate.
 func (f *inFlightRequest) offerNext(now time.Time) {
 	if f.budgetDenied() || f.lacksNestedRoom() {
@@ -154,9 +181,6 @@
 
 // handle processes an event. It returns the final answer, if there is one.
 func (f *inFlightRequest) handle(e event, now time.Time) *Response {
-	if e.finish {
-		return f.final(now)
-	}
 	if e.endpoint != nil {
 		return f.linkChanged(e, now)
 	}
--- a/ingress/inflight_test.go
+++ b/ingress/inflight_test.go
@@ -55,7 +55,7 @@
 		sinks = append(sinks, sink)
 	}
 	req := &inFlightRequest{forwarder: f, route: &route.Route{Target: time.Second, Attempts: 2}, service: "a", latency: &core.LatencyPercentile{},
-		content: &link.Content{}, arrived: now, deadline: now.Add(3 * time.Second), events: make(chan event, eventBuffer), saturated: func() bool { return true }}
+		content: &link.Content{}, arrived: now, deadline: now.Add(3 * time.Second), events: newEventQueue(), saturated: func() bool { return true }}
 	req.requirements = overload.NewRequirements(0, now, req.route.Target, req.deadline)
 	req.offerNext(now)
 	require.Len(t, req.offers, 1)
--- a/ingress/namedlimit_test.go
+++ b/ingress/namedlimit_test.go
@@ -18,7 +18,7 @@
 // newRequest returns another request like req, of a priority, that has not been offered yet.
 func newRequest(req *inFlightRequest, priority int, now time.Time) *inFlightRequest {
 	next := &inFlightRequest{forwarder: req.forwarder, route: &route.Route{Target: time.Second, Attempts: 2}, service: req.service, latency: req.latency,
-		content: &link.Content{}, arrived: now, deadline: now.Add(3 * time.Second), events: make(chan event, eventBuffer), saturated: req.saturated}
+		content: &link.Content{}, arrived: now, deadline: now.Add(3 * time.Second), events: newEventQueue(), saturated: req.saturated}
 	next.requirements = overload.NewRequirements(priority, now, next.route.Target, next.deadline)
 	return next
 }
--- a/ingress/stopping_test.go
+++ b/ingress/stopping_test.go
@@ -49,7 +49,7 @@
 		f := newTestForwarder()
 		now := time.Now()
 		req := &inFlightRequest{forwarder: f, route: &route.Route{Target: time.Hour, Attempts: 2}, service: "a", latency: &core.LatencyPercentile{},
-			content: &link.Content{}, arrived: now, deadline: now.Add(time.Hour), events: make(chan event, eventBuffer), saturated: func() bool { return true },
+			content: &link.Content{}, arrived: now, deadline: now.Add(time.Hour), events: newEventQueue(), saturated: func() bool { return true },
 			deliveries: 1} // An upstream has shed it; it waits for another gate.
 		req.requirements = overload.NewRequirements(0, now, req.route.Target, req.deadline)
 		if finishFirst {
--- a/ingress/unresponsive_test.go
+++ b/ingress/unresponsive_test.go
@@ -70,7 +70,7 @@
 func newOrder(f *Forwarder, now time.Time) *inFlightRequest {
 	r := &route.Route{Target: 1500 * time.Millisecond, Attempts: 2}
 	req := &inFlightRequest{forwarder: f, route: r, service: "a", latency: &core.LatencyPercentile{}, content: &link.Content{}, arrived: now,
-		deadline: now.Add(5 * time.Second), events: make(chan event, eventBuffer), saturated: func() bool { return true }}
+		deadline: now.Add(5 * time.Second), events: newEventQueue(), saturated: func() bool { return true }}
 	req.requirements = overload.NewRequirements(0, now, r.Target, req.deadline)
 	return req
 }
