ingress: what the header decides is answered before the body has come

What callers saw (a play of this code): a request for an unknown path with 3 of 30,000,000 bytes of its body sent had no answer in 2 s; likewise one with a wrong key, or sent to a node that stops and will not take it.

Cause: what is ready waits behind something else, here a decision behind a body: the whole body was read before anything was decided.

Change: a server asks for the refusal of a request whose body has not arrived whole. The forwarder's check of path, id, key and stop is one function, used there and when the body is there. A short body is then read and dropped, so that the connection can be used further; after a long one, or one whose caller waits for "100 Continue", the answer says that the connection closes.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -149,14 +149,21 @@
 		}
 		c.answers <- p // Before the body is read: "100 Continue" has its place among the answers.
 		if fault == nil {
+			if refused := c.refuseByHeader(r); refused != nil {
+				keep := p.keeps(r)
+				c.refuse(p, refused, !keep)
+				if keep && c.discardBody(r) {
+					continue
+				}
+				return false
+			}
 			fault = c.body(p, r)
 		}
-		c.begin()
 		if fault != nil {
-			p.last, p.unread = true, true
-			p.response <- fault
+			c.refuse(p, fault, true)
 			return false
 		}
+		c.begin()
 		go c.answer(ctx, p, r)
 		if p.last {
 			return c.leavesEarly()
@@ -164,6 +171,13 @@
 	}
 }
 
+// refuse answers a request whose body was not read.
+func (c *serverConn) refuse(p *pendingAnswer, refusal *Response, last bool) {
+	c.begin()
+	p.last, p.unread = last, true
+	p.response <- refusal
+}
+
 // leavesEarly waits until the last request is answered, and reports whether the caller
 // left before.
 func (c *serverConn) leavesEarly() bool {
@@ -253,15 +267,7 @@
 // answer runs a request and passes its response to the writer.
 func (c *serverConn) answer(ctx context.Context, p *pendingAnswer, r *parsed) {
 	defer r.reservation.release()
-	p.response <- c.server.serve(ctx, &Request{
-		Method:     r.Method,
-		RequestURI: r.RequestURI,
-		URL:        r.URL,
-		Host:       r.Host,
-		Header:     r.Header,
-		Body:       r.body,
-		Arrived:    r.arrived,
-	})
+	p.response <- c.server.serve(ctx, r.request())
 }
 
 // write sends answers in the order of their requests.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -169,39 +169,85 @@
 		return nil
 	}
 	last := finishAt.Add(-lateGrace)
-	if req.parent != "" && req.arrived.Add(req.latency.StallThreshold()).Before(last) {
-		if last.Before(req.deadline) {
-			req.deadline = last
-		}
+	if refused := f.refusedByStop(req.parent != "", req.latency, req.arrived, last); refused != nil {
+		return refused
+	}
+	if last.Before(req.deadline) {
+		req.deadline = last
+	}
+	return nil
+}
+
+// refusedByStop returns the refusal of a request that arrived after Refuse, and nil for a call that its upstream
+// usually answers by a time.
+func (f *Forwarder) refusedByStop(isNested bool, latency *core.LatencyPercentile, arrived, last time.Time) *Response {
+	if isNested && arrived.Add(latency.StallThreshold()).Before(last) {
 		return nil
 	}
 	return refusal(result.New(result.Stopping, "").WithRetryAfter(shortRetryAfter))
 }
 
-// prepare matches the route and returns the in-flight request, or the refusal of a request
-// that cannot be forwarded.
-func (f *Forwarder) prepare(r *Request) (*inFlightRequest, *Response) {
-	table := f.table.Load()
-	if table == nil {
+// RefuseByHeader returns the refusal of a request whose body has not arrived if its header decides that: no body would
+// change it. Otherwise it returns nil.
+func (f *Forwarder) RefuseByHeader(r *Request) *Response {
+	if f.table.Load() == nil {
+		return nil // There may be a configuration by the time the body has arrived.
+	}
+	a, refused := f.checkHeader(r)
+	if finishAt := f.finishAt.Load(); refused == nil && finishAt != nil {
+		refused = f.refusedByStop(a.isNested, f.latencyOf(a.route), r.Arrived, finishAt.Add(-lateGrace))
+	}
+	if refused != nil {
+		f.explain(r, nil, refused)
+	}
+	return refused
+}
+
+// acceptedHeader is what the header of a request that can be forwarded says.
+type acceptedHeader struct {
+	table    *route.Table
+	metadata port.RequestMetadata
+	route    *route.Route
+	account  *route.Account // nil without one.
+	parent   overload.Parent
+	isNested bool
+}
+
+// checkHeader matches the route and the account of a request, or returns the refusal of one that cannot be forwarded.
+func (f *Forwarder) checkHeader(r *Request) (*acceptedHeader, *Response) {
+	a := &acceptedHeader{table: f.table.Load()}
+	if a.table == nil {
 		return nil, refusal(result.New(result.NoConfiguration, "").WithRetryAfter(shortRetryAfter))
 	}
-	metadata := f.dialect.Request(r.Header)
-	if metadata.Malformed || metadata.Attempt == "" {
+	a.metadata = f.dialect.Request(r.Header)
+	if a.metadata.Malformed || a.metadata.Attempt == "" {
 		return nil, refusal(result.New(result.BadRequest, "the attempt's id or deadline cannot be read"))
 	}
 	path := r.URL.EscapedPath()
-	matched, ok := table.Match(r.Host, path)
+	matched, ok := a.table.Match(r.Host, path)
 	if !ok {
 		return nil, refusal(result.New(result.NoRoute, path))
 	}
-	parent, isNested := f.parents(metadata.Parent)
-	if !isNested {
-		metadata.Parent = ""
+	a.route = matched
+	a.parent, a.isNested = f.parents(a.metadata.Parent)
+	if !a.isNested {
+		a.metadata.Parent = ""
+	}
+	account, refused := identify(a.table, matched, a.metadata.AccountKey, a.isNested)
+	if refused != nil {
+		return nil, refused
 	}
-	account, refused := identify(table, matched, metadata.AccountKey, isNested)
+	a.account = account
+	return a, nil
+}
+
+// prepare returns the in-flight request, or the refusal of a request that cannot be forwarded.
+func (f *Forwarder) prepare(r *Request) (*inFlightRequest, *Response) {
+	a, refused := f.checkHeader(r)
 	if refused != nil {
 		return nil, refused
 	}
+	table, matched, account, parent, metadata := a.table, a.route, a.account, a.parent, a.metadata
 	header := r.Header.Clone()
 	strip(header)
 	header.Del("Content-Length")
@@ -210,7 +256,7 @@
 	}
 	deadline := r.Arrived.Add(callerTimeout(metadata.Timeout, matched.Timeout))
 	requirements := overload.NewRequirements(matched.Priority, r.Arrived, matched.Target, deadline).ForAccount(table.Priority(matched, account))
-	if isNested && f.endpoints.switches.On(switches.NestedRequirements) {
+	if a.isNested && f.endpoints.switches.On(switches.NestedRequirements) {
 		requirements = requirements.ForAccount(table.NestedPriority(matched, parent.Priority)).ForNested(parent)
 	}
 	return &inFlightRequest{
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -16,6 +16,9 @@
 const (
 	// bodyTimeout is how long a caller may take to send a body.
 	bodyTimeout = 30 * time.Second
+	// maxDiscardBytes is how much of a body is read after its request was refused. The caller of a longer one needs
+	// another connection.
+	maxDiscardBytes = 256 << 10
 	// Defaults for limits that no configuration sets.
 	defaultHeaderBytes   = 64 << 10
 	defaultBodyBytes     = 16 << 20
@@ -55,6 +58,34 @@
 	return r.Body != http.NoBody && strings.EqualFold(r.Header.Get("Expect"), "100-continue") && r.ProtoAtLeast(1, 1)
 }
 
+// request returns the request as it is served.
+func (r *parsed) request() *Request {
+	return &Request{Method: r.Method, RequestURI: r.RequestURI, URL: r.URL, Host: r.Host, Header: r.Header, Body: r.body, Arrived: r.arrived}
+}
+
+// refuseByHeader returns the refusal of a request whose body has not arrived whole and is not needed to refuse it.
+func (c *serverConn) refuseByHeader(r *parsed) *Response {
+	if r.Body == http.NoBody || r.ContentLength >= 0 && r.ContentLength <= int64(c.reader.Buffered()) {
+		return nil
+	}
+	r.arrived = time.Now()
+	return c.server.checkHeader(r.request())
+}
+
+// keeps reports whether the connection can be used further after a request that was refused without its body: not if
+// the body is long, or if it is not certain that it is sent.
+func (p *pendingAnswer) keeps(r *parsed) bool {
+	return !p.last && !p.expects && r.ContentLength >= 0 && r.ContentLength <= maxDiscardBytes
+}
+
+// discardBody reads a body that is not needed, and reports whether it arrived whole.
+func (c *serverConn) discardBody(r *parsed) bool {
+	c.limit.N = maxDiscardBytes + bufferBytes
+	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout)) // Fails only on a closed connection, as the read does.
+	_, err := io.Copy(io.Discard, r.Body)
+	return err == nil
+}
+
 // body reads a request's body, or returns the refusal if it is invalid, late or too large.
 func (c *serverConn) body(p *pendingAnswer, r *parsed) *Response {
 	fault := c.bodyFault(p, r)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -19,6 +19,7 @@
 // concurrently and answers them in order, which net/http's server does not offer.
 type Server struct {
 	serve         Serve
+	checkHeader   func(r *Request) *Response // Returns the refusal of a request whose header decides that.
 	limits        func() route.Limits
 	bodyMemory    *bodyMemory
 	onBodyRefused func() // Called for each body refused for lack of memory.
@@ -50,10 +51,16 @@
 	return func(s *Server) { s.onUnanswered = unanswered }
 }
 
+// WithHeaderCheck sets a function that is called for a request whose body has not arrived, with the request without its
+// body. If it returns a response, that is the answer, and the body is not waited for.
+func WithHeaderCheck(check func(r *Request) *Response) ServerOption {
+	return func(s *Server) { s.checkHeader = check }
+}
+
 // NewServer returns a server. It calls limits before it reads each request.
 func NewServer(serve Serve, limits func() route.Limits, options ...ServerOption) *Server {
 	s := &Server{serve: serve, limits: limits, bodyMemory: newBodyMemory(defaultBodyMemory), onBodyRefused: func() {},
-		onUnanswered: func(ConnectionState) {}, conns: map[*serverConn]bool{}}
+		checkHeader: func(*Request) *Response { return nil }, onUnanswered: func(ConnectionState) {}, conns: map[*serverConn]bool{}}
 	for _, o := range options {
 		o(s)
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -76,6 +76,7 @@
 		ingress.WithQuarantine(n.quarantine.tracker),
 		ingress.WithFailures(func(f overload.Failure) { n.gate.RecordFailure(f) }))
 	n.server = ingress.NewServer(n.forwarder.Serve, n.callerLimits,
+		ingress.WithHeaderCheck(n.forwarder.RefuseByHeader),
 		ingress.WithBodyMemory(s.BodyMemory(), func() { metrics.Count("body_without_room") }),
 		ingress.WithUnanswered(func(c ingress.ConnectionState) { n.logUnanswered("connection ended without an answer", c) }))
 	n.directory = newDirectory(n)
