ingress: pipelined requests that change something run in their order

What callers saw (a play of this code): of three pipelined PUTs of 150 ms, 2 of 2 later ones began before the one before had ended, so that two PUTs to one path can end in the wrong order.

Cause: all requests of a connection ran at once, whatever their method; RFC 9112, 9.3.2 allows that for safe methods only.

Change: requests of a connection run in groups: those with safe methods together, any other one alone, after the earlier and before the later ones. What was read is kept until its turn; one whose caller has left by then does not begin.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -133,6 +133,7 @@
 
 // read reads requests until the connection ends, and reports whether the caller closed it.
 func (c *serverConn) read(ctx context.Context) bool {
+	var order pipeline
 	for {
 		if gone, ok := c.awaitRequest(); !ok {
 			return gone
@@ -164,7 +165,7 @@
 			return false
 		}
 		c.begin()
-		go c.answer(ctx, p, r)
+		go c.answer(ctx, p, r, order.next(r.Method))
 		if p.last {
 			return c.leavesEarly()
 		}
@@ -264,9 +265,15 @@
 	c.pending++
 }
 
-// answer runs a request and passes its response to the writer.
-func (c *serverConn) answer(ctx context.Context, p *pendingAnswer, r *parsed) {
+// answer runs a request when its turn has come and passes its response to the writer.
+func (c *serverConn) answer(ctx context.Context, p *pendingAnswer, r *parsed, t turn) {
 	defer r.reservation.release()
+	defer t.done()
+	t.await()
+	if ctx.Err() != nil {
+		p.response <- nil // The caller has left while the request waited.
+		return
+	}
 	p.response <- c.server.serve(ctx, r.request())
 }
 
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,6 +177,38 @@
 	assert.True(t, body == long, "the answer is cut")
 }
 
+// A request whose method is not safe must not run beside others of its connection: a later one could take effect first.
+func TestPipelinedChangesRunTogether(t *testing.T) {
+	var running atomic.Int32
+	var mu sync.Mutex
+	var began []string
+	_, address := testServer(t, func(_ context.Context, r *Request) *Response {
+		mu.Lock()
+		began = append(began, r.RequestURI)
+		mu.Unlock()
+		together := running.Add(1)
+		time.Sleep(30 * time.Millisecond)
+		running.Add(-1)
+		return text(200, fmt.Sprint(together))
+	}, route.Limits{})
+	c, in := dialServer(t, address)
+	want := []string{}
+	for i, method := range []string{"PUT", "PUT", "GET", "GET", "POST", "GET"} {
+		_, err := fmt.Fprintf(c, "%s /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", method, i)
+		require.NoError(t, err)
+		want = append(want, fmt.Sprintf("/%d", i))
+	}
+	for i := range want {
+		_, together := readAnswer(t, in)
+		if i == 2 || i == 3 {
+			continue // Two safe ones.
+		}
+		assert.Equal(t, "1", together, "requests that run with %d", i)
+	}
+	slices.Sort(began[2:4])
+	assert.Equal(t, want, began)
+}
+
 // TestBodies sends a body with a length, one in chunks, and none.
 func TestBodies(t *testing.T) {
 	_, address := testServer(t, func(_ context.Context, r *Request) *Response { return text(200, string(r.Body)) }, route.Limits{})
