proxy: a kept connection is used again only if its upstream names attempts

What callers saw: nothing was reported; read in the code, then played by a test: on the older path a late copy of an answer was the next caller's answer.

Change: a retryable request carries Eiderfold-Attempt. An upstream that repeats it in its answers keeps its connections, and an answer that names another attempt ends the attempt as unknown and the connection; an upstream that does not gets a connection for each request, as orders have had.

Result: TestLateAnswerIsNextCallersAnswer failed before ("/get/0" for "/get/1") and passes; go test ./proxy ./node ./cmd/... passes.

--- a/bench/standin/upstream.go
+++ b/bench/standin/upstream.go
@@ -112,6 +112,7 @@
 		return // Ignores an incomplete request.
 	}
 	u.recordArrival()
+	w.Header().Set("Eiderfold-Attempt", r.Header.Get("Eiderfold-Attempt"))
 	if m.Leaving || m.Shed {
 		u.refuse(w, m)
 		return
--- a/cmd/eiderfold/dev.go
+++ b/cmd/eiderfold/dev.go
@@ -23,6 +23,7 @@
 	"eiderfold/memory"
 	"eiderfold/node"
 	"eiderfold/port"
+	"eiderfold/proxy"
 	"eiderfold/settings"
 )
 
@@ -148,6 +149,7 @@
 func sampleUpstream(name string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(sampleDelay)
+		w.Header().Set(proxy.AttemptHeader, r.Header.Get(proxy.AttemptHeader))
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return // The caller disconnected.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -31,6 +32,10 @@
 	DeadlineHeader = "Eiderfold-Deadline"
 	// AccountHeader names the client account to the upstream.
 	AccountHeader = "Eiderfold-Account"
+	// AttemptHeader names one attempt of a retryable request. An upstream that repeats it in its answers gets
+	// further requests on the same connection; another one could send a late copy of an answer that would be taken
+	// for the answer to the next request, so that each request gets a connection of its own.
+	AttemptHeader = "Eiderfold-Attempt"
 	// StateHeader is "leaving" when an upstream refuses a request because it is
 	// shutting down.
 	StateHeader = "Upstream-State"
@@ -112,11 +117,12 @@
 type attempt struct {
 	call      *call
 	upstream  *Upstream
-	dedicated bool // Uses a connection of its own.
+	dedicated bool   // Uses a connection of its own.
+	id        string // Sent in AttemptHeader unless dedicated.
 	started   time.Time
 	inFlight  *inFlightRequest
 	cancel    context.CancelFunc
-	connected atomic.Bool // Only set if dedicated.
+	conn      atomic.Pointer[httptrace.GotConnInfo] // nil until there is a connection.
 }
 
 // exchange makes one attempt. The upstream's slot is released at the end of the
@@ -129,6 +135,9 @@
 	if err != nil {
 		return nil, t.fail(c.classify(err))
 	}
+	if foreign := t.identify(response); foreign != nil {
+		return nil, t.fail(foreign)
+	}
 	if refused := refusal(u, response); refused != nil {
 		_ = response.Body.Close() // A refusal's body is not relayed.
 		return nil, t.fail(refused)
@@ -148,21 +157,42 @@
 	return a, nil
 }
 
-// send makes the round trip. With a dedicated connection it records whether the
-// connection was established.
+// send makes the round trip, and records the connection.
 func (t *attempt) send(ctx context.Context) (*http.Response, error) {
-	if !t.dedicated {
-		return t.upstream.shared.RoundTrip(t.call.outgoing(ctx, t.upstream, false))
-	}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { t.conn.Store(&c) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	return t.upstream.dedicated.RoundTrip(t.call.outgoing(ctx, t.upstream, true))
+	out := t.call.outgoing(ctx, t.upstream, t.dedicated)
+	if t.dedicated {
+		return t.upstream.dedicated.RoundTrip(out)
+	}
+	t.id = strconv.FormatUint(rand.Uint64(), 16)
+	out.Header.Set(AttemptHeader, t.id)
+	out.Close = !t.upstream.namesAttempts.Load()
+	return t.upstream.shared.RoundTrip(out)
+}
+
+// identify checks that an answer is that to the attempt, and returns a failure if it may be that to an earlier one on
+// the same connection, which is closed then.
+func (t *attempt) identify(response *http.Response) *failure {
+	id := response.Header.Get(AttemptHeader)
+	response.Header.Del(AttemptHeader)
+	if t.dedicated {
+		return nil
+	}
+	t.upstream.namesAttempts.Store(id != "")
+	conn := t.conn.Load()
+	if id == t.id || id == "" && !conn.Reused {
+		return nil
+	}
+	_ = conn.Conn.Close() // Nothing else can follow on it.
+	_ = response.Body.Close()
+	return &failure{reason: unconfirmed, detail: "an answer to another request"}
 }
 
 // fail finishes an attempt without an answer.
 func (t *attempt) fail(f *failure) *failure {
 	t.upstream.finish(t.inFlight, f.evidence(), time.Now())
-	if t.dedicated && !t.connected.Load() {
+	if t.dedicated && t.conn.Load() == nil {
 		// Without a connection nothing was sent, whatever the error.
 		f.reason = notSent
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -133,6 +133,81 @@
 	}
 }
 
+// lateCopier is an upstream that writes the answer to the first request of a connection once more before each later
+// answer on it.
+type lateCopier struct {
+	net.Listener
+	namesAttempts bool
+}
+
+func newLateCopier(t *testing.T, namesAttempts bool) *lateCopier {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := &lateCopier{Listener: l, namesAttempts: namesAttempts}
+	t.Cleanup(func() { _ = l.Close() })
+	go listener.Serve(l, func(c net.Conn) { go u.serve(c) })
+	return u
+}
+
+func (u *lateCopier) serve(c net.Conn) {
+	defer c.Close() //nolint:errcheck // It was only written to.
+	first := ""
+	for reader := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		name := ""
+		if u.namesAttempts {
+			name = AttemptHeader + ": " + r.Header.Get(AttemptHeader) + "\r\n"
+		}
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", name, len(r.URL.Path), r.URL.Path)
+		_, _ = io.WriteString(c, first+answer)
+		first = answer
+	}
+}
+
+// A late copy of an answer must not be taken for the answer to the next caller's request on the connection.
+func TestLateAnswerIsNextCallersAnswer(t *testing.T) {
+	for _, namesAttempts := range []bool{true, false} {
+		b := newTestCluster(t, newLateCopier(t, namesAttempts).Addr().String())
+		for i := range 5 {
+			path := fmt.Sprintf("/get/%d", i)
+			status, _, text, err := b.send(t, http.MethodGet, path, "", "")
+			require.NoError(t, err)
+			if status == http.StatusOK {
+				assert.Equal(t, path, text, "attempts named: %v", namesAttempts)
+				continue
+			}
+			assert.True(t, namesAttempts && i > 0, "request %d failed with %d, attempts named: %v", i, status, namesAttempts)
+		}
+	}
+}
+
+// An upstream that names attempts must keep its connections, and its callers don't see the names.
+func TestNamedAttemptsShareConnection(t *testing.T) {
+	var connections atomic.Int32
+	u := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(AttemptHeader, r.Header.Get(AttemptHeader))
+	}))
+	u.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	u.Start()
+	t.Cleanup(u.Close)
+	b := newTestCluster(t, u.Listener.Addr().String())
+	for range 5 {
+		answer, err := http.Get(b.server.URL + "/a/get/1")
+		require.NoError(t, err)
+		_ = answer.Body.Close()
+		assert.Empty(t, answer.Header.Get(AttemptHeader))
+	}
+	assert.EqualValues(t, 2, connections.Load(), "the first one shows that the upstream names attempts")
+}
+
 // TestTransportWouldReplay shows why noRewind is needed: net/http itself resends a
 // keyed POST without a body when its reused connection breaks.
 func TestTransportWouldReplay(t *testing.T) {
@@ -346,12 +421,19 @@
 }
 
 // BenchmarkLookup benchmarks a request through the node, including client and
-// upstream.
+// upstream, whose connections are kept if it names attempts.
 func BenchmarkLookup(b *testing.B) {
-	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }))
-	defer good.Close()
-	cluster := newTestCluster(b, good.Listener.Addr().String())
-	sendLoad(b, cluster.server.URL+"/a/get/1")
+	for name, header := range map[string]string{"named": AttemptHeader, "unnamed": "X-Other"} {
+		b.Run(name, func(b *testing.B) {
+			good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(header, r.Header.Get(header))
+				fmt.Fprint(w, "done")
+			}))
+			defer good.Close()
+			cluster := newTestCluster(b, good.Listener.Addr().String())
+			sendLoad(b, cluster.server.URL+"/a/get/1")
+		})
+	}
 }
 
 // BenchmarkDirect benchmarks the same request without a node.
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -30,9 +30,10 @@
 	failed         atomic.Uint32
 	shedUntil      atomic.Int64 // Unix nanoseconds; no requests until then.
 	leaving        atomic.Bool  // It reported that it is leaving.
+	namesAttempts  atomic.Bool  // Its latest answer had AttemptHeader.
 	nextTracked    atomic.Uint32
 	tracked        [maxTracked]atomic.Pointer[inFlightRequest]
-	shared         *http.Transport // For retryable work; connections are reused.
+	shared         *http.Transport // For retryable work; connections are reused if the upstream names attempts.
 	dedicated      *http.Transport // For at-most-once work; one connection per request.
 }
 
