--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -43,6 +43,7 @@
 	uploads := c.Flags().Bool("uploads", false, "some orders have large bodies that are sent slowly")
 	limits := c.Flags().Bool("limits", false, "upstreams name limits in their answers, or that they leave")
 	leaving := c.Flags().Bool("leaving", false, "upstreams report late or deregister first, and their nodes are disturbed right after the acknowledgement")
+	pipelining := c.Flags().Bool("pipelining", false, "callers send batches of requests and read slowly, upstreams answer early and twice")
 	commit := c.Flags().String("previous", "", "a commit: its build runs beside today's, nodes are replaced one after the other")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		dir, err := os.MkdirTemp("", "eiderfold-soak")
@@ -61,7 +62,7 @@
 		}
 		failed := 0
 		for seed := *from; seed < *from+*seeds; seed++ {
-			violated, err := runSeed(c, soak.Options{Program: program, Previous: previous, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads, Limits: *limits, Leaving: *leaving})
+			violated, err := runSeed(c, soak.Options{Program: program, Previous: previous, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads, Limits: *limits, Leaving: *leaving, Pipelining: *pipelining})
 			if err != nil {
 				return err
 			}
--- a/bench/soak/checker.go
+++ b/bench/soak/checker.go
@@ -154,5 +154,13 @@
 	return c.attempts[attempt].runs
 }
 
+// ran reports whether an attempt was sent and has run.
+func (c *checker) ran(attempt string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.attempts[attempt]
+	return e != nil && e.runs > 0
+}
+
 // settle waits until upstreams have finished their remaining work.
 func (c *checker) settle() { time.Sleep(settleTime) }
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -68,6 +68,9 @@
 	// Leaving adds upstreams that report late, deregister first, serve long after their leaving was
 	// acknowledged, and whose nodes are paused or restarted right after that.
 	Leaving bool
+	// Pipelining adds callers that send batches of requests, some with Expect, and read long answers slowly, and
+	// upstreams that refuse before they have read the body and send some answers twice.
+	Pipelining bool
 }
 
 // Report is the result of a run.
@@ -120,6 +123,12 @@
 	for i := range o.Nodes * callersPerNode {
 		clients.Go(func() { s.runCaller(callerCtx, s.nodes[i%o.Nodes], i) })
 	}
+	if o.Pipelining {
+		for i, n := range s.nodes {
+			n.upstream.unruly.Store(true)
+			clients.Go(func() { s.runPipeliner(callerCtx, n, i) })
+		}
+	}
 	time.Sleep(warmupTime)
 	for _, e := range s.crashingRequests {
 		clients.Go(func() { s.sendCrashing(callerCtx, e) })
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -49,6 +49,12 @@
 	runSeed(t, Options{Seed: 46, Nodes: 5, For: 14 * time.Second, Limits: true})
 }
 
+// TestPipelining sends batches of requests, some with Expect, and reads long answers slowly, while upstreams answer early
+// and twice and nodes are stopped, killed, paused and cut off.
+func TestPipelining(t *testing.T) {
+	runSeed(t, Options{Seed: 33, Nodes: 5, For: 10 * time.Second, Pipelining: true})
+}
+
 // previousCommit is the commit whose build TestUpgrade runs beside today's.
 const previousCommit = "ee95dbe5"
 
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,8 +39,9 @@
 	reportAddress    string
 	checker          *checker
 	failing          atomic.Bool
-	draining         sync.Mutex // Held while it drains.
-	limiting         sync.Mutex // Held while it names limits.
+	unruly           atomic.Bool // It answers early and sends answers twice.
+	draining         sync.Mutex  // Held while it drains.
+	limiting         sync.Mutex  // Held while it names limits.
 	mu               sync.Mutex
 	id               string
 	generation       int
@@ -84,7 +84,7 @@
 	}
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Minute, BaseContext: func(net.Listener) context.Context { return ctx }}
 	server := u.server
-	go server.Serve(listener) //nolint:errcheck // Closed at the end of the run.
+	go server.Serve(unrulyListener{listener, u}) //nolint:errcheck // Closed at the end of the run.
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 }
 
@@ -130,6 +130,9 @@
 		return
 	}
 	attempt := r.Header.Get("Attempt-Id")
+	if u.sheds(w, r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -164,12 +167,11 @@
 	w.Header().Set("Attempt-Id", attempt)
 	w.Header().Set("Response-Stamp", stamp)
 	u.writeStatements(w.Header())
-	_, _ = io.WriteString(w, expectedBody(attempt)) // The node may have closed the connection.
+	answer := expectedBody(attempt)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = io.WriteString(w, answer) // The node may have closed the connection.
 }
 
-// expectedBody returns the response body of an attempt.
-func expectedBody(attempt string) string { return strings.Repeat(attempt+" ", 40) }
-
 // sendHeartbeats sends heartbeats until ctx ends.
 func (u *upstream) sendHeartbeats(ctx context.Context) {
 	t := time.NewTicker(heartbeatInterval)
