mesh: links are read while a configuration is decoded

What callers saw: nothing was reported; by the code, answers and offers that follow a configuration on a link waited until it was decoded and in force, and so did those on every other link that had a message about the configuration.

Cause: something ready waits behind something else: the goroutine that reads a link decoded, and the lock that guards the version was held meanwhile.

Change: a configuration from a peer is installed in a goroutine of its own, one at a time under a lock of its own; the lock of the version is held for moments.

Result: TestConfigurationHoldsBackLinks failed before (no reply to a ping on the link while the decoding is held) and passes; go test ./mesh passes.

--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -14,7 +14,8 @@
 // never decreases.
 type configuration struct {
 	node           *Node
-	mu             sync.Mutex
+	installing     sync.Mutex // Held while a configuration is decoded and installed; taken before mu.
+	mu             sync.Mutex // Never held for long: the goroutines that read links take it.
 	version        uint64
 	packed         []byte        // Compressed text, as sent to peers.
 	rejected       uint64        // Newest version that was rejected.
@@ -51,22 +52,23 @@
 
 // install is apply for a text with its compressed form, nil if there is none yet.
 func (c *configuration) install(text, packed []byte, source string) {
-	c.mu.Lock()
+	c.installing.Lock()
 	table, err := c.decodeNewer(text)
 	if table == nil {
-		c.mu.Unlock()
+		c.installing.Unlock()
 		if err != nil {
 			c.node.log.Warn("configuration refused", zap.String("source", source), zap.Error(err))
 		}
 		return
 	}
-	c.version = table.Version()
 	if packed == nil {
 		packed = pack(text)
 	}
-	c.packed = packed
 	c.node.forwarder.SetTable(table)
+	c.mu.Lock()
+	c.version, c.packed = table.Version(), packed
 	c.mu.Unlock()
+	c.installing.Unlock()
 	own, _ := table.Service(c.node.self.Service)
 	c.node.gate.SetCold(gate.ColdBound{Time: own.ColdStart, Rate: own.ColdRate}) // Without the lock, as the gate may send on links.
 	c.node.log.Info("configuration in force", zap.Uint64("version", table.Version()), zap.String("source", source))
@@ -87,7 +89,7 @@
 // is old.
 func (c *configuration) decodeNewer(text []byte) (*route.Table, error) {
 	document, err := c.node.platform.DecodeConfiguration(text)
-	if document.Version != 0 && document.Version <= max(c.version, c.rejected) {
+	if document.Version != 0 && document.Version <= c.newestSeen() {
 		return nil, nil
 	}
 	if err == nil {
@@ -96,10 +98,19 @@
 			return table, nil
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.rejected = max(c.rejected, document.Version)
 	return nil, err
 }
 
+// newestSeen returns the newest version that is in force or was rejected.
+func (c *configuration) newestSeen() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(c.version, c.rejected)
+}
+
 // current returns the version in force and its compressed text.
 func (c *configuration) current() (uint64, []byte) {
 	c.mu.Lock()
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -36,7 +36,7 @@
 	case m.Want && version > m.Version:
 		from.Send(&link.Frame{Configuration: &link.Configuration{Version: version, Packed: packed}})
 	case len(m.Packed) > 0:
-		c.applyPacked(m.Packed)
+		go c.applyPacked(m.Packed) // Decoding a large one takes long; answers may follow it on the link.
 	case !m.Want && m.Version > version && version == 0:
 		c.request(m.Version, from)
 	case !m.Want && m.Version > version:
--- a/mesh/request_test.go
+++ b/mesh/request_test.go
@@ -11,6 +11,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"eiderfold/link"
+	"eiderfold/route"
 )
 
 // answerWithoutBody sends the header of a request and a part of its body, and returns the status of the answer and the
@@ -51,3 +54,36 @@
 	status, _, _ = n.answerWithoutBody("/write/x", 1000000)
 	assert.Equal(t, http.StatusServiceUnavailable, status)
 }
+
+// Messages must not wait on a link while a configuration that came before them is decoded, nor on another link that has
+// a message about the configuration.
+func TestConfigurationHoldsBackLinks(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	n := b.add("one", "births")
+	b.awaitReady()
+	decode := n.platform.DecodeConfiguration
+	began, release := make(chan bool), make(chan bool)
+	defer close(release)
+	n.platform.DecodeConfiguration = func(text []byte) (route.Document, error) {
+		began <- true
+		<-release
+		return decode(text)
+	}
+	var links []*link.Link
+	for range 2 {
+		conn, err := net.Dial("tcp4", n.settings.Load().Links())
+		require.NoError(t, err)
+		l := link.New(conn)
+		t.Cleanup(l.Close)
+		go l.Run(func(*link.Frame) {}) //nolint:errcheck // It ends with the test.
+		links = append(links, l)
+	}
+	links[0].Send(&link.Frame{Configuration: &link.Configuration{Version: 99, Packed: pack(configurationText(99))}})
+	<-began
+	links[1].Send(&link.Frame{Configuration: &link.Configuration{Version: 1}})
+	for i, l := range links {
+		l.Ping()
+		require.Eventually(t, func() bool { return l.LastPong().Unix() > 0 }, waitTimeout/4, time.Millisecond, "link %d", i)
+	}
+}
