mesh: a stop answers the reports that it is handling

Cause: what a stop owes was known for callers' connections only; the servers of the auxiliary addresses had no stop, their listeners were closed and the process ended.

Change: each of them is shut down after its listener is closed, beside the last call to the store and within the same 300 ms.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -165,16 +165,16 @@
 func (n *Node) serve(l *listeners) {
 	go n.links.accept(l.links)
 	go n.server.Serve(l.callers)
-	go serveHTTP(l.reports, http.HandlerFunc(n.serveReport))
-	go serveHTTP(l.ready, http.HandlerFunc(n.serveReady))
+	l.servers = []auxiliaryServer{serveHTTP(l.reports, http.HandlerFunc(n.serveReport)), serveHTTP(l.ready, http.HandlerFunc(n.serveReady))}
 	if l.metrics != nil {
-		go serveHTTP(l.metrics, n.observability())
+		l.servers = append(l.servers, serveHTTP(l.metrics, n.observability()))
 	}
 }
 
 // listeners are the listening sockets of a node.
 type listeners struct {
 	callers, links, reports, ready, metrics net.Listener
+	servers                                 []auxiliaryServer // On the last three, once they serve.
 }
 
 // listen opens the sockets. After an error the process exits, which closes those already
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -18,10 +18,23 @@
 	headerTimeout = 5 * time.Second
 )
 
-// serveHTTP serves until the listener is closed.
-func serveHTTP(l net.Listener, h http.Handler) {
+// auxiliaryServer serves HTTP on one of a node's auxiliary listeners.
+type auxiliaryServer struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+// serveHTTP starts a server.
+func serveHTTP(l net.Listener, h http.Handler) auxiliaryServer {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	_ = s.Serve(l) // The error only reports that the listener is closed.
+	go s.Serve(l) //nolint:errcheck // The error only reports that the listener is closed.
+	return auxiliaryServer{listener: l, http: s}
+}
+
+// stop closes the listener and waits, until ctx ends, for the requests that are being handled.
+func (s auxiliaryServer) stop(ctx context.Context) {
+	_ = s.listener.Close() // Before the server, which would keep the accepting goroutine waiting.
+	_ = s.http.Shutdown(ctx)
 }
 
 // serveReady answers the platform's readiness check.
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -25,7 +24,7 @@
 	finishTimeout = 200 * time.Millisecond
 	// flushTime lets the last answers leave the socket.
 	flushTime = 50 * time.Millisecond
-	// lastCallTimeout bounds a final call to the store.
+	// lastCallTimeout bounds a final call to the store, and how long reports in progress may take.
 	lastCallTimeout = 300 * time.Millisecond
 )
 
@@ -59,14 +58,13 @@
 	for _, c := range n.server.Unanswered() {
 		n.logUnanswered("connection open at the end of the stop", c)
 	}
-	var closing sync.WaitGroup
-	for _, o := range []net.Listener{l.links, l.reports, l.ready, l.metrics} {
-		if o != nil {
-			closing.Go(func() { _ = o.Close() })
-		}
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastCallTimeout)
 	defer cancel()
+	var closing sync.WaitGroup
+	closing.Go(func() { _ = l.links.Close() })
+	for _, s := range l.servers {
+		closing.Go(func() { s.stop(ctx) })
+	}
 	n.directory.removeSelf(ctx)
 	closing.Wait()
 }
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -81,6 +81,38 @@
 	assert.NotEmpty(t, r.Header.Get("Retry-After"))
 }
 
+// A stop must answer a report that it is handling, as its sender takes an acknowledgement as a promise and needs it
+// before its own end: the report was cut with the process.
+func TestStopCutsReport(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	one := b.newNode("one", "births")
+	s, err := settings.ParseMesh("test", []byte(one.yaml))
+	require.NoError(t, err)
+	one.Node = New(s, platform.New(one.store), NewMetrics(), testLogger(t))
+	opened, err := one.listen()
+	require.NoError(t, err)
+	status := make(chan int, 1)
+	opened.reports = &heldListener{Listener: opened.reports, beforeClose: sync.OnceFunc(func() {
+		one.store.denied.Store(true)
+		before := one.store.puts.Load()
+		go func() {
+			got, _ := one.sendReport(1, true)
+			status <- got
+		}()
+		require.Eventually(t, func() bool { return one.store.puts.Load() > before }, waitTimeout, time.Millisecond)
+		one.store.denied.Store(false) // The record is tried once more.
+	})}
+	one.serve(opened)
+	one.stop(opened)
+	select {
+	case got := <-status:
+		assert.Equal(t, http.StatusOK, got)
+	default:
+		t.Error("the process has ended")
+	}
+}
+
 // Stopping the ingress of one request and the gate of another must not interrupt either.
 func TestStopCompletesRequests(t *testing.T) {
 	t.Parallel()
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -16,6 +16,7 @@
 	frozen atomic.Bool  // Watches do not return, as if the node were suspended.
 	peeks  atomic.Int64 // Number of calls of StaleRange.
 	calls  atomic.Int64 // Number of all calls except watches.
+	puts   atomic.Int64 // Number of calls of Put.
 }
 
 func (s *nodeStore) check() error {
@@ -71,6 +72,7 @@
 }
 
 func (s *nodeStore) Put(ctx context.Context, key string, value []byte) error {
+	s.puts.Add(1)
 	if err := s.check(); err != nil {
 		return err
 	}
