node: a stop answers the operators' requests that it is handling

Cause: what a stop owes was known for callers' requests only; the admin API's server was closed.

Change: it is shut down, within two seconds and the stop's deadline; what is cut then is logged.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -10,9 +10,11 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -34,6 +36,12 @@
 // startNode starts a node without any configuration, with TLS for callers. The node stops when stop
 // is called, or when the test ends.
 func startNode(t *testing.T, connections int) (url string, client func() *http.Client, stop func()) {
+	t.Helper()
+	return startNodeWithAdmin(t, connections, "127.0.0.1:0", http.NotFoundHandler())
+}
+
+// startNodeWithAdmin is startNode with the address and the handler of operators' requests.
+func startNodeWithAdmin(t *testing.T, connections int, address string, admin http.Handler) (url string, client func() *http.Client, stop func()) {
 	t.Helper()
 	authority, err := keys.NewAuthority("a")
 	require.NoError(t, err)
@@ -45,12 +53,12 @@
 	text := fmt.Sprintf(`node: n
 data_centre: d
 templates: [t]
-listen: {callers: "%s", admin: "127.0.0.1:0", peers: "127.0.0.1:0"}
+listen: {callers: "%s", admin: "%s", peers: "127.0.0.1:0"}
 platform: {address: "http://none"}
 keys: {certificate: a, key: b, authority: c}
 limits: {connections: %d}
 stop: {grace: 1ms}
-`, callers, connections)
+`, callers, address, connections)
 	path := filepath.Join(t.TempDir(), "s.yaml")
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	s, err := settings.Load(path, func(string) (string, bool) { return "", false }, nil)
@@ -59,7 +67,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx, http.NotFoundHandler(), material) }()
+	go func() { done <- n.Run(ctx, admin, material) }()
 	t.Cleanup(func() {
 		cancel()
 		assert.NoError(t, <-done)
@@ -129,3 +137,36 @@
 
 // acceptTime is long enough for a connection to be established, and to be accepted if it may be.
 const acceptTime = 30 * time.Millisecond
+
+// A planned stop must answer an operator's request that it is handling: a publication was cut, and its operator could
+// not know whether it is in force.
+func TestStopCutsOperatorsRequest(t *testing.T) {
+	address := freePort(t)
+	began := make(chan bool)
+	_, client, stop := startNodeWithAdmin(t, 10, address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		began <- true
+		time.Sleep(500 * time.Millisecond) // Longer than the rest of the stop.
+		w.WriteHeader(http.StatusCreated)
+	}))
+	status := make(chan int, 1)
+	go func() {
+		c := client()
+		for {
+			response, err := c.Post("https://"+address+"/", "", nil)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				continue // The node has not started.
+			}
+			if err != nil {
+				t.Error(err)
+				close(status)
+				return
+			}
+			_ = response.Body.Close()
+			status <- response.StatusCode
+			return
+		}
+	}()
+	<-began
+	stop()
+	assert.Equal(t, http.StatusCreated, <-status)
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -15,7 +15,11 @@
 	"eiderfold/peer"
 )
 
-const handoverTimeout = 3 * time.Second
+const (
+	handoverTimeout = 3 * time.Second
+	// adminTimeout is how long operators' requests that are being handled may take to end.
+	adminTimeout = 2 * time.Second
+)
 
 // stop performs a planned stop, in this order: transfer the coordinator role, let
 // callers switch to other nodes, finish in-flight requests, and hand over the
@@ -42,7 +46,7 @@
 		g.handOver(ctx)
 	}
 	_ = n.adminListener.Close() // Before the server, which would keep the accepting goroutine waiting.
-	_ = n.admin.Close()
+	n.stopAdmin(ctx)
 	n.cancel()
 	n.loops.Wait()
 	_ = n.peers.Close()
@@ -50,6 +54,16 @@
 	return errors.Wrap(err, "stop")
 }
 
+// stopAdmin ends the admin API. Operators' requests that are being handled are answered.
+func (n *Node) stopAdmin(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	if err := n.admin.Shutdown(ctx); err != nil {
+		n.log.Error("operators' requests cut off", zap.Error(err))
+		_ = n.admin.Close()
+	}
+}
+
 const (
 	idleTime       = 300 * time.Millisecond
 	idlePollPeriod = 5 * time.Millisecond
