port, gate, mesh: what a departure covers is said once

What callers saw: nothing was reported; a delayed report "ready" of an earlier start of an id could open the gate of a new process though a later start had left.

Cause: the rule stood twice, and the two differed: the gate's covers the recorded start and all earlier ones, the record's in the store just that start.

Change: Incarnation.CoversStart has the rule, for both.

Result: TestLeavingRecordIgnoresEarlierStart failed before ("start 5") and passes; go test ./mesh ./gate -run 'Leav|Incarn|SameID|Depart|Script|Dereg' passes.

--- a/gate/departure.go
+++ b/gate/departure.go
@@ -14,20 +14,9 @@
 	until time.Time // When it was last reported.
 }
 
-// covers reports whether the departure concerns an incarnation. A departure without a start time concerns
-// each start of its id until it was last reported, by the clock that the upstream shares with the node.
-// Earlier starts of an id are gone.
+// covers reports whether the departure concerns an incarnation.
 func (d departure) covers(i port.Incarnation) bool {
-	switch {
-	case d.ID != i.ID:
-		return false
-	case i.StartedAt == 0:
-		return true
-	case d.StartedAt == 0:
-		return i.StartedAt <= d.until.UnixMilli()
-	default:
-		return i.StartedAt <= d.StartedAt
-	}
+	return d.ID == i.ID && d.CoversStart(i.StartedAt, d.until)
 }
 
 // departures holds the latest departures, at most maxIncarnations.
--- a/mesh/incarnation_test.go
+++ b/mesh/incarnation_test.go
@@ -3,11 +3,13 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"eiderfold/link"
+	"eiderfold/port"
 )
 
 // An upstream restarts with its previous id after it has left. The record of its leaving
@@ -37,6 +39,20 @@
 	assert.Equal(t, link.ModeClosed, n.gateMode())
 }
 
+// The record of a start that leaves must concern the earlier starts of its id, too, as it does in the gate: a delayed
+// report of one would open the gate of a new process.
+func TestLeavingRecordIgnoresEarlierStart(t *testing.T) {
+	record := leavingRecord{segment: keySegment(port.Incarnation{ID: "i/1", StartedAt: 9}), at: time.UnixMilli(20)}
+	for startedAt, covered := range map[int64]bool{0: true, 5: true, 9: true, 10: false} {
+		assert.Equal(t, covered, record.covers(port.Incarnation{ID: "i/1", StartedAt: startedAt}), "start %d", startedAt)
+	}
+	assert.False(t, record.covers(port.Incarnation{ID: "i/11", StartedAt: 5}))
+	withoutStart := leavingRecord{segment: "i_1", at: time.UnixMilli(20)}
+	for startedAt, covered := range map[int64]bool{0: true, 20: true, 21: false} {
+		assert.Equal(t, covered, withoutStart.covers(port.Incarnation{ID: "i/1", StartedAt: startedAt}), "start %d", startedAt)
+	}
+}
+
 // Malformed reports and reports of other upstreams must not affect the current one.
 func TestForeignReportsAreIgnored(t *testing.T) {
 	t.Parallel()
--- a/mesh/leavingrecord.go
+++ b/mesh/leavingrecord.go
@@ -41,21 +41,26 @@
 	own     bool      // Recorded by this process.
 }
 
-// covers reports whether the record concerns an incarnation. One without a start time concerns each start of
-// the id until it was recorded, by the clock that the upstream shares with the node. An incarnation without a
-// start time may be any that was recorded.
+// covers reports whether the record concerns an incarnation.
 func (r leavingRecord) covers(upstream port.Incarnation) bool {
-	id := keySegment(port.Incarnation{ID: upstream.ID})
-	switch {
-	case upstream.ID == "":
+	if upstream.ID == "" {
 		return false
-	case upstream.StartedAt == 0:
-		return r.segment == id || strings.HasPrefix(r.segment, id+startSeparator)
-	case r.segment == id:
-		return upstream.StartedAt <= r.at.UnixMilli()
-	default:
-		return r.segment == keySegment(upstream)
 	}
+	if r.segment == keySegment(upstream) {
+		return true
+	}
+	left, ok := r.incarnation(keySegment(port.Incarnation{ID: upstream.ID}))
+	return ok && left.CoversStart(upstream.StartedAt, r.at)
+}
+
+// incarnation returns the recorded incarnation if its id, as part of a key, is the given one.
+func (r leavingRecord) incarnation(id string) (port.Incarnation, bool) {
+	if r.segment == id {
+		return port.Incarnation{ID: id}, true
+	}
+	start, ok := strings.CutPrefix(r.segment, id+startSeparator)
+	startedAt, err := strconv.ParseInt(start, 10, 64)
+	return port.Incarnation{ID: id, StartedAt: startedAt}, ok && err == nil
 }
 
 // encodeLeaving returns the value of a record: when it was made, in Unix milliseconds.
--- a/port/mesh.go
+++ b/port/mesh.go
@@ -187,6 +187,20 @@
 	return i.StartedAt != 0 && o.StartedAt != 0 && i.StartedAt < o.StartedAt
 }
 
+// CoversStart reports whether the leaving of an incarnation, last reported at a time, concerns the start of its id at
+// another time, in Unix milliseconds, 0 if unknown. Without its own start time it concerns each start until it was
+// reported, by the clock that the upstream shares with the node. Earlier starts of an id are gone.
+func (i Incarnation) CoversStart(startedAt int64, reported time.Time) bool {
+	switch {
+	case startedAt == 0:
+		return true
+	case i.StartedAt == 0:
+		return startedAt <= reported.UnixMilli()
+	default:
+		return startedAt <= i.StartedAt
+	}
+}
+
 // Report is what an upstream reports about itself.
 type Report struct {
 	Incarnation
