ingress: a refusal by the header comes before "100 Continue"

What callers saw: a caller that waits for "100 Continue" with a request for an unknown path was asked for its body and then refused without it.

Cause: the request took its place among the answers before its header was checked, and the writer asks for the body of the one that it waits for.

Change: the check, and that of the declared length, comes first; a refused request takes its place with its answer.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -142,26 +142,26 @@
 			return false
 		}
 		p := &pendingAnswer{response: make(chan *Response, 1)}
-		r, fault := c.header()
-		if fault == nil {
+		keep := false
+		r, refused := c.header()
+		if refused == nil {
 			p.method = r.Method
 			p.last = !r.ProtoAtLeast(1, 1) || r.Close
 			p.expects = r.expectsContinue()
+			refused = c.refuseByHeader(r)
+			keep = p.keeps(r)
 		}
-		c.answers <- p // Before the body is read: "100 Continue" has its place among the answers.
-		if fault == nil {
-			if refused := c.refuseByHeader(r); refused != nil {
-				keep := p.keeps(r)
-				c.refuse(p, refused, !keep)
-				if keep && c.discardBody(r) {
-					continue
-				}
-				return false
+		if refused != nil {
+			c.refuse(p, refused, !keep)
+			c.answers <- p
+			if keep && c.discardBody(r) {
+				continue
 			}
-			fault = c.body(p, r)
+			return false
 		}
-		if fault != nil {
-			c.refuse(p, fault, true)
+		c.answers <- p // Before the body is read: "100 Continue" has its place among the answers.
+		if refused := c.body(p, r); refused != nil {
+			c.refuse(p, refused, true)
 			return false
 		}
 		c.begin()
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -65,6 +65,9 @@
 
 // refuseByHeader returns the refusal of a request whose body has not arrived whole and is not needed to refuse it.
 func (c *serverConn) refuseByHeader(r *parsed) *Response {
+	if r.ContentLength > r.bodyLimit {
+		return refusal(result.New(result.BodyTooLarge, ""))
+	}
 	if r.Body == http.NoBody || r.ContentLength >= 0 && r.ContentLength <= int64(c.reader.Buffered()) {
 		return nil
 	}
@@ -98,9 +101,6 @@
 
 // bodyFault reads the body, and returns the refusal if that fails.
 func (c *serverConn) bodyFault(p *pendingAnswer, r *parsed) *Response {
-	if r.ContentLength > r.bodyLimit {
-		return refusal(result.New(result.BodyTooLarge, ""))
-	}
 	if r.Body == http.NoBody {
 		return nil
 	}
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -118,6 +118,24 @@
 	assert.Equal(t, "body", two)
 }
 
+// A caller whose request is refused by its header must not be asked for the body first.
+func TestBodyOfRefusedRequestIsAskedFor(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := NewServer(nil, func() route.Limits { return route.Limits{} }, WithHeaderCheck(func(*Request) *Response {
+		time.Sleep(10 * time.Millisecond) // The writer would be waiting by now.
+		return text(404, "none")
+	}))
+	go s.Serve(l)
+	c, in := dialServer(t, l.Addr())
+	_, err = io.WriteString(c, "PUT /1 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	require.NoError(t, err)
+	r, _ := readAnswer(t, in)
+	assert.Equal(t, http.StatusNotFound, r.StatusCode)
+	assert.True(t, r.Close, "the body may follow or not")
+}
+
 // A body that is sent without waiting for "100 Continue" must be read though an earlier answer is still awaited.
 func TestBodyWaitsForAnswerToEarlierRequest(t *testing.T) {
 	read := make(chan bool)
