ingress: a connection closes after a body over the limit, as before

Cause: moved the check of the declared length before the place among the answers, and with it such a request could keep its connection and its body be dropped.

Change: a connection is kept only if the body is within the limit.

--- a/ingress/request.go
+++ b/ingress/request.go
@@ -76,9 +76,9 @@
 }
 
 // keeps reports whether the connection can be used further after a request that was refused without its body: not if
-// the body is long, or if it is not certain that it is sent.
+// the body is too long, or if it is not certain that it is sent.
 func (p *pendingAnswer) keeps(r *parsed) bool {
-	return !p.last && !p.expects && r.ContentLength >= 0 && r.ContentLength <= maxDiscardBytes
+	return !p.last && !p.expects && r.ContentLength >= 0 && r.ContentLength <= min(r.bodyLimit, maxDiscardBytes)
 }
 
 // discardBody reads a body that is not needed, and reports whether it arrived whole.
