ingress: a request that waited for its turn past its deadline is not offered

A pipelined change behind one that hangs to its deadline would be offered with no time left, a retryable one with its content, so that it could run though nobody waits for it.

Change: a request whose deadline has passed before its first offer is refused as not run, at once.

--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -81,6 +81,9 @@
 		return f.final(time.Now())
 	default:
 	}
+	if now := time.Now(); !now.Before(f.deadline) {
+		return f.final(now) // It has waited for earlier requests of its connection.
+	}
 	f.offerNext(time.Now())
 	timer := time.NewTimer(time.Until(f.nextWake()))
 	defer timer.Stop()
--- a/ingress/inflight_test.go
+++ b/ingress/inflight_test.go
@@ -178,3 +178,18 @@
 		assert.Equal(t, 1, offers)
 	}
 }
+
+// A request that has waited behind others of its connection until its deadline must not be offered, which would run it
+// with no time left: it is refused as not run.
+func TestRequestPastItsDeadlineIsOffered(t *testing.T) {
+	now := time.Now()
+	req, _, sinks := orderInFlight(t, now, 1)
+	late := &inFlightRequest{forwarder: req.forwarder, route: &route.Route{Target: time.Second, Attempts: 2, Retryable: true}, service: "a",
+		latency: &core.LatencyPercentile{}, content: &link.Content{}, arrived: now.Add(-time.Second), deadline: now,
+		events: newEventQueue(), saturated: func() bool { return true }}
+	late.requirements = overload.NewRequirements(0, late.arrived, late.route.Target, late.deadline)
+	before := len(sinks[0].frames)
+	r := late.run(t.Context())
+	assert.Equal(t, http.StatusServiceUnavailable, r.Status)
+	assert.Len(t, sinks[0].frames, before, "frames sent to the gate")
+}
