soak: pipelining callers send keys in a run with accounts

A fault of the soak, not of the product.

Change: they send the keys that the other callers send, also unknown ones.

--- a/bench/soak/pipelining.go
+++ b/bench/soak/pipelining.go
@@ -40,6 +40,7 @@
 // pipelined is one request of a batch.
 type pipelined struct {
 	attempt string
+	key     string // Of a client account, "" for none.
 	order   string // Body of an order that is sent after "100 Continue"; "" for a lookup.
 }
 
@@ -84,7 +85,7 @@
 // sendBatch sends a long lookup, an order with Expect and a lookup, and checks the answers. It reports whether the
 // connection can be used further.
 func (p *pipeliner) sendBatch(ctx context.Context, conn net.Conn, in *bufio.Reader) bool {
-	batch := []pipelined{{attempt: p.next() + longMark}, {attempt: p.next()}, {attempt: p.next()}}
+	batch := []pipelined{p.next(longMark), p.next(""), p.next("")}
 	batch[1].order = "order of " + batch[1].attempt
 	for _, r := range batch[:2] { // The last one follows the order's body.
 		p.write(conn, r)
@@ -104,9 +105,10 @@
 	return true
 }
 
-func (p *pipeliner) next() string {
+// next returns the next request, with a mark at the end of its attempt's id.
+func (p *pipeliner) next(mark string) pipelined {
 	p.number++
-	return fmt.Sprintf("%s-%d", p.name, p.number)
+	return pipelined{attempt: fmt.Sprintf("%s-%d%s", p.name, p.number, mark), key: p.soak.keyOf(p.number)}
 }
 
 // write sends a request without the body of an order. A failed write shows in the answer that is missing.
@@ -116,9 +118,15 @@
 		method, path = http.MethodPost, "/order/"+r.attempt
 		expect = fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n", len(r.order))
 	}
-	p.soak.checker.recordSent(p.node, r.attempt, method+" "+path+" "+r.order, r.order != "", "")
-	p.soak.asked.Add(1)
-	_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%s\r\n", method, path, r.attempt, callDeadline.Milliseconds(), expect)
+	key := ""
+	if r.key != "" {
+		key = "Authorization: Token " + r.key + "\r\n"
+	}
+	p.soak.checker.recordSent(p.node, r.attempt, method+" "+path+" "+r.order, r.order != "", r.key)
+	if mustBeServed(r.key) {
+		p.soak.asked.Add(1)
+	}
+	_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%s%s\r\n", method, path, r.attempt, callDeadline.Milliseconds(), key, expect)
 }
 
 // receive reads and checks the answer to a request. It sends the body of an order, and the requests behind it, once the
@@ -146,7 +154,7 @@
 	if id := resp.Header.Get("Attempt-Id"); id != "" && id != r.attempt {
 		p.soak.checker.violate("MIXED: %s got the answer to %s", r.attempt, id)
 	}
-	p.soak.check(p.node, r.attempt, "", resp.StatusCode, string(text), nil)
+	p.soak.check(p.node, r.attempt, r.key, resp.StatusCode, string(text), nil)
 	return !resp.Close, nil
 }
 
