budget, gate, mesh: what each gate counts of the limit on repeats can be seen

The summary of each ten seconds and the dump now hold the gate's first attempts, repeats, what it allows of which slack, and among how many gates that is divided; repeat_written_late counts repeats that are written long after their slot, first_not_written first attempts that did not reach the upstream. No decision is changed.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -178,6 +178,29 @@
 	return !b.allows(now, k, u, 0) && b.allows(now, k, MostUrgent, 0)
 }
 
+// State is what a budget has counted in the last window, and what it allows: a gate's part of the
+// fleet's limit. The sum over all gates of a service shows how the fleet uses its limit.
+type State struct {
+	Firsts  float64 `json:"firsts"`  // First attempts.
+	Repeats float64 `json:"repeats"` // Repeats taken, less those given back.
+	Allowed float64 `json:"allowed"` // How many repeats there may be.
+	Slack   float64 `json:"slack"`   // The part of Allowed that does not depend on the first attempts.
+	Gates   int     `json:"gates"`   // Among how many gates the slack is divided.
+}
+
+// State returns the budget's state now.
+func (b *Budget) State(now time.Time) State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return State{
+		Firsts:  b.firsts.lowerBound(now),
+		Repeats: b.repeats.upperBound(now),
+		Allowed: b.bound(now),
+		Slack:   b.slackAt(now) / float64(b.gates),
+		Gates:   b.gates,
+	}
+}
+
 // allows reports whether one more repeat is within the limit, after the given number of others.
 // The caller holds the lock.
 func (b *Budget) allows(now time.Time, k AttemptKind, u Urgency, others int) bool {
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -249,3 +249,21 @@
 		assert.False(t, b.CanTake(taken.Add(window), FailureRetry), "offset %v", offset)
 	}
 }
+
+// The state must say what the decisions go by: with it, the parts of all gates can be added up.
+func TestStateIsWhatDecisionsUse(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(budgetRatio, 30/slackShare, time.Time{})
+	b.ObserveGates(10)
+	for range 50 {
+		b.CountFirst(now)
+	}
+	assert.True(t, b.TryTake(now, FailureRetry))
+	s := b.State(now)
+	assert.Equal(t, State{Firsts: 50, Repeats: 1, Allowed: s.Allowed, Slack: 3, Gates: 10}, s)
+	left := 0
+	for b.TryTake(now, FailureRetry) {
+		left++
+	}
+	assert.Equal(t, int(s.Allowed-s.Repeats), left)
+}
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -136,6 +136,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.active, ao.offer.Key)
+	if ao.written.IsZero() && !ao.offer.AttemptKind.NeedsBudget() {
+		g.count("first_not_written")
+	}
 	if !ao.offer.Retryable {
 		g.ended[ao.offer.Key] = endedAttempt{frame: frame, expires: time.Now().Add(answerRetention)}
 	}
--- a/gate/sendguard.go
+++ b/gate/sendguard.go
@@ -11,6 +11,9 @@
 	"eiderfold/port"
 )
 
+// lateWrite is how long after it got its slot a repeat is usually written at the latest.
+const lateWrite = 250 * time.Millisecond
+
 // sendGuard decides right before the first write of a request to the upstream whether it is still
 // written. The decision to start the request may be older: a connection had to be made, or the process
 // stood still.
@@ -49,6 +52,9 @@
 		return g.notWritten(link.ReasonClosed, 0)
 	}
 	w.attempt.written = now
+	if e := g.admission.entries[w.attempt.offer.Key]; e != nil && !e.budgetTaken.IsZero() && now.Sub(e.budgetTaken) > lateWrite {
+		g.count("repeat_written_late")
+	}
 	p := g.writes[w.upstream.ID]
 	if p == nil {
 		p = &pendingWrites{none: make(chan struct{})}
--- a/mesh/dump.go
+++ b/mesh/dump.go
@@ -1,6 +1,9 @@
 package mesh
 
 import (
+	"time"
+
+	"eiderfold/budget"
 	"eiderfold/link"
 )
 
@@ -33,6 +36,8 @@
 	Suspicion float64 `json:"suspicion"`
 	// Limit is the limit that the upstream names, in requests per second; nil for none.
 	Limit *float64 `json:"limit,omitempty"`
+	// Budget is the gate's part of the fleet's limit on repeats.
+	Budget budget.State `json:"budget"`
 }
 
 type peerDump struct {
@@ -51,7 +56,8 @@
 		Configuration: version,
 		Ready:         n.ready(),
 		Evacuated:     n.evacuation.list(),
-		Gate:          gateDump{Mode: s.Mode.String(), Upstream: s.Upstream, Slots: s.Slots, InFlight: n.gate.ActiveOffers(), Suspicion: s.Suspicion},
+		Gate: gateDump{Mode: s.Mode.String(), Upstream: s.Upstream, Slots: s.Slots, InFlight: n.gate.ActiveOffers(), Suspicion: s.Suspicion,
+			Budget: n.budget.State(time.Now())},
 	}
 	if s.Limited {
 		d.Gate.Limit = &s.Limit
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// summaryEvery is the interval of the log line with all counters. Log lines are sampled, and
+// summaryEvery is the interval of the log line with all counters and the state of the repeat budget. Log lines are sampled, and
 // dropped while the output is slow; counters of both are among them, so that a log shows how
 // many of its lines are missing.
 const summaryEvery = 10 * time.Second
@@ -86,8 +86,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
-			n.log.Info("summary", zap.Any("counts", json.RawMessage(n.metrics.Counts())))
+		case now := <-t.C:
+			n.log.Info("summary", zap.Any("counts", json.RawMessage(n.metrics.Counts())), zap.Any("budget", n.budget.State(now)))
 		}
 	}
 }
