budget: a first attempt pays half for its own window and half for the next

Callers saw repeats of a service beyond what is allowed (BUDGET of certificados). Each gate allowed the ratio of the first attempts of the ten seconds that ended when it used them. That sum keeps the limit only if all gates use their parts at the same moment: a gate that had the requests until second 10 uses its part then, one that has them from then on at 19.8, and both fall into a window with the requests of ten seconds. It also happens without any trouble where a gate gets few requests: each uses its part when it had many by chance.

Now a first attempt pays for the repeats of its window and of the next with half of the ratio each. That is linear in the first attempts, with the same weights at all gates, so that the sum is at most the ratio of one of the two windows, whatever the requests do.

The state of a budget says how many repeats are left, as its bound is another for each part of the window. TestSlackIsUsedOncePerWindow asks the same with the ratio at which a first attempt pays for one repeat. In replays gates can be cut off and stand still, and their clocks can be set.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -2,9 +2,10 @@
 //
 // Within any window, the repeats of a service are limited to a ratio of its requests plus a
 // fixed slack. The limit is enforced where attempts arrive: each gate allows the ratio of the
-// first attempts that it starts itself, plus an equal part of the service's slack. The sum
-// keeps the limit without any communication between gates. Repeats go to healthy upstreams,
-// whose gates start many first attempts and so have the largest budgets.
+// first attempts that it starts itself, plus an equal part of the service's slack. First attempts pay
+// for repeats in the same way at all gates (see ledger), so that the sum keeps the limit without any
+// communication between gates, also while requests move between them. Repeats go to healthy
+// upstreams, whose gates start many first attempts and so have the largest budgets.
 //
 // # Usage
 //
@@ -26,9 +27,10 @@
 
 const (
 	// ratioShare and slackShare are the parts of the limit's ratio and slack that gates use. The
-	// rest covers the time from a repeat's slot to its arrival, and what a process used before it
-	// restarted. TestBudgetHoldsOverAnyWindow checks that the limit holds with these values.
-	ratioShare = 0.9
+	// rest covers the time from when an attempt is counted to its arrival and, of the slack, what a
+	// process used before it restarted. TestBudgetHoldsOverAnyWindow checks that the limit holds with
+	// these values.
+	ratioShare = 0.97
 	slackShare = 0.65
 	// startupShare is the part of its slack that a process may use until it has run for a
 	// window. It is reached gradually: the usable part grows linearly from 0, so that all processes
@@ -67,19 +69,19 @@
 // Budget is the repeat budget of one gate. It is safe for concurrent use.
 type Budget struct {
 	mu          sync.Mutex
+	clock       clock
 	ratio       float64   // The part of the fleet's ratio that is used.
 	slack       float64   // The part of the fleet's slack that is used by all gates together.
 	gates       int       // The largest number of gates seen, which gives the smallest parts.
 	rounding    float64   // The gate's rank, in [0, 1). Added before the budget is cut to whole repeats.
 	startupEnds time.Time // When the process will have run for a window.
-	firsts      windowCounter
-	repeats     windowCounter
+	attempts    ledger
 	reserve     reserve
 }
 
 // New returns the budget of a process that starts now, by the fleet's ratio and slack.
 func New(ratio, slack float64, now time.Time) *Budget {
-	b := &Budget{gates: 1, startupEnds: now.Add(window)}
+	b := &Budget{clock: newClock(), gates: 1, startupEnds: now.Add(window)}
 	b.SetBounds(ratio, slack)
 	return b
 }
@@ -115,7 +117,7 @@
 func (b *Budget) CountFirst(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.firsts.add(now)
+	b.attempts.addFirst(b.clock.bucketOf(now))
 }
 
 // TryTake is TryTakeFor for the most urgent repeats.
@@ -125,13 +127,15 @@
 func (b *Budget) TryTakeFor(now time.Time, k AttemptKind, u Urgency) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.allows(now, k, u, 0) {
+	newest := b.clock.bucketOf(now)
+	s := b.attempts.tightest(newest, b.ratio)
+	if !b.allowsIn(s, now, k, u, 0) {
 		return false
 	}
-	bound := b.bound(now)
-	fromReserve := b.repeats.upperBound(now)+1 > bound-reservable(bound, b.rounding)+b.rounding
-	b.reserve.take(now, k, u, fromReserve)
-	b.repeats.add(now)
+	bound := b.bound(s, now)
+	fromReserve := s.repeats+1 > bound-reservable(bound, b.rounding)+b.rounding
+	b.reserve.take(newest, k, u, fromReserve)
+	b.attempts.addRepeat(newest)
 	return true
 }
 
@@ -142,8 +146,9 @@
 func (b *Budget) RefundFor(taken time.Time, u Urgency) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.repeats.remove(taken)
-	b.reserve.refund(taken, u)
+	n := b.clock.bucketOf(taken)
+	b.attempts.removeRepeat(n)
+	b.reserve.refund(n, u)
 }
 
 // CanTake is CanTakeAfter for one of the most urgent repeats with no others before it.
@@ -166,8 +171,26 @@
 func (b *Budget) Refuse(now time.Time, k AttemptKind, u Urgency, others int) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reserve.need(now, k, u)
-	return b.repeats.fallsBy(b.repeats.upperBound(now)+float64(others)+1-b.limit(now, k, u), now)
+	newest := b.clock.bucketOf(now)
+	b.reserve.need(newest, k, u)
+	paidRate := paidShare * b.ratio * b.attempts.firstsInWindow(newest) / window.Seconds()
+	var wait time.Duration
+	b.attempts.each(newest, func(s span) {
+		if lacking := s.repeats + float64(others) + 1 - b.limit(s, now, k, u); lacking > 0 {
+			wait = max(wait, b.until(s, now, lacking, paidRate))
+		}
+	})
+	return wait
+}
+
+// until returns how long it takes until a span that lacks so many repeats does not forbid any more: until
+// first attempts have paid for them, at a rate per second, or until the window is over that begins with it.
+func (b *Budget) until(s span, now time.Time, lacking, paidRate float64) time.Duration {
+	ends := b.clock.startOf(s.begin + buckets + 1).Sub(now)
+	if paidRate <= 0 {
+		return ends
+	}
+	return min(ends, time.Duration(lacking/paidRate*float64(time.Second)))
 }
 
 // Reserved reports whether the budget would allow a repeat if no part of it were reserved for more
@@ -183,8 +206,8 @@
 type State struct {
 	Firsts  float64 `json:"firsts"`  // First attempts.
 	Repeats float64 `json:"repeats"` // Repeats taken, less those given back.
-	Allowed float64 `json:"allowed"` // How many repeats there may be.
-	Slack   float64 `json:"slack"`   // The part of Allowed that does not depend on the first attempts.
+	Left    float64 `json:"left"`    // How many more repeats may start now, before that is cut to whole ones.
+	Slack   float64 `json:"slack"`   // The part of the slack that this gate uses in a window.
 	Gates   int     `json:"gates"`   // Among how many gates the slack is divided.
 }
 
@@ -192,10 +215,12 @@
 func (b *Budget) State(now time.Time) State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	newest := b.clock.bucketOf(now)
+	tightest := b.attempts.tightest(newest, b.ratio)
 	return State{
-		Firsts:  b.firsts.lowerBound(now),
-		Repeats: b.repeats.upperBound(now),
-		Allowed: b.bound(now),
+		Firsts:  b.attempts.firstsInWindow(newest),
+		Repeats: b.attempts.repeatsInWindow(newest),
+		Left:    b.bound(tightest, now) - tightest.repeats,
 		Slack:   b.slackAt(now) / float64(b.gates),
 		Gates:   b.gates,
 	}
@@ -204,14 +229,19 @@
 // allows reports whether one more repeat is within the limit, after the given number of others.
 // The caller holds the lock.
 func (b *Budget) allows(now time.Time, k AttemptKind, u Urgency, others int) bool {
-	return b.repeats.upperBound(now)+float64(others)+1 <= b.limit(now, k, u)
+	return b.allowsIn(b.attempts.tightest(b.clock.bucketOf(now), b.ratio), now, k, u, others)
+}
+
+// allowsIn is allows with the tightest span at hand. The caller holds the lock.
+func (b *Budget) allowsIn(s span, now time.Time, k AttemptKind, u Urgency, others int) bool {
+	return s.repeats+float64(others)+1 <= b.limit(s, now, k, u)
 }
 
-// limit returns how many repeats there may be in the window before none of this kind and urgency
+// limit returns how many repeats there may be in a span before none of this kind and urgency
 // is allowed. The caller holds the lock.
-func (b *Budget) limit(now time.Time, k AttemptKind, u Urgency) float64 {
-	bound := b.bound(now)
-	return k.limit(bound, b.reserve.held(now, u, reservable(bound, b.rounding)), b.rounding)
+func (b *Budget) limit(s span, now time.Time, k AttemptKind, u Urgency) float64 {
+	bound := b.bound(s, now)
+	return k.limit(bound, b.reserve.held(b.clock.bucketOf(now), u, reservable(bound, b.rounding)), b.rounding)
 }
 
 // limit returns how many repeats of the kind a bound allows, of which so many are withheld.
@@ -219,12 +249,10 @@
 	return min((1-k.withheldShare())*bound, bound-held) + rounding
 }
 
-// bound returns the gate's part of the fleet's limit, before it is cut to whole repeats. The caller
-// holds the lock.
-func (b *Budget) bound(now time.Time) float64 {
-	// First attempts are counted low and repeats high, so that the inexact counts never allow
-	// more repeats than the limit.
-	return b.ratio*b.firsts.lowerBound(now) + b.slackAt(now)/float64(b.gates)
+// bound returns the gate's part of the fleet's limit in a span, before it is cut to whole repeats. The
+// caller holds the lock.
+func (b *Budget) bound(s span, now time.Time) float64 {
+	return s.paid(b.ratio) + b.slackAt(now)/float64(b.gates)
 }
 
 // slackAt returns the slack that is available at the given time to all gates together, assuming
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -231,6 +231,9 @@
 	assert.False(t, b.TryTake(taken.Add(window+bucket), FailureRetry))
 }
 
+// payingRatio is the ratio at which a first attempt pays for a repeat in each of its windows.
+const payingRatio = 1.000001 / (ratioShare * paidShare) // Products of fractions may be rounded down.
+
 // A repeat must count for at least a whole window, wherever in its bucket it was taken: otherwise
 // the slack could be used twice within a window.
 func TestSlackIsUsedOncePerWindow(t *testing.T) {
@@ -243,7 +246,7 @@
 		}
 		assert.False(t, b.TryTake(taken.Add(window-time.Nanosecond), FailureRetry), "offset %v", offset)
 		assert.True(t, b.TryTake(taken.Add(window+bucket), FailureRetry), "offset %v", offset)
-		b = New(1/ratioShare, 0, time.Time{})
+		b = New(payingRatio, 0, time.Time{})
 		b.CountFirst(taken)
 		assert.True(t, b.CanTake(taken.Add(window-bucket-time.Nanosecond), FailureRetry), "offset %v", offset)
 		assert.False(t, b.CanTake(taken.Add(window), FailureRetry), "offset %v", offset)
@@ -260,10 +263,10 @@
 	}
 	assert.True(t, b.TryTake(now, FailureRetry))
 	s := b.State(now)
-	assert.Equal(t, State{Firsts: 50, Repeats: 1, Allowed: s.Allowed, Slack: 3, Gates: 10}, s)
+	assert.Equal(t, State{Firsts: 50, Repeats: 1, Left: s.Left, Slack: 3, Gates: 10}, s)
 	left := 0
 	for b.TryTake(now, FailureRetry) {
 		left++
 	}
-	assert.Equal(t, int(s.Allowed-s.Repeats), left)
+	assert.Equal(t, int(s.Left), left)
 }
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -1,9 +1,6 @@
 package budget
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 // Load: all upstreams of a service shed most of their work for some seconds, so that far more
 // requests need a repeat than the fleet's limit allows. Without a reserve, those that come first
@@ -58,11 +55,11 @@
 }
 
 // held returns how many repeats are withheld from an urgency, of those that can be reserved.
-func (r *reserve) held(now time.Time, u Urgency, reservable float64) float64 {
+func (r *reserve) held(newest int64, u Urgency, reservable float64) float64 {
 	needed, drawn := 0.0, 0.0
 	for i := range r.levels[:u] {
-		needed += r.levels[i].needed.upperBound(now)
-		drawn += r.levels[i].drawn.upperBound(now)
+		needed += r.levels[i].needed.upperBound(newest)
+		drawn += r.levels[i].drawn.upperBound(newest)
 	}
 	return withheld(needed, drawn, reservable)
 }
@@ -74,23 +71,23 @@
 }
 
 // take records a repeat that was taken, and whether it came from the part that can be reserved.
-func (r *reserve) take(now time.Time, k AttemptKind, u Urgency, fromReserve bool) {
-	r.need(now, k, u)
+func (r *reserve) take(newest int64, k AttemptKind, u Urgency, fromReserve bool) {
+	r.need(newest, k, u)
 	if fromReserve {
-		r.levels[u].drawn.add(now)
+		r.levels[u].drawn.add(newest)
 	}
 }
 
 // need counts a repeat that was taken or refused. Hedges do not need the reserve, as they may not
 // use the last part of the budget.
-func (r *reserve) need(now time.Time, k AttemptKind, u Urgency) {
+func (r *reserve) need(newest int64, k AttemptKind, u Urgency) {
 	if k != Hedge {
-		r.levels[u].needed.add(now)
+		r.levels[u].needed.add(newest)
 	}
 }
 
-// refund removes a repeat that was taken at the given time.
-func (r *reserve) refund(taken time.Time, u Urgency) {
+// refund removes a repeat that was taken in a bucket.
+func (r *reserve) refund(taken int64, u Urgency) {
 	r.levels[u].needed.remove(taken)
 	r.levels[u].drawn.remove(taken)
 }
--- a/budget/snapshot.go
+++ b/budget/snapshot.go
@@ -6,7 +6,7 @@
 type Snapshot struct {
 	bound    float64
 	rounding float64
-	repeats  float64            // In the window.
+	repeats  float64            // In the tightest span.
 	held     [urgencies]float64 // Withheld from each urgency.
 }
 
@@ -14,13 +14,15 @@
 func (b *Budget) Snapshot(now time.Time) Snapshot {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := Snapshot{bound: b.bound(now), rounding: b.rounding, repeats: b.repeats.upperBound(now)}
+	newest := b.clock.bucketOf(now)
+	tightest := b.attempts.tightest(newest, b.ratio)
+	s := Snapshot{bound: b.bound(tightest, now), rounding: b.rounding, repeats: tightest.repeats}
 	available := reservable(s.bound, s.rounding)
 	needed, drawn := 0.0, 0.0
 	for u := range s.held {
 		s.held[u] = withheld(needed, drawn, available)
-		needed += b.reserve.levels[u].needed.upperBound(now)
-		drawn += b.reserve.levels[u].drawn.upperBound(now)
+		needed += b.reserve.levels[u].needed.upperBound(newest)
+		drawn += b.reserve.levels[u].drawn.upperBound(newest)
 	}
 	return s
 }
--- a/budget/windowcounter.go
+++ b/budget/windowcounter.go
@@ -10,6 +10,24 @@
 	bucket  = window / buckets
 )
 
+// clock divides the time since an origin into buckets.
+type clock struct{ origin time.Time }
+
+// newClock returns a clock.
+func newClock() clock { return clock{origin: time.Unix(0, 0)} }
+
+// bucketOf returns the number of the bucket that contains a time, which is negative before the origin.
+func (c clock) bucketOf(at time.Time) int64 {
+	since := at.Sub(c.origin)
+	if since < 0 {
+		return -1
+	}
+	return int64(since / bucket)
+}
+
+// startOf returns the time at which a bucket begins.
+func (c clock) startOf(n int64) time.Time { return c.origin.Add(time.Duration(n) * bucket) }
+
 // windowCounter counts events in a sliding window, as a ring of buckets. The newest bucket has
 // only partly elapsed, so the ring needs one bucket more than the window has to cover all of it.
 type windowCounter struct {
@@ -18,64 +36,35 @@
 	total  float64 // The sum of the ring.
 }
 
-// bucketOf returns the number of the bucket that contains the given time, counted from the Unix
-// epoch.
-func bucketOf(at time.Time) int64 { return at.UnixNano() / int64(bucket) }
-
-// add counts one event now.
-func (c *windowCounter) add(now time.Time) {
-	c.advance(now)
+// add counts one event in the newest bucket.
+func (c *windowCounter) add(newest int64) {
+	c.advance(newest)
 	c.ring[c.newest%int64(len(c.ring))]++
 	c.total++
 }
 
-// remove subtracts an event that was counted at the given time, if its bucket is still in the
-// ring and has any.
-func (c *windowCounter) remove(at time.Time) {
-	n := bucketOf(at)
-	if n > c.newest-int64(len(c.ring)) && n <= c.newest && c.ring[n%int64(len(c.ring))] > 0 {
+// remove subtracts an event that was counted in a bucket, if that is still in the ring and has any.
+func (c *windowCounter) remove(n int64) {
+	if n >= 0 && n > c.newest-int64(len(c.ring)) && n <= c.newest && c.ring[n%int64(len(c.ring))] > 0 {
 		c.ring[n%int64(len(c.ring))]--
 		c.total--
 	}
 }
 
-// lowerBound returns a lower bound on the number of events in the window that ends now. It leaves
-// out the oldest bucket, which may lie partly before the window.
-func (c *windowCounter) lowerBound(now time.Time) float64 {
-	return c.upperBound(now) - c.ring[(c.newest+1)%int64(len(c.ring))]
-}
-
-// upperBound returns an upper bound on the number of events in the window that ends now. It
+// upperBound returns an upper bound on the number of events in the window that ends in the newest bucket. It
 // includes the oldest bucket, which may lie partly before the window.
-func (c *windowCounter) upperBound(now time.Time) float64 {
-	c.advance(now)
+func (c *windowCounter) upperBound(newest int64) float64 {
+	c.advance(newest)
 	return c.total
 }
 
-// fallsBy returns how long it takes until at least n of the events have left the ring, if none is
-// added. It returns the time until the ring is empty if it holds fewer.
-func (c *windowCounter) fallsBy(n float64, now time.Time) time.Duration {
-	c.advance(now)
-	first := c.newest - buckets // The oldest bucket, which leaves the ring first.
-	last := first
-	for i := first; i <= c.newest && n > 0; i++ {
-		if left := c.ring[i%int64(len(c.ring))]; left > 0 {
-			n -= left
-			last = i
-		}
-	}
-	leaves := time.Unix(0, (last+buckets+1)*int64(bucket))
-	return leaves.Sub(now)
-}
-
-// advance moves the ring forward to the given time and clears the buckets that are reused.
-func (c *windowCounter) advance(now time.Time) {
-	n := bucketOf(now)
-	if n-c.newest > int64(len(c.ring)) {
-		*c = windowCounter{newest: n}
+// advance moves the ring forward to the newest bucket and clears the buckets that are reused.
+func (c *windowCounter) advance(newest int64) {
+	if newest-c.newest > int64(len(c.ring)) {
+		*c = windowCounter{newest: newest}
 		return
 	}
-	for c.newest < n {
+	for c.newest < newest {
 		c.newest++
 		i := c.newest % int64(len(c.ring))
 		c.total -= c.ring[i]
--- a/ingress/replay_test.go
+++ b/ingress/replay_test.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"eiderfold/clocktest"
 	"eiderfold/link"
 	"eiderfold/overload"
 	"eiderfold/platform"
@@ -88,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	begin := time.Unix(1_000_000, 0)
+	begin := clocktest.At(time.Unix(1_000_000, 0), time.Hour)
 	p := &replay{scenario: l, random: rand.New(rand.NewPCG(seed, 7)), now: begin, begin: begin, parents: map[string]overload.Parent{}, arrivals: arrivals{}, totals: map[string]*totals{}, kinds: map[uint32]routeLoad{}}
 	table, err := route.New(l.document())
 	if err != nil {
@@ -113,6 +114,7 @@
 	for _, a := range l.Accounts {
 		p.totals[a.Name] = &totals{}
 	}
+	p.scheduleTroubles()
 	for _, r := range l.Restarts {
 		p.after(r.From, func() { p.restart(r) })
 	}
--- a/ingress/replaybudget_test.go
+++ b/ingress/replaybudget_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,19 +60,29 @@
 
 // excess describes the window with the most repeats beyond the fleet's limit, "" if there is none.
 func (a arrivals) excess(l scenario) string {
-	worst, text := 0.0, ""
-	for service, s := range a {
+	if over, text := a.worst(l); over > 0 {
+		return text
+	}
+	return ""
+}
+
+// worst returns by how much the repeats of a window exceed the fleet's limit, and describes the window in which that is
+// the most. It is negative if none exceeds it.
+func (a arrivals) worst(l scenario) (over float64, text string) {
+	over = math.Inf(-1)
+	for _, service := range slices.Sorted(maps.Keys(a)) {
+		s := a[service]
 		for from := time.Duration(0); from < l.Length; from += budgetStep {
 			requests := max(within(s.requests, from), within(s.requests, from-budgetWindow/2), within(s.requests, from-budgetWindow))
 			repeats := within(s.repeats, from)
 			allowed := replayRatio*requests + l.slack(service)
-			if repeats-allowed > worst {
-				worst = repeats - allowed
+			if repeats-allowed > over {
+				over = repeats - allowed
 				text = fmt.Sprintf("%s: %v repeats in the window from %v, for %v requests; allowed %.0f", service, repeats, from, requests, allowed)
 			}
 		}
 	}
-	return text
+	return over, text
 }
 
 // within counts the times in the window that begins at from.
@@ -91,6 +104,8 @@
 			p, err := newReplay(l, seed)
 			require.NoError(t, err)
 			p.run()
+			_, worst := p.arrivals.worst(l)
+			t.Logf("seed %d: %s", seed, worst)
 			assert.Empty(t, p.arrivals.excess(l), "seed %d", seed)
 		}
 	})
--- a/ingress/replaygate_test.go
+++ b/ingress/replaygate_test.go
@@ -29,6 +29,10 @@
 	index     int
 	switches  switches.Set
 	runs      map[link.Key]*replayRun
+	links     int           // How often its links were cut.
+	wallStep  time.Duration // By how much its machine's clock is set forward.
+	// frozenUntil is until when its process stands still.
+	frozenUntil time.Time
 }
 
 // replayRun is an offer at a gate, and its run once it has started.
@@ -42,7 +46,7 @@
 
 func (p *replay) newGate(service string, s serviceLoad, i int, set switches.Set) *replayGate {
 	g := &replayGate{replay: p, service: service, centre: p.scenario.centres()[i%p.scenario.Centres], slots: s.Slots, index: i, switches: set}
-	g.start(time.Time{})
+	g.start(p.begin.Add(-budgetWindow))
 	p.after(replayTick, g.tick)
 	return g
 }
@@ -60,8 +64,8 @@
 	g.admission.SetNestedWait(func(service string) (time.Duration, bool) {
 		return g.node().forwarder.endpoints.ShortestWait(service, g.replay.now)
 	})
-	g.update(gate.Reported{At: g.replay.now, Report: port.Report{Incarnation: port.Incarnation{ID: "i-" + g.name()}, Service: g.service, Slots: g.slots, Sequence: 1}})
-	g.update(gate.Confirmed{At: g.replay.now, Upstream: port.Incarnation{ID: "i-" + g.name()}})
+	g.update(gate.Reported{At: g.now(), Report: port.Report{Incarnation: port.Incarnation{ID: "i-" + g.name()}, Service: g.service, Slots: g.slots, Sequence: 1}})
+	g.update(gate.Confirmed{At: g.now(), Upstream: port.Incarnation{ID: "i-" + g.name()}})
 }
 
 // restart replaces the processes of a share of a service's gates. What their upstreams run ends with
@@ -87,7 +91,10 @@
 func (g *replayGate) name() string { return fmt.Sprintf("%s-%03d", g.service, g.index) }
 
 func (g *replayGate) tick() {
-	g.update(gate.Ticked{At: g.replay.now})
+	if g.whenAwake(g.tick) {
+		return
+	}
+	g.update(gate.Ticked{At: g.now()})
 	g.replay.after(replayTick, g.tick)
 }
 
@@ -103,13 +110,13 @@
 func (n *replayNode) connect(g *replayGate) {
 	endpoint := n.endpoints[g]
 	n.forwarder.ReceiveStatus(endpoint, g.status(), n.replay.now)
-	n.forwarder.Connected(endpoint, replaySink{node: n, gate: g, process: g.process}, g.process)
+	n.forwarder.Connected(endpoint, replaySink{node: n, gate: g, process: g.process, links: g.links}, g.process)
 }
 
 // disconnect breaks the link to a gate, and ends its requests' offers there.
 func (n *replayNode) disconnect(g *replayGate) {
 	endpoint := n.endpoints[g]
-	n.forwarder.Disconnected(endpoint, replaySink{node: n, gate: g, process: g.process})
+	n.forwarder.Disconnected(endpoint, replaySink{node: n, gate: g, process: g.process, links: g.links})
 	for _, k := range slices.Sorted(maps.Keys(n.requests)) {
 		f := n.requests[k]
 		if f.ended || !slices.ContainsFunc(f.offers, func(o *offer) bool { return o.endpoint == endpoint }) {
@@ -123,14 +130,13 @@
 type replaySink struct {
 	node    *replayNode
 	gate    *replayGate
-	process uint64 // Of the gate; messages to an earlier one are lost.
+	process uint64 // Of the gate; messages to an earlier one are lost,
+	links   int    // and those over a link that was cut.
 }
 
 func (w replaySink) Send(f *link.Frame) bool {
 	w.node.replay.after(w.delay(), func() {
-		if w.gate.process == w.process {
-			w.gate.handle(w.node, f)
-		}
+		w.gate.receive(w, f)
 	})
 	return true
 }
@@ -145,9 +151,17 @@
 	return replayFar
 }
 
+// receive handles a message from a link, once the process does not stand still.
+func (g *replayGate) receive(w replaySink, f *link.Frame) {
+	if g.whenAwake(func() { g.receive(w, f) }) || g.process != w.process || g.links != w.links {
+		return
+	}
+	g.handle(w.node, f)
+}
+
 // handle processes a node's message.
 func (g *replayGate) handle(from *replayNode, f *link.Frame) {
-	now := g.replay.now
+	now := g.now()
 	switch {
 	case f.Offer != nil:
 		o := f.Offer
@@ -189,7 +203,7 @@
 }
 
 // room returns the gate's room as it is sent in messages.
-func (g *replayGate) room() *link.Room { return g.admission.Room(g.replay.now) }
+func (g *replayGate) room() *link.Room { return g.admission.Room(g.now()) }
 
 // status returns the gate's status as it is sent in messages.
 func (g *replayGate) status() link.Status {
@@ -304,14 +318,14 @@
 // finish ends a run and reports it to the node.
 func (g *replayGate) finish(k link.Key, o gate.Outcome, took time.Duration) {
 	r := g.runs[k]
-	if r == nil || r.over {
+	if r == nil || r.over || g.whenAwake(func() { g.finish(k, o, took) }) {
 		return
 	}
 	r.over = true
 	switch o {
 	case gate.Good:
 		header := http.Header{"Response-Stamp": {g.name()}}
-		said := gate.Stated{At: g.replay.now, HeardAt: g.replay.now, Upstream: port.Incarnation{ID: "i-" + g.name()}, Statement: port.Statement{Limit: port.NamedLimit{State: port.LimitNone}}}
+		said := gate.Stated{At: g.now(), HeardAt: g.now(), Upstream: port.Incarnation{ID: "i-" + g.name()}, Statement: port.Statement{Limit: port.NamedLimit{State: port.LimitNone}}}
 		if limit := g.limit(); limit > 0 {
 			header.Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
 			said.Limit = port.NamedLimit{State: port.LimitNamed, Rate: limit}
@@ -326,5 +340,5 @@
 		g.send(k, &link.Frame{Failed: &link.Failed{Key: k, Detail: o.String()}})
 	}
 	delete(g.runs, k)
-	g.update(gate.Ended{At: g.replay.now, Key: k, Outcome: o, Took: took})
+	g.update(gate.Ended{At: g.now(), Key: k, Outcome: o, Took: took})
 }
--- a/ingress/scenario_test.go
+++ b/ingress/scenario_test.go
@@ -34,6 +34,7 @@
 	Attempts int                    `yaml:"attempts"` // Upstreams that a request may be sent to; 0 for 2.
 	Slack    float64                `yaml:"slack"`    // Repeats of each service in a window beyond the ratio; 0 for replaySlack a gate.
 	Restarts []restart              `yaml:"restarts"`
+	Troubles []gateTrouble          `yaml:"troubles"`
 	Want     []expectation          `yaml:"want"`
 }
 
