budget: windows follow the monotonic clock

A clock that is set forward by more than a window emptied the counters, so that the slack and the ratio could be used again at once; one that is set back kept repeats in the window for as long as it was set back by. Callers could see repeats beyond the bound, or none for that long. The buckets were numbered by the time of day.

They are numbered from the start of the process now, by the monotonic clock, which nobody can set. TestSetClockRenewsTheBudget fails for all four steps when the origin is the Unix epoch, as before.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -81,7 +81,7 @@
 
 // New returns the budget of a process that starts now, by the fleet's ratio and slack.
 func New(ratio, slack float64, now time.Time) *Budget {
-	b := &Budget{clock: newClock(), gates: 1, startupEnds: now.Add(window)}
+	b := &Budget{clock: newClock(now), gates: 1, startupEnds: now.Add(window)}
 	b.SetBounds(ratio, slack)
 	return b
 }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"eiderfold/clocktest"
 )
 
 // simulatedFleet generates bursts of requests, repeats and nested requests of repeated runs at
@@ -270,3 +272,22 @@
 	}
 	assert.Equal(t, int(s.Left), left)
 }
+
+// A clock that is set forward by more than a window must not renew the budget, and one that is set back must not
+// take it away.
+func TestSetClockRenewsTheBudget(t *testing.T) {
+	for _, by := range []time.Duration{window + time.Second, -window, time.Hour, -time.Hour} {
+		begin := clocktest.At(time.Unix(1000, 0), time.Minute)
+		b := New(payingRatio, 10/slackShare, begin)
+		now := begin.Add(2 * window)
+		b.CountFirst(now)
+		for range 11 {
+			assert.True(t, b.TryTake(now, FailureRetry))
+		}
+		set := clocktest.SetWall(now.Add(bucket), by)
+		assert.False(t, b.TryTake(set, FailureRetry), "set by %v", by)
+		b.CountFirst(set)
+		assert.True(t, b.TryTake(set, FailureRetry), "set by %v", by)
+		assert.True(t, b.TryTake(set.Add(window+bucket), FailureRetry), "set by %v", by)
+	}
+}
--- a/budget/windowcounter.go
+++ b/budget/windowcounter.go
@@ -10,11 +10,17 @@
 	bucket  = window / buckets
 )
 
-// clock divides the time since an origin into buckets.
+// clock divides the time since an origin into buckets. The origin is a time of this process, so that the
+// buckets follow the monotonic clock: a step of the wall clock neither ends a window nor extends it.
 type clock struct{ origin time.Time }
 
-// newClock returns a clock.
-func newClock() clock { return clock{origin: time.Unix(0, 0)} }
+// newClock returns a clock of a process that has started at a time; the zero time for long ago.
+func newClock(started time.Time) clock {
+	if started.IsZero() {
+		started = time.Unix(0, 0)
+	}
+	return clock{origin: started}
+}
 
 // bucketOf returns the number of the bucket that contains a time, which is negative before the origin.
 func (c clock) bucketOf(at time.Time) int64 {
