budget, mesh: a new process takes its part of the slack once it knows the other gates

The slack is divided among the gates that a process has seen, and a new process has seen itself. Until it learned of the others it took a larger part: of 196 allowed, 73 processes that start at once and know none or four others take 4,208 or 1,052 repeats in the window after nine seconds (model of the budgets). Callers could see repeats beyond the bound after many processes had been replaced while the store was out.

Now a process does without slack until the store's directory was read, or until another node has told it all that it knows: an answer to its digest follows the records, and a digest that equals its own says the same. The first attempts pay for repeats from the beginning.

TestRepeatsExceedTheLimitWhileTrafficMoves/starts-without-others: 1,011 of 196 without this (gates assumed to be one), within it now; starts-informed-at-once checks that the slack is of use, 0.6 of it and more. TestNewProcessTakesTheSlack OfAllGates, a node that starts while the store refuses it, finds one gate instead of none without the change of mesh/. TestNodeThatKnowsFewIsNotInformed has the order of records and answer.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -10,7 +10,8 @@
 // # Usage
 //
 //	b := budget.New(0.2, 60, time.Now())
-//	b.ObserveGates(12)
+//	b.AwaitGates()
+//	b.ObserveGates(12)                    // Once the others are known.
 //	b.CountFirst(now)                     // A first attempt starts.
 //	if b.TryTake(now, budget.Hedge) {     // A repeat may start.
 //	}
@@ -72,14 +73,15 @@
 	clock       clock
 	ratio       float64   // The part of the fleet's ratio that is used.
 	slack       float64   // The part of the fleet's slack that is used by all gates together.
-	gates       int       // The largest number of gates seen, which gives the smallest parts.
+	gates       int       // The largest number of gates seen, which gives the smallest parts; 0 before any were.
 	rounding    float64   // The gate's rank, in [0, 1). Added before the budget is cut to whole repeats.
 	startupEnds time.Time // When the process will have run for a window.
 	attempts    ledger
 	reserve     reserve
 }
 
-// New returns the budget of a process that starts now, by the fleet's ratio and slack.
+// New returns the budget of a process that starts now, by the fleet's ratio and slack. It is that of a
+// service with one gate, unless AwaitGates or ObserveGates says otherwise.
 func New(ratio, slack float64, now time.Time) *Budget {
 	b := &Budget{clock: newClock(now), gates: 1, startupEnds: now.Add(window)}
 	b.SetBounds(ratio, slack)
@@ -94,6 +96,14 @@
 	b.slack = slack * slackShare
 }
 
+// AwaitGates lets the budget do without slack until ObserveGates is called. A process that knows none or few
+// of the others would take a larger part than its own, and a fleet of them many times the slack.
+func (b *Budget) AwaitGates() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gates = 0
+}
+
 // ObserveGates records how many gates the service has now. The largest number seen counts until the
 // process ends, so that a gate that sees fewer for a while takes no larger part of the slack.
 func (b *Budget) ObserveGates(gates int) {
@@ -208,7 +218,7 @@
 	Repeats float64 `json:"repeats"` // Repeats taken, less those given back.
 	Left    float64 `json:"left"`    // How many more repeats may start now, before that is cut to whole ones.
 	Slack   float64 `json:"slack"`   // The part of the slack that this gate uses in a window.
-	Gates   int     `json:"gates"`   // Among how many gates the slack is divided.
+	Gates   int     `json:"gates"`   // Among how many gates the slack is divided; 0 while they are not known.
 }
 
 // State returns the budget's state now.
@@ -221,7 +231,7 @@
 		Firsts:  b.attempts.firstsInWindow(newest),
 		Repeats: b.attempts.repeatsInWindow(newest),
 		Left:    b.bound(tightest, now) - tightest.repeats,
-		Slack:   b.slackAt(now) / float64(b.gates),
+		Slack:   b.slackPart(now),
 		Gates:   b.gates,
 	}
 }
@@ -252,7 +262,15 @@
 // bound returns the gate's part of the fleet's limit in a span, before it is cut to whole repeats. The
 // caller holds the lock.
 func (b *Budget) bound(s span, now time.Time) float64 {
-	return s.paid(b.ratio) + b.slackAt(now)/float64(b.gates)
+	return s.paid(b.ratio) + b.slackPart(now)
+}
+
+// slackPart returns the gate's part of the slack. The caller holds the lock.
+func (b *Budget) slackPart(now time.Time) float64 {
+	if b.gates == 0 {
+		return 0
+	}
+	return b.slackAt(now) / float64(b.gates)
 }
 
 // slackAt returns the slack that is available at the given time to all gates together, assuming
--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -29,7 +29,8 @@
 	To    time.Duration `yaml:"to"`
 	First float64       `yaml:"first"` // Share of the gates before them.
 	Last  float64       `yaml:"last"`  // Share of the gates up to the last of them; 0 for 1.
-	Known *int          `yaml:"known"` // Gates that a new process knows of; all without it.
+	// Informed is when new processes have learned of all others, after their start. Until then they know of none.
+	Informed time.Duration `yaml:"informed"`
 }
 
 func (s fleetSpan) contains(gate, gates int) bool {
@@ -44,6 +45,7 @@
 type fleetGates struct {
 	fleetScenario
 	budgets  []*Budget
+	informed []time.Time // When each process has learned of the others.
 	requests []time.Duration
 	repeats  []time.Duration
 	due      float64 // Requests that have not been sent.
@@ -54,8 +56,8 @@
 
 func (f *fleetGates) run() {
 	begin := time.Unix(1000, 0)
-	f.budgets = make([]*Budget, f.Gates)
-	f.startGates(begin.Add(-window), fleetSpan{})
+	f.budgets, f.informed = make([]*Budget, f.Gates), make([]time.Time, f.Gates)
+	f.startGates(begin.Add(-window), fleetSpan{Informed: window})
 	for at := time.Duration(0); at < f.Length; at += fleetStep {
 		now := begin.Add(at)
 		for _, s := range f.Starts {
@@ -63,6 +65,11 @@
 				f.startGates(now, s)
 			}
 		}
+		for i, b := range f.budgets {
+			if now.Equal(f.informed[i]) {
+				b.ObserveGates(f.Gates)
+			}
+		}
 		f.send(at, now)
 		for _, s := range f.Errors {
 			if at >= s.From && at < s.To {
@@ -78,15 +85,10 @@
 		if !s.contains(i, f.Gates) {
 			continue
 		}
-		known := f.Gates
-		if s.Known != nil {
-			known = *s.Known
-		}
 		f.budgets[i] = New(budgetRatio, f.Slack, now)
-		if known > 0 {
-			f.budgets[i].ObserveGates(known)
-		}
+		f.budgets[i].AwaitGates()
 		f.budgets[i].SetRank(roundingOf(i, f.Gates))
+		f.informed[i] = now.Add(s.Informed)
 	}
 }
 
--- a/membership/antientropy.go
+++ b/membership/antientropy.go
@@ -68,6 +68,8 @@
 		differ[i] = m.Sums[i] != v.sums[i]
 		same = same && !differ[i]
 	}
+	// An answer follows the records that it is about.
+	v.informed = v.informed || same || m.Answer && len(m.Sums) == ranges
 	if same || len(m.Sums) != ranges {
 		return nil
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -32,6 +32,7 @@
 	alive       int               // Number of other nodes that are not gone.
 	sums        [ranges]uint64
 	comparisons compareSchedule
+	informed    bool // Another node has told all that it knows.
 	selection
 }
 
@@ -74,6 +75,10 @@
 // included and gone ones left out.
 func (v *View) Gates(service string) int { return v.services[service] }
 
+// Informed reports whether this node knows all that another one knew when their records were compared. Before
+// that it may know few nodes of many.
+func (v *View) Informed() bool { return v.informed }
+
 // RankedBefore returns the number of nodes that rank before this one.
 func (v *View) RankedBefore() int { return v.preceding }
 
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -216,3 +216,25 @@
 		})
 	}
 }
+
+// A node that knows few of many must not take what it knows for the fleet: not before another node has told it all
+// that it knows, or has shown that it knows the same.
+func TestNodeThatKnowsFewIsNotInformed(t *testing.T) {
+	fleet := fleetOf(20)
+	at := startTime
+	starter, other := New(fleet[0], LinkCounts{Near: 24, Far: 24}), New(fleet[1], LinkCounts{Near: 24, Far: 24})
+	other.Update(Received{At: at, Records: fleet})
+	starter.Update(Received{At: at, Records: fleet[1:4]})
+	assert.False(t, starter.Informed())
+	assert.False(t, other.Informed())
+	answers := other.Update(Compared{At: at, Sums: starter.sums[:]})
+	require.Len(t, answers, 2)
+	starter.Update(Received{At: at, Records: answers[0].(Reply).Records})
+	assert.False(t, starter.Informed(), "the answer has not come")
+	starter.Update(Compared{At: at, Sums: answers[1].(Answer).Sums, Answer: true})
+	assert.True(t, starter.Informed())
+	assert.Equal(t, 20, starter.Fleet())
+	assert.False(t, other.Informed(), "it was asked by one that knows less")
+	other.Update(Compared{At: at, Sums: starter.sums[:]})
+	assert.True(t, other.Informed(), "both know the same")
+}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -73,9 +73,11 @@
 	}
 	if l.view.Fleet() != fleet {
 		l.changes.Add(1)
-		l.node.budget.ObserveGates(l.view.Gates(l.node.self.Service))
 		l.node.budget.SetRank(l.view.Position())
 	}
+	if l.node.directory.discovered.Load() || l.view.Informed() {
+		l.node.budget.ObserveGates(l.view.Gates(l.node.self.Service))
+	}
 	l.mu.Unlock()
 	if compare != nil {
 		l.compare(compare)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -98,6 +98,26 @@
 	assert.Equal(t, 200, one.status(http.MethodGet, "/look/x", "a1"))
 }
 
+// A new process that knows none or few of the other gates must not take a part of the slack that is divided among
+// these alone.
+func TestNewProcessTakesTheSlackOfAllGates(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	first := b.add("n0", "births")
+	for i := range 3 {
+		b.add(fmt.Sprintf("n%d", i+1), "births")
+	}
+	gates := func() int { return first.Dump().Gate.Budget.Gates }
+	assert.Eventually(t, func() bool { return gates() == 4 }, waitTimeout, 10*time.Millisecond)
+	first.stopNode()
+	first.store.denied.Store(true)
+	first.start()
+	for until := time.Now().Add(waitTimeout); gates() != 4 && time.Now().Before(until); time.Sleep(time.Millisecond) {
+		require.Zero(t, gates())
+	}
+	assert.Equal(t, 4, gates())
+}
+
 // Removes a node's record, as others do with an unreachable node: the next check must write
 // it again.
 func TestRemovedRecordIsRewritten(t *testing.T) {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -63,6 +63,7 @@
 	}
 	ratio, slack := s.Retries()
 	n.budget = budget.New(ratio, slack, time.Now())
+	n.budget.AwaitGates()
 	n.settings.Store(s)
 	n.endpoints.SetSwitches(s.Switches())
 	n.endpoints.SetRegions(s.Regions())
