gate, budget: attempts that did not reach their upstream are not counted

A first attempt that is refused before its request was written (nothing listens, the upstream leaves, it was withdrawn while a connection was made) is no attempt for the node that sends the request: the next one is a first attempt again. Each gate counted it when it started, so that one request paid several times; a repeat of that kind used the budget without arriving. Callers could see more repeats than the bound where many upstreams refuse connections, or fewer.

An attempt that ends unwritten is taken back from what it was counted as.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -59,6 +59,9 @@
 // NeedsBudget reports whether the attempt needs budget to start.
 func (k AttemptKind) NeedsBudget() bool { return k != First }
 
+// IsFirst reports whether the attempt is the first one of its request.
+func (k AttemptKind) IsFirst() bool { return k == First || k == Charged }
+
 // withheldShare returns the part of the budget that this kind may not use.
 func (k AttemptKind) withheldShare() float64 {
 	if k == Hedge {
@@ -130,6 +133,14 @@
 	b.attempts.addFirst(b.clock.bucketOf(now))
 }
 
+// UncountFirst takes back a first attempt that was counted at the given time and did not reach an upstream. The
+// request's next attempt is its first one then.
+func (b *Budget) UncountFirst(counted time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempts.removeFirst(b.clock.bucketOf(counted))
+}
+
 // TryTake is TryTakeFor for the most urgent repeats.
 func (b *Budget) TryTake(now time.Time, k AttemptKind) bool { return b.TryTakeFor(now, k, MostUrgent) }
 
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -48,6 +48,13 @@
 	l.at(l.newest).repeats++
 }
 
+// removeFirst subtracts a first attempt that was counted in a bucket, if that is still in the ring and has any.
+func (l *ledger) removeFirst(n int64) {
+	if l.covers(n) && l.at(n).firsts > 0 {
+		l.at(n).firsts--
+	}
+}
+
 // removeRepeat subtracts a repeat that was counted in a bucket, if that is still in the ring and has any.
 func (l *ledger) removeRepeat(n int64) {
 	if l.covers(n) && l.at(n).repeats > 0 {
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -93,11 +93,19 @@
 
 // countStart counts the start of a request's first attempt.
 func (a *Admission) countStart(at time.Time, k budget.AttemptKind) {
-	if k == budget.First || k == budget.Charged {
+	if k.IsFirst() {
 		a.budget.CountFirst(at)
 	}
 }
 
+// uncount takes back what a started attempt was counted as.
+func (a *Admission) uncount(e *entry) {
+	if e.AttemptKind.IsFirst() {
+		a.budget.UncountFirst(e.started)
+	}
+	a.refundBudget(e)
+}
+
 // committed starts a granted offer. Any other commit is refused as never seen: one whose grant has
 // lapsed, so that the request has not run, and also one for an entry that is queued or running.
 func (a *Admission) committed(m Committed) []Command {
@@ -132,6 +140,9 @@
 		return nil
 	}
 	a.settleShare(m.At, e, m.Outcome)
+	if m.Unwritten {
+		a.uncount(e)
+	}
 	a.drop(e)
 	if e.upstream != a.upstream {
 		return nil
--- a/gate/message.go
+++ b/gate/message.go
@@ -69,10 +69,11 @@
 
 // Ended reports that an attempt has ended.
 type Ended struct {
-	At      time.Time
-	Key     link.Key
-	Outcome Outcome
-	Took    time.Duration
+	At        time.Time
+	Key       link.Key
+	Outcome   Outcome
+	Took      time.Duration
+	Unwritten bool // It has ended before its request was written to the upstream.
 }
 
 // Reported carries a report of the upstream.
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -159,8 +159,8 @@
 func (a *Admission) drop(e *entry) {
 	delete(a.entries, e.Key)
 	a.shares.Refund(&e.charge)
-	if !e.budgetTaken.IsZero() && e.phase != running {
-		a.budget.RefundFor(e.budgetTaken, a.urgency(e.Offered))
+	if e.phase != running {
+		a.refundBudget(e)
 	}
 	if e.phase == granted && e.tokenTaken {
 		a.named.refund()
--- a/gate/repeatbudget.go
+++ b/gate/repeatbudget.go
@@ -35,6 +35,13 @@
 	return true
 }
 
+// refundBudget gives a repeat back to the budget.
+func (a *Admission) refundBudget(e *entry) {
+	if !e.budgetTaken.IsZero() {
+		a.budget.RefundFor(e.budgetTaken, a.urgency(e.Offered))
+	}
+}
+
 // refuseBudget refuses an offer for want of budget, with this many repeats before it.
 func (a *Admission) refuseBudget(at time.Time, m Offered, others int) []Command {
 	u := a.urgency(m)
