gate: a repeat is counted when it is written

A repeat is counted when it gets its slot, and for the rule it counts when it arrives. A process that stands still in between, or waits for a connection, moved it into a later window, where as many others were allowed. Callers could see repeats beyond the bound after freezes.

--- a/budget/windowcounter.go
+++ b/budget/windowcounter.go
@@ -10,6 +10,10 @@
 	bucket  = window / buckets
 )
 
+// Resolution is the precision of the counts: whether a repeat counts that much earlier or later makes no
+// difference.
+const Resolution = bucket
+
 // clock divides the time since an origin into buckets. The origin is a time of this process, so that the
 // buckets follow the monotonic clock: a step of the wall clock neither ends a window nor extends it.
 type clock struct{ origin time.Time }
--- a/gate/repeatbudget.go
+++ b/gate/repeatbudget.go
@@ -35,6 +35,22 @@
 	return true
 }
 
+// lacksBudget reports whether a started repeat that is about to be written has no budget any more, and when it
+// may be repeated. The budget counts when repeats reach upstreams. One that got its slot long ago, as the process
+// stood still or waited for a connection, is therefore counted again.
+func (a *Admission) lacksBudget(now time.Time, k link.Key) (lacks bool, retryAfter time.Duration) {
+	e := a.entries[k]
+	if e == nil || e.budgetTaken.IsZero() || now.Sub(e.budgetTaken) < budget.Resolution {
+		return false, 0
+	}
+	a.refundBudget(e)
+	e.budgetTaken = time.Time{}
+	if a.takeBudget(now, e) {
+		return false, 0
+	}
+	return true, a.budget.Refuse(now, e.AttemptKind, a.urgency(e.Offered), 0)
+}
+
 // refundBudget gives a repeat back to the budget.
 func (a *Admission) refundBudget(e *entry) {
 	if !e.budgetTaken.IsZero() {
--- a/gate/sendguard.go
+++ b/gate/sendguard.go
@@ -11,9 +11,6 @@
 	"eiderfold/port"
 )
 
-// lateWrite is how long after it got its slot a repeat is usually written at the latest.
-const lateWrite = 250 * time.Millisecond
-
 // sendGuard decides right before the first write of a request to the upstream whether it is still
 // written. The decision to start the request may be older: a connection had to be made, or the process
 // stood still.
@@ -38,8 +35,8 @@
 	upstream port.Incarnation
 }
 
-// begin refuses a request that was quarantined since it was started, or whose upstream may get no new work any
-// more.
+// begin refuses a request that was quarantined since it was started, whose upstream may get no new work any
+// more, or that is a repeat for which there is no budget any more.
 func (w *attemptGuard) begin() *failure {
 	g := w.gate
 	now := time.Now()
@@ -51,10 +48,11 @@
 	if !g.admission.mayWrite(w.upstream) {
 		return g.notWritten(link.ReasonClosed, 0)
 	}
-	w.attempt.written = now
-	if e := g.admission.entries[w.attempt.offer.Key]; e != nil && !e.budgetTaken.IsZero() && now.Sub(e.budgetTaken) > lateWrite {
+	if late, retryAfter := g.admission.lacksBudget(now, w.attempt.offer.Key); late {
 		g.count("repeat_written_late")
+		return g.notWritten(link.ReasonBudget, retryAfter)
 	}
+	w.attempt.written = now
 	p := g.writes[w.upstream.ID]
 	if p == nil {
 		p = &pendingWrites{none: make(chan struct{})}
