gate: an answer's head ends

The gate read an answer's head, and interim answers before it, without a bound until the deadline: in one second 196 MB of a line that does not end, 242 MB of no answer at all, and a health check read 304 MB. A process that may use 64 MB would be ended by that, and everything that it has in hand with it.

The head and the interim answers before it may take 256 KB together now, then the connection is closed and the attempt is broken, at once. A length that is announced above the largest body is refused at once too; before, the rest of the time was spent on it (broken instead of no evidence). Health answers may have 64 KB, their bodies are not used.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -14,8 +14,18 @@
 	"eiderfold/port"
 )
 
-// maxAnswerBytes bounds an answer, which is buffered in memory.
-const maxAnswerBytes = 64 << 20
+const (
+	// maxAnswerBytes bounds an answer's body, which is buffered in memory.
+	maxAnswerBytes = 64 << 20
+	// maxHeadBytes bounds an answer's head together with the interim answers before it: many times the size
+	// of a request's head that callers may send.
+	maxHeadBytes = 256 << 10
+	// maxHealthBytes bounds the body of the answer to a health check, which is not used.
+	maxHealthBytes = 64 << 10
+)
+
+// errBodyTooLarge is returned for an answer whose body is larger than it may be, or does not end.
+var errBodyTooLarge = errors.New("answer's body is too large")
 
 // answer is a complete response of the upstream.
 type answer struct {
@@ -81,27 +91,52 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// read reads one final answer from the connection.
-func (c *client) read(conn *upstreamConn, method string) (*answer, bool, error) {
+// read reads one final answer from the connection, with a body of at most the given size.
+func (c *client) read(conn *upstreamConn, method string, bodyLimit int64) (*answer, bool, error) {
+	response, err := readHead(conn, method)
+	if err != nil {
+		return nil, false, err
+	}
+	readAt := time.Now()
+	body, err := readBody(conn, response, bodyLimit)
+	if err != nil {
+		return nil, false, err
+	}
+	conn.idleUntil = time.Now().Add(keepAliveTimeout(response.Header))
+	return &answer{status: response.StatusCode, header: response.Header, body: body, readAt: readAt}, !response.Close && conn.reader.Buffered() == 0, nil
+}
+
+// readHead reads the head of a final answer and the interim answers before it.
+func readHead(conn *upstreamConn, method string) (*http.Response, error) {
+	conn.limit.N = maxHeadBytes
 	for {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, false, errors.Wrap(err, "answer")
-		}
-		if response.StatusCode < http.StatusOK {
-			continue // 1xx: the final answer follows.
+		switch {
+		case err != nil && conn.limit.N <= 0:
+			return nil, errors.New("answer's head is too large")
+		case err != nil:
+			return nil, errors.Wrap(err, "answer")
+		case response.StatusCode >= http.StatusOK:
+			return response, nil
 		}
-		readAt := time.Now()
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-		if err != nil {
-			return nil, false, errors.Wrap(err, "answer's body")
-		}
-		if len(body) > maxAnswerBytes {
-			return nil, false, errors.New("answer's body is too large")
-		}
-		conn.idleUntil = time.Now().Add(keepAliveTimeout(response.Header))
-		return &answer{status: response.StatusCode, header: response.Header, body: body, readAt: readAt}, !response.Close && conn.reader.Buffered() == 0, nil
+		// 1xx: the final answer follows.
+	}
+}
+
+// readBody reads an answer's body of at most limit bytes.
+func readBody(conn *upstreamConn, response *http.Response, limit int64) ([]byte, error) {
+	if response.ContentLength > limit && response.Body != http.NoBody {
+		return nil, errBodyTooLarge
+	}
+	conn.limit.N = limit + limit/8 + readBufferBytes // Leaves space for chunk headers.
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	switch {
+	case int64(len(body)) > limit || err != nil && conn.limit.N <= 0:
+		return nil, errBodyTooLarge
+	case err != nil:
+		return nil, errors.Wrap(err, "answer's body")
 	}
+	return body, nil
 }
 
 // failure describes why an attempt got no answer.
--- a/gate/connection.go
+++ b/gate/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -49,7 +50,8 @@
 type upstreamConn struct {
 	net.Conn
 	reader    *bufio.Reader
-	idleUntil time.Time // By the upstream's Keep-Alive header or maxIdleTime.
+	limit     *io.LimitedReader // Below reader: how many more bytes may be read.
+	idleUntil time.Time         // By the upstream's Keep-Alive header or maxIdleTime.
 	idleSince time.Time
 	unused    bool // Nothing has been sent on it yet.
 	// unfinished holds the attempts that were refused or answered with an error on it. They may be sent
@@ -83,7 +85,8 @@
 		return nil, errors.Wrap(err, "dial")
 	}
 	c.dialed()
-	return &upstreamConn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), unused: true}, nil
+	limit := &io.LimitedReader{R: raw}
+	return &upstreamConn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, unused: true}, nil
 }
 
 // processEnded reports whether the upstream's process is gone, after a connection to it broke.
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -111,7 +111,7 @@
 // before the whole request is written, or after the write has failed.
 func (c *client) receive(conn *upstreamConn, r *link.Content, writing *requestWrite) (*answer, bool, *failure) {
 	for range maxStaleAnswers {
-		a, reusable, err := c.read(conn, r.Method)
+		a, reusable, err := c.read(conn, r.Method, maxAnswerBytes)
 		if err != nil {
 			return nil, false, c.failed(err, writing.stop())
 		}
@@ -179,7 +179,7 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, c.address); err != nil {
 		return nil, errors.Wrap(err, "health check")
 	}
-	a, _, err := c.read(conn, http.MethodGet)
+	a, _, err := c.read(conn, http.MethodGet, maxHealthBytes)
 	if err != nil {
 		return nil, err
 	}
