bodymemory: the bound on the memory of bodies is a package of its own

Requests' bodies reserve memory as they arrive; answers' bodies do not and need the same bound. The type moves out of package ingress, unchanged but for its exported names.

--- a/ingress/request.go
+++ b/ingress/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"eiderfold/bodymemory"
 	"eiderfold/result"
 )
 
@@ -30,7 +31,7 @@
 type parsed struct {
 	*http.Request
 	body        []byte
-	reservation *reservation // Memory reserved for the body.
+	reservation *bodymemory.Reservation // Memory reserved for the body.
 	bodyLimit   int64        // In bytes.
 	arrived     time.Time
 }
@@ -50,7 +51,7 @@
 	case !strings.HasPrefix(r.RequestURI, "/") || r.Host == "":
 		return nil, refusal(result.New(result.BadRequest, "no path or no host"))
 	}
-	return &parsed{Request: r, reservation: &reservation{memory: c.server.bodyMemory}, bodyLimit: cmp.Or(l.BodyBytes, defaultBodyBytes)}, nil
+	return &parsed{Request: r, reservation: c.server.bodyMemory.Reservation(), bodyLimit: cmp.Or(l.BodyBytes, defaultBodyBytes)}, nil
 }
 
 // expectsContinue reports whether the caller waits for "100 Continue" before it sends the body.
@@ -93,7 +94,7 @@
 func (c *serverConn) body(p *pendingAnswer, r *parsed) *Response {
 	fault := c.bodyFault(p, r)
 	if fault != nil {
-		r.reservation.release()
+		r.reservation.Release()
 	}
 	r.arrived = time.Now()
 	return fault
@@ -113,7 +114,7 @@
 	switch {
 	case int64(len(r.body)) > r.bodyLimit:
 		return refusal(result.New(result.BodyTooLarge, ""))
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, bodymemory.ErrNone):
 		return c.refuseBody()
 	case timedOut(err):
 		return refusal(result.New(result.SlowCaller, "the body did not come in time"))
@@ -141,10 +142,9 @@
 func (r *parsed) readBody(limit int64) ([]byte, error) {
 	var body bytes.Buffer
 	if r.ContentLength > 0 {
-		body.Grow(int(min(r.ContentLength, reserveStep)) + bytes.MinRead) // Most bodies fit and need no second copy.
+		body.Grow(int(min(r.ContentLength, bodymemory.Step)) + bytes.MinRead) // Most bodies fit and need no second copy.
 	}
-	from := &reservingReader{from: r.Body, reservation: r.reservation}
-	_, err := body.ReadFrom(io.LimitReader(from, limit+1))
+	_, err := body.ReadFrom(io.LimitReader(r.reservation.Reader(r.Body), limit+1))
 	return body.Bytes(), err
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"eiderfold/bodymemory"
 	"eiderfold/listener"
 	"eiderfold/route"
 )
@@ -21,7 +22,7 @@
 	serve         Serve
 	checkHeader   func(r *Request) *Response // Returns the refusal of a request whose header decides that.
 	limits        func() route.Limits
-	bodyMemory    *bodyMemory
+	bodyMemory    *bodymemory.Memory
 	onBodyRefused func() // Called for each body refused for lack of memory.
 	onUnanswered  func(ConnectionState)
 	stopping      atomic.Bool
@@ -40,7 +41,7 @@
 // that is refused for lack of memory.
 func WithBodyMemory(bytes int64, refused func()) ServerOption {
 	return func(s *Server) {
-		s.bodyMemory = newBodyMemory(bytes)
+		s.bodyMemory = bodymemory.New(bytes)
 		s.onBodyRefused = refused
 	}
 }
@@ -59,7 +60,7 @@
 
 // NewServer returns a server. It calls limits before it reads each request.
 func NewServer(serve Serve, limits func() route.Limits, options ...ServerOption) *Server {
-	s := &Server{serve: serve, limits: limits, bodyMemory: newBodyMemory(defaultBodyMemory), onBodyRefused: func() {},
+	s := &Server{serve: serve, limits: limits, bodyMemory: bodymemory.New(defaultBodyMemory), onBodyRefused: func() {},
 		checkHeader: func(*Request) *Response { return nil }, onUnanswered: func(ConnectionState) {}, conns: map[*serverConn]bool{}}
 	for _, o := range options {
 		o(s)
