gate: answers' bodies are read within a bound of memory

An answer's body may have 64 MB, without a length too, and as many are read at once as there are slots: bodies without end would take a process of 64 MB beyond any limit of its instance, and all that it has in hand would be lost with it.

Bodies of answers reserve memory as they arrive now, as those of requests do, within the same share of the instance's memory (memory_mb / 16). One without a length may have as much as that, as nothing shows that it ends; one with a length up to 64 MB gets all of it, alone. While there is none, the upstream is not read for half a second, and the attempt's outcome is unknown after that.

TestAnswerWithoutLengthTakesAllMemory gets an answer instead of a broken attempt without the bound; TestBodiesWithoutEndExhaustTheMemory plays bodies that end with the connection, that are chunked and that announce 60 MB, eight at once, and finds all memory free afterwards.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"eiderfold/bodymemory"
 	"eiderfold/link"
 	"eiderfold/port"
 )
@@ -34,6 +35,14 @@
 	body   []byte
 	readAt time.Time // When its header was read.
 	said   statement
+	memory *bodymemory.Reservation // For the body; nil for none.
+}
+
+// release frees the memory that the body has reserved, once the answer has been passed on.
+func (a *answer) release() {
+	if a != nil && a.memory != nil {
+		a.memory.Release()
+	}
 }
 
 // classify checks whether an answer is complete and comes from the upstream itself, and returns
@@ -72,7 +81,10 @@
 // failed returns the failure for a missing answer. A timeout is no evidence against the
 // upstream, since the deadline may have been short.
 func (c *client) failed(err, writeErr error) *failure {
-	if timedOut(err) {
+	switch {
+	case errors.Is(err, bodymemory.ErrNone):
+		return &failure{outcome: NoEvidence, detail: "answer: " + err.Error()}
+	case timedOut(err):
 		return &failure{outcome: NoEvidence, detail: "no answer within the deadline"}
 	}
 	if writeErr != nil && !timedOut(writeErr) {
@@ -97,13 +109,16 @@
 	if err != nil {
 		return nil, false, err
 	}
-	readAt := time.Now()
-	body, err := readBody(conn, response, bodyLimit)
-	if err != nil {
+	a := &answer{status: response.StatusCode, header: response.Header, readAt: time.Now(), memory: c.memory.Reservation()}
+	if response.ContentLength < 0 {
+		bodyLimit = min(bodyLimit, c.memory.Limit()) // Nothing shows that it ends.
+	}
+	if a.body, err = readBody(conn, response, a.memory, bodyLimit); err != nil {
+		a.release()
 		return nil, false, err
 	}
 	conn.idleUntil = time.Now().Add(keepAliveTimeout(response.Header))
-	return &answer{status: response.StatusCode, header: response.Header, body: body, readAt: readAt}, !response.Close && conn.reader.Buffered() == 0, nil
+	return a, !response.Close && conn.reader.Buffered() == 0, nil
 }
 
 // readHead reads the head of a final answer and the interim answers before it.
@@ -124,12 +139,12 @@
 }
 
 // readBody reads an answer's body of at most limit bytes.
-func readBody(conn *upstreamConn, response *http.Response, limit int64) ([]byte, error) {
+func readBody(conn *upstreamConn, response *http.Response, memory *bodymemory.Reservation, limit int64) ([]byte, error) {
 	if response.ContentLength > limit && response.Body != http.NoBody {
 		return nil, errBodyTooLarge
 	}
 	conn.limit.N = limit + limit/8 + readBufferBytes // Leaves space for chunk headers.
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(memory.Reader(response.Body), limit+1))
 	switch {
 	case int64(len(body)) > limit || err != nil && conn.limit.N <= 0:
 		return nil, errBodyTooLarge
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -70,6 +70,7 @@
 	g.logLeavingUpstream(ao, upstream, started, outcome)
 	g.observe("upstream_answer", took)
 	g.finish(ao, frame)
+	a.release()
 	g.update(Ended{At: time.Now(), Key: ao.offer.Key, Outcome: outcome, Took: took, Unwritten: ao.written.IsZero()})
 }
 
--- a/gate/endlessanswer_test.go
+++ b/gate/endlessanswer_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"eiderfold/bodymemory"
 )
 
 // writeWithoutEnd writes what begins an answer and then the same text again and again until the peer closes, and
@@ -72,3 +77,66 @@
 		assert.LessOrEqual(t, <-written, maxHeadBytes+socketBytes)
 	}
 }
+
+// Bodies without end, or more at once than there is memory for, must not take more than the memory for answers, and
+// must give it back.
+func TestBodiesWithoutEndExhaustTheMemory(t *testing.T) {
+	const limit = 2 << 20
+	for _, head := range []string{"Connection: close\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nfffffff\r\n", "Content-Length: 60000000\r\n\r\n"} {
+		u := startRaw(t, func(conn *net.TCPConn, r *http.Request, _ []byte) bool {
+			writeWithoutEnd(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get("Attempt-Id")+"\r\nResponse-Stamp: s\r\n"+head, "x")
+			return false
+		})
+		client := newTestClient(u.Addr().String())
+		client.memory = bodymemory.New(limit)
+		var attempts sync.WaitGroup
+		for i := range 8 {
+			attempts.Go(func() {
+				a, f := client.do(context.Background(), testContent(fmt.Sprintf("x%d", i)), testMetadata, true, noGuard{})
+				if f == nil {
+					assert.Len(t, a.body, 60000000)
+					a.release()
+				}
+			})
+		}
+		attempts.Wait()
+		assert.NoError(t, allMemoryIsFree(client.memory), head)
+	}
+}
+
+// allMemoryIsFree returns an error if some memory is reserved.
+func allMemoryIsFree(m *bodymemory.Memory) error {
+	r := m.Reservation()
+	defer r.Release()
+	_, err := io.CopyN(io.Discard, r.Reader(neverEnds{}), m.Limit())
+	return err
+}
+
+// neverEnds is a reader without end.
+type neverEnds struct{}
+
+func (neverEnds) Read(p []byte) (int, error) { return len(p), nil }
+
+// An answer without a length that is larger than the memory for answers must be refused, and one with a length be read.
+func TestAnswerWithoutLengthTakesAllMemory(t *testing.T) {
+	const limit = 1 << 20
+	for head, outcome := range map[string]string{"Connection: close\r\n\r\n": "broken", "Content-Length: 1572864\r\n\r\n": ""} {
+		u := startRaw(t, func(conn *net.TCPConn, r *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get("Attempt-Id")+"\r\nResponse-Stamp: s\r\n"+head+strings.Repeat("x", limit*3/2))
+			_ = conn.Close()
+			return false
+		})
+		client := newTestClient(u.Addr().String())
+		client.memory = bodymemory.New(limit)
+		a, f := client.do(context.Background(), testContent("x1"), testMetadata, true, noGuard{})
+		if outcome == "" {
+			require.Nil(t, f)
+			assert.Len(t, a.body, limit*3/2)
+			a.release()
+		} else {
+			require.NotNil(t, f)
+			assert.Equal(t, outcome, outcomeNames[f.outcome])
+		}
+		assert.NoError(t, allMemoryIsFree(client.memory), head)
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"eiderfold/bodymemory"
 	"eiderfold/budget"
 	"eiderfold/link"
 	"eiderfold/overload"
@@ -59,6 +60,7 @@
 // Gate runs the upstream's work. Its methods are safe for concurrent use.
 type Gate struct {
 	client       upstreamClient
+	answerMemory *bodymemory.Memory
 	log          *zap.Logger
 	records      Records
 	counters     Counters
@@ -108,6 +110,12 @@
 // held. It gets no status, which could be out of date; it can call Status for the current one.
 func WithAnnounce(f func()) Option { return func(g *Gate) { g.announce = f } }
 
+// WithAnswerMemory limits the memory for the bodies of answers that are being read, in bytes. An answer without a
+// length may have as much.
+func WithAnswerMemory(bytes int64) Option {
+	return func(g *Gate) { g.answerMemory = bodymemory.New(bytes) }
+}
+
 // WithHealthPath sets a function that returns the path of the upstream's health check.
 func WithHealthPath(f func() string) Option { return func(g *Gate) { g.path = f } }
 
@@ -129,13 +137,16 @@
 	if g.budget == nil {
 		g.budget = budget.New(0, 0, time.Now())
 	}
+	if g.answerMemory == nil {
+		g.answerMemory = bodymemory.New(maxAnswerBytes)
+	}
 	if g.tracker == nil {
 		g.tracker = quarantine.NewSharedTracker(func([]quarantine.Command) {})
 	}
 	g.admission = NewAdmission(u.Service, g.budget)
 	g.admission.SetSwitches(g.switches)
 	g.admission.SetNestedWait(g.nestedWait)
-	g.client = &client{address: u.Address, dialect: dialect, dialed: func() { g.count("upstream_connections") }}
+	g.client = &client{address: u.Address, dialect: dialect, memory: g.answerMemory, dialed: func() { g.count("upstream_connections") }}
 	return g
 }
 
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"eiderfold/bodymemory"
 	"eiderfold/link"
 	"eiderfold/port"
 )
@@ -39,6 +40,7 @@
 	address     string
 	dialect     port.Dialect
 	dialed      func()
+	memory      *bodymemory.Memory // For the bodies of answers.
 	mu          sync.Mutex
 	idle        []*upstreamConn
 	adaptedIdle time.Duration // Adapted idle limit; 0 for maxIdleTime.
@@ -117,6 +119,7 @@
 		}
 		meta := c.dialect.Answer(a.status, a.header)
 		if meta.Attempt != "" && meta.Attempt != c.attemptOf(r) {
+			a.release()
 			continue // The answer to an earlier request; ours may follow.
 		}
 		said := statementOf(a, meta)
@@ -130,6 +133,7 @@
 		}
 		if f != nil {
 			f.said = said
+			a.release()
 		} else {
 			answered.said = said
 		}
@@ -183,6 +187,7 @@
 	if err != nil {
 		return nil, err
 	}
+	a.release()
 	meta := c.dialect.Answer(a.status, a.header)
 	said := statement{Statement: meta.Statement, at: a.readAt}
 	if meta.Limit.State == port.LimitNone {
--- a/gate/upstream_test.go
+++ b/gate/upstream_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"eiderfold/bodymemory"
 	"eiderfold/link"
 	"eiderfold/listener"
 	"eiderfold/platform"
@@ -85,7 +86,7 @@
 }
 
 func newTestClient(address string) *client {
-	return &client{address: address, dialect: platform.Headers{}, dialed: func() {}}
+	return &client{address: address, dialect: platform.Headers{}, dialed: func() {}, memory: bodymemory.New(maxAnswerBytes)}
 }
 
 func testContent(id string) *link.Content {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -90,6 +90,7 @@
 		gate.WithSwitches(s.Switches()),
 		gate.WithQuarantine(n.quarantine.tracker),
 		gate.WithRecords(n.directory),
+		gate.WithAnswerMemory(s.BodyMemory()),
 		gate.WithCounters(metrics),
 		gate.WithAnnounce(n.links.announce),
 		gate.WithHealthPath(n.healthPath),
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -189,7 +189,8 @@
 // registers before it reads the directory.
 func (m *Mesh) FirstStart() bool { return m.file.FirstStart }
 
-// BodyMemory returns the memory limit of request bodies in bytes.
+// BodyMemory returns the memory limit of request bodies in bytes, and also that of the answers that the local
+// upstream is writing.
 func (m *Mesh) BodyMemory() int64 { return m.file.Memory << 20 / bodyMemoryDivisor }
 
 // LogLevel returns the minimum level that is logged.
