link, mesh: a record that no node can have written is ignored

Other operators report that one odd entry among those of the backends ended the machines that read the list, or kept them from following it. But a record of a node's own address with version 2^64-1 made the node raise its version to 0: it was older than the odd record for all others, refuted that each time with a write to the store, and the others knew it by the odd name and service. A record with a port out of range was dialed again and again.

Records are checked where they are read, from the store and from other nodes: fields, an address that can be dialed, and a version below 2^53, which a node can raise.

--- a/link/record.go
+++ b/link/record.go
@@ -1,5 +1,12 @@
 package link
 
+import (
+	"net"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
 // Record is a versioned membership record of a node.
 type Record struct {
 	Member
@@ -19,6 +26,29 @@
 	return r.Gone && !o.Gone
 }
 
+// maxVersion bounds a record's version: times in Unix milliseconds stay below it for 280,000 years, and a node can
+// raise its own version above any other's.
+const maxVersion = 1 << 53
+
+// Check returns an error for a record that no node can have written: without a name, service or data centre, with an
+// address that cannot be dialed, or with a version that its node could not raise.
+func (r Record) Check() error {
+	if r.Name == "" || r.Service == "" || r.DataCentre == "" {
+		return errors.New("record: a field is missing")
+	}
+	host, portNumber, err := net.SplitHostPort(r.Address)
+	if err != nil || host == "" {
+		return errors.Errorf("record: address: %q is no HOST:PORT", r.Address)
+	}
+	if n, err := strconv.ParseUint(portNumber, 10, 16); err != nil || n == 0 {
+		return errors.Errorf("record: address: %q is no port", portNumber)
+	}
+	if r.Version >= maxVersion {
+		return errors.Errorf("record: version: %d is no time", r.Version)
+	}
+	return nil
+}
+
 // Digest holds checksums of the membership records that a node has, one for
 // each part of the hashed address space.
 type Digest struct {
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -220,10 +220,10 @@
 	if err := json.Unmarshal(e.Value, &r); err != nil {
 		return r, errors.Wrap(err, "record")
 	}
-	if e.Key != nodeKey(r.Address) || r.Name == "" || r.Service == "" || r.DataCentre == "" {
-		return r, errors.New("record: a field is missing, or the key does not match the address")
+	if e.Key != nodeKey(r.Address) {
+		return r, errors.New("record: the key does not match the address")
 	}
-	return r, nil
+	return r, r.Check()
 }
 
 // nodeKey returns the store key of a node's record.
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -36,6 +36,11 @@
 func (l *links) learn(records ...link.Record) {
 	accepted := make([]link.Record, 0, len(records))
 	for _, r := range records {
+		if err := r.Check(); err != nil {
+			l.node.metrics.Count("records_unreadable")
+			l.node.log.Warn("ignoring a membership record", zap.String("node", r.Name), zap.String("address", r.Address), zap.Error(err))
+			continue
+		}
 		if r.Gone {
 			if to := l.linkTo(r.Address); to != nil {
 				to.Send(&link.Frame{Records: []link.Record{r}})
