link: a message that is announced takes its memory once it has begun to come

The memory is taken once the first 256 KB have come. TestAnnouncedMessageTakesItsMemory failed before. Messages that break off or nest deeply were errors before too; TestMessageWithoutEndIsHandled shows it.

--- a/link/link.go
+++ b/link/link.go
@@ -45,6 +45,8 @@
 	// bufferBytes is the size of the read and write buffers; it holds a dozen
 	// messages without content.
 	bufferBytes = 4 << 10
+	// beginningBytes is how much of a message has to arrive before there is memory for more.
+	beginningBytes = 256 << 10
 )
 
 // ErrFrameTooLarge is returned when a peer announces a message larger than maxFrame.
@@ -193,14 +195,26 @@
 	if n > maxFrame {
 		return nil, errors.WithStack(ErrFrameTooLarge)
 	}
-	payload := make([]byte, n)
-	if _, err := io.ReadFull(in, payload); err != nil {
+	payload, err := readPayload(in, int(n))
+	if err != nil {
 		return nil, errors.Wrap(err, "read")
 	}
 	f := &Frame{}
 	return f, errors.Wrap(decoding.Unmarshal(payload, f), "decode")
 }
 
+// readPayload reads n bytes. It takes the memory for a long message once its beginning has arrived: a peer may announce
+// one and not send it.
+func readPayload(in io.Reader, n int) ([]byte, error) {
+	beginning := make([]byte, min(n, beginningBytes))
+	if _, err := io.ReadFull(in, beginning); err != nil || len(beginning) == n {
+		return beginning, err
+	}
+	payload := make([]byte, n)
+	_, err := io.ReadFull(in, payload[copy(payload, beginning):])
+	return payload, err
+}
+
 // decoding accepts text that is not UTF-8: headers and paths may hold any bytes, and are passed on unchanged.
 var decoding = newDecoding()
 
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,6 +184,34 @@
 	assert.ErrorIs(t, err, ErrFrameTooLarge)
 }
 
+// A message that is announced and does not come must not take its memory.
+func TestAnnouncedMessageTakesItsMemory(t *testing.T) {
+	message := binary.BigEndian.AppendUint32(nil, maxFrame)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := read(bufio.NewReader(bytes.NewReader(append(message, "some bytes"...))))
+	runtime.ReadMemStats(&after)
+	assert.Error(t, err)
+	assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxFrame/8))
+}
+
+// A message that breaks off, or nests deeper than any does, must be an error.
+func TestMessageWithoutEndIsHandled(t *testing.T) {
+	whole, err := cbor.Marshal(&Frame{Answer: &Answer{Key: Key{1, 2}, Status: 200, Body: bytes.Repeat([]byte("x"), beginningBytes+1000)}})
+	require.NoError(t, err)
+	message := append(binary.BigEndian.AppendUint32(nil, uint32(len(whole))), whole...)
+	f, err := read(bufio.NewReader(bytes.NewReader(message)))
+	require.NoError(t, err)
+	assert.Len(t, f.Answer.Body, beginningBytes+1000)
+	for _, length := range []int{0, 3, prefixLength, prefixLength + 1, beginningBytes, len(message) - 1} {
+		_, err := read(bufio.NewReader(bytes.NewReader(message[:length])))
+		assert.Error(t, err, length)
+	}
+	nested := bytes.Repeat([]byte{0x81}, 100_000) // Lists of one element.
+	_, err = read(bufio.NewReader(bytes.NewReader(append(binary.BigEndian.AppendUint32(nil, uint32(len(nested))), nested...))))
+	assert.Error(t, err)
+}
+
 // FuzzRead checks that arbitrary bytes yield a message or an error, not a panic.
 func FuzzRead(f *testing.F) {
 	payload, err := cbor.Marshal(&Frame{Offer: &Offer{Key: Key{1, 2}}})
