storehttp: heads of the store's responses may have 64 KB

net/http's bound is 10 MB for each call, so a head without end, or interim responses, were bounded already; the store's heads have some hundred bytes. TestHeadWithoutEndIsRead and TestHeadThatBreaksOffIsAResponse pass with net/http's bound too: no fault was found on this reader.

--- a/storehttp/transport.go
+++ b/storehttp/transport.go
@@ -23,8 +23,14 @@
 	*http.Transport
 }
 
+// maxHeadBytes bounds a response's head together with the interim responses before it.
+const maxHeadBytes = 64 << 10
+
 // NewTransport returns a Transport that sends requests with base.
-func NewTransport(base *http.Transport) *Transport { return &Transport{Transport: base} }
+func NewTransport(base *http.Transport) *Transport {
+	base.MaxResponseHeaderBytes = maxHeadBytes
+	return &Transport{Transport: base}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
--- a/storehttp/transport_test.go
+++ b/storehttp/transport_test.go
@@ -1,10 +1,12 @@
 package storehttp
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -71,3 +73,55 @@
 		})
 	}
 }
+
+// A response whose head does not end must not take memory until the call's deadline.
+func TestHeadWithoutEndIsRead(t *testing.T) {
+	for _, c := range []struct{ begin, again string }{
+		{"HTTP/1.1 200 OK\r\nA: ", "x"}, {"HTTP/1.1 200 OK\r\n", "A: x\r\n"}, {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}, {"", "x"},
+	} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		written := make(chan int, 1)
+		go func() {
+			defer l.Close() //nolint:errcheck // One connection only.
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close() //nolint:errcheck // Nothing more is sent.
+			n, piece := 0, c.begin
+			for err == nil {
+				var more int
+				more, err = io.WriteString(conn, piece)
+				n += more
+				piece = strings.Repeat(c.again, 1000)
+			}
+			written <- n
+		}()
+		client := &http.Client{Transport: NewTransport(&http.Transport{}), Timeout: time.Minute}
+		_, err = client.Get("http://" + l.Addr().String()) //nolint:bodyclose // There is no response.
+		require.Error(t, err)
+		assert.Less(t, <-written, maxHeadBytes+16<<20) // Both ends' sockets hold some megabytes.
+	}
+}
+
+// A response whose head breaks off must be an error.
+func TestHeadThatBreaksOffIsAResponse(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 20", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			defer l.Close() //nolint:errcheck // One connection only.
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, text)
+			_ = conn.Close()
+		}()
+		client := &http.Client{Transport: NewTransport(&http.Transport{}), Timeout: time.Minute}
+		_, err = client.Post("http://"+l.Addr().String(), "", nil) //nolint:bodyclose // There is no response.
+		assert.Error(t, err, text)
+	}
+}
