membership, mesh: a comparison that found no link is made once there is one

A node that starts compares what it knows with another after 0.25, 0.75, 1.75 and 3.75 s. Without a link yet, as while the store is out, these comparisons went nowhere and the pauses grew all the same: a new process knew few others for seconds, and divided among these what is every gate's, or every home's of accounts.

TestFirstComparisonIsMissedWithoutLinks fails without the change.

--- a/membership/antientropy.go
+++ b/membership/antientropy.go
@@ -41,6 +41,13 @@
 	return true
 }
 
+// retry makes a comparison due again that was not made. The pauses are those of a node that has just started:
+// without links, this node may have missed what changed.
+func (e *compareSchedule) retry() {
+	e.next = time.Time{}
+	e.pause = 0
+}
+
 // far reports whether the comparison that is due is with a node of another data centre.
 func (e *compareSchedule) far() bool { return e.count%farEvery == 0 }
 
--- a/membership/message.go
+++ b/membership/message.go
@@ -23,6 +23,9 @@
 	Answer bool
 }
 
+// NotCompared reports that the comparison that was due was not made, as there is no link.
+type NotCompared struct{ At time.Time }
+
 // Unreachable reports that a dialed node could not be reached for long.
 type Unreachable struct {
 	At      time.Time
@@ -42,6 +45,7 @@
 
 func (m Received) at() time.Time    { return m.At }
 func (m Compared) at() time.Time    { return m.At }
+func (m NotCompared) at() time.Time { return m.At }
 func (m Unreachable) at() time.Time { return m.At }
 func (m Needed) at() time.Time      { return m.At }
 func (m Ticked) at() time.Time      { return m.At }
--- a/membership/view.go
+++ b/membership/view.go
@@ -54,6 +54,9 @@
 		return v.received(m)
 	case Compared:
 		return v.compared(m)
+	case NotCompared:
+		v.comparisons.retry()
+		return nil
 	case Unreachable:
 		return v.unreachable(m)
 	case Needed:
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -238,3 +239,20 @@
 	other.Update(Compared{At: at, Sums: starter.sums[:]})
 	assert.True(t, other.Informed(), "both know the same")
 }
+
+// A comparison that found no link must be made once there is one, not after a pause that grows meanwhile.
+func TestFirstComparisonIsMissedWithoutLinks(t *testing.T) {
+	v := New(fleetOf(1)[0], LinkCounts{Near: 24, Far: 24})
+	compares := func(at time.Time) bool {
+		return slices.ContainsFunc(v.Update(Ticked{At: at}), func(c Command) bool { _, ok := c.(Compare); return ok })
+	}
+	at := startTime
+	for range 100 {
+		assert.True(t, compares(at))
+		v.Update(NotCompared{At: at})
+		at = at.Add(50 * time.Millisecond)
+	}
+	assert.True(t, compares(at))
+	assert.False(t, compares(at.Add(minComparePause-time.Millisecond)))
+	assert.True(t, compares(at.Add(minComparePause)))
+}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -142,9 +142,11 @@
 			break
 		}
 	}
-	if to != nil {
-		to.Send(&link.Frame{Digest: &link.Digest{Sums: c.Sums}})
+	if to == nil {
+		l.update(membership.NotCompared{At: time.Now()})
+		return
 	}
+	to.Send(&link.Frame{Digest: &link.Digest{Sums: c.Sums}})
 }
 
 // handleRecords applies membership records from another node.
