budget: what more urgent requests needed is added up once for a refusal

A refusal looks at each part of the last window; for each the counters of all more urgent levels were added up again.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -148,11 +148,11 @@
 func (b *Budget) TryTakeFor(now time.Time, k AttemptKind, u Urgency) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	newest := b.clock.bucketOf(now)
-	s := b.attempts.tightest(newest, b.ratio)
-	if !b.allowsIn(s, now, k, u, 0) {
+	if !b.allows(now, k, u, 0) {
 		return false
 	}
+	newest := b.clock.bucketOf(now)
+	s := b.attempts.tightest(newest, b.ratio)
 	bound := b.bound(s, now)
 	fromReserve := s.repeats+1 > bound-reservable(bound, b.rounding)+b.rounding
 	b.reserve.take(newest, k, u, fromReserve)
@@ -194,10 +194,11 @@
 	defer b.mu.Unlock()
 	newest := b.clock.bucketOf(now)
 	b.reserve.need(newest, k, u)
+	needed, drawn := b.reserve.before(newest, u)
 	paidRate := paidShare * b.ratio * b.attempts.firstsInWindow(newest) / window.Seconds()
 	var wait time.Duration
 	b.attempts.each(newest, func(s span) {
-		if lacking := s.repeats + float64(others) + 1 - b.limit(s, now, k, u); lacking > 0 {
+		if lacking := s.repeats + float64(others) + 1 - b.limit(b.bound(s, now), k, needed, drawn); lacking > 0 {
 			wait = max(wait, b.until(s, now, lacking, paidRate))
 		}
 	})
@@ -250,19 +251,16 @@
 // allows reports whether one more repeat is within the limit, after the given number of others.
 // The caller holds the lock.
 func (b *Budget) allows(now time.Time, k AttemptKind, u Urgency, others int) bool {
-	return b.allowsIn(b.attempts.tightest(b.clock.bucketOf(now), b.ratio), now, k, u, others)
-}
-
-// allowsIn is allows with the tightest span at hand. The caller holds the lock.
-func (b *Budget) allowsIn(s span, now time.Time, k AttemptKind, u Urgency, others int) bool {
-	return s.repeats+float64(others)+1 <= b.limit(s, now, k, u)
+	newest := b.clock.bucketOf(now)
+	s := b.attempts.tightest(newest, b.ratio)
+	needed, drawn := b.reserve.before(newest, u)
+	return s.repeats+float64(others)+1 <= b.limit(b.bound(s, now), k, needed, drawn)
 }
 
-// limit returns how many repeats there may be in a span before none of this kind and urgency
-// is allowed. The caller holds the lock.
-func (b *Budget) limit(s span, now time.Time, k AttemptKind, u Urgency) float64 {
-	bound := b.bound(s, now)
-	return k.limit(bound, b.reserve.held(b.clock.bucketOf(now), u, reservable(bound, b.rounding)), b.rounding)
+// limit returns how many repeats there may be in a span with this bound before none of the kind is allowed, given
+// how many more urgent requests needed, and drew from the part that can be reserved. The caller holds the lock.
+func (b *Budget) limit(bound float64, k AttemptKind, needed, drawn float64) float64 {
+	return k.limit(bound, withheld(needed, drawn, reservable(bound, b.rounding)), b.rounding)
 }
 
 // limit returns how many repeats of the kind a bound allows, of which so many are withheld.
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -54,14 +54,14 @@
 	return math.Floor(shortShare*reservedShare*bound + rounding)
 }
 
-// held returns how many repeats are withheld from an urgency, of those that can be reserved.
-func (r *reserve) held(newest int64, u Urgency, reservable float64) float64 {
-	needed, drawn := 0.0, 0.0
+// before returns how many more urgent requests than those of an urgency needed a repeat, and drew from the part
+// that can be reserved.
+func (r *reserve) before(newest int64, u Urgency) (needed, drawn float64) {
 	for i := range r.levels[:u] {
 		needed += r.levels[i].needed.upperBound(newest)
 		drawn += r.levels[i].drawn.upperBound(newest)
 	}
-	return withheld(needed, drawn, reservable)
+	return needed, drawn
 }
 
 // withheld returns how many of the repeats that can be reserved are withheld from an urgency, given
