soak: callers that pipeline report a request that is due and not answered

They reported a request without an answer only if it had run. One that was read, not run and never answered, or not answered in time, was not seen: the other callers report a timeout, and a failure of the first request on a connection, too. The same holds for pipelined requests now, for the one whose answer is due; those behind it need not be answered by a connection that closes.

--- a/bench/soak/checker.go
+++ b/bench/soak/checker.go
@@ -148,18 +148,14 @@
 	}
 }
 
+// runs returns how often an attempt has run; 0 if it was not sent.
 func (c *checker) runs(attempt string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.attempts[attempt].runs
-}
-
-// ran reports whether an attempt was sent and has run.
-func (c *checker) ran(attempt string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	e := c.attempts[attempt]
-	return e != nil && e.runs > 0
+	if e := c.attempts[attempt]; e != nil {
+		return e.runs
+	}
+	return 0
 }
 
 // settle waits until upstreams have finished their remaining work.
--- a/bench/soak/pipelining.go
+++ b/bench/soak/pipelining.go
@@ -74,17 +74,17 @@
 	}
 	defer conn.Close() //nolint:errcheck // All that is expected on it was read.
 	in := bufio.NewReader(&slowReader{conn: conn})
-	for range batchesPerConn {
-		if ctx.Err() != nil || !p.sendBatch(ctx, conn, in) {
+	for batch := range batchesPerConn {
+		if ctx.Err() != nil || !p.sendBatch(ctx, conn, in, batch == 0) {
 			return
 		}
 		time.Sleep(rand.N(callPause))
 	}
 }
 
-// sendBatch sends a long lookup, an order with Expect and a lookup, and checks the answers. It reports whether the
-// connection can be used further.
-func (p *pipeliner) sendBatch(ctx context.Context, conn net.Conn, in *bufio.Reader) bool {
+// sendBatch sends a long lookup, an order with Expect and a lookup, and checks the answers. The connection may be fresh: no
+// request was sent on it before. It reports whether the connection can be used further.
+func (p *pipeliner) sendBatch(ctx context.Context, conn net.Conn, in *bufio.Reader, fresh bool) bool {
 	batch := []pipelined{p.next(longMark), p.next(""), p.next("")}
 	batch[1].order = "order of " + batch[1].attempt
 	for _, r := range batch[:2] { // The last one follows the order's body.
@@ -94,11 +94,11 @@
 	for i, r := range batch {
 		open, err := p.receive(conn, in, r, batch[i+1:])
 		if err != nil {
-			p.checkUnanswered(ctx, batch[i:], starts, err)
+			p.checkUnanswered(ctx, batch[i:], starts, fresh && i == 0, err)
 			return false
 		}
 		if !open {
-			p.checkUnanswered(ctx, batch[i+1:], starts, errors.New("behind an answer that closes the connection"))
+			p.checkUnanswered(ctx, batch[i+1:], starts, false, errors.New("behind an answer that closes the connection"))
 			return false
 		}
 	}
@@ -158,14 +158,19 @@
 	return !resp.Close, nil
 }
 
-// checkUnanswered checks requests without an answer: none of them may have run, unless the node was disrupted.
-func (p *pipeliner) checkUnanswered(ctx context.Context, batch []pipelined, starts int64, err error) {
+// checkUnanswered checks requests without an answer, unless the node was disrupted. It reports those that ran and, as for
+// other callers, the one whose answer was due if it timed out or was the first on its connection. The others were sent
+// behind it, and a connection that closes need not answer them.
+func (p *pipeliner) checkUnanswered(ctx context.Context, batch []pipelined, starts int64, first bool, err error) {
 	if ctx.Err() != nil || time.Since(time.Unix(0, p.node.disruptedAt.Load())) < excuseTime {
 		return
 	}
-	for _, r := range batch {
-		if p.soak.checker.ran(r.attempt) {
-			p.soak.checker.violate("LOST: %s by %s, life %d: pipelined, ran: %v", r.attempt, p.node.name, starts, err)
+	var netErr net.Error
+	timedOut := errors.As(err, &netErr) && netErr.Timeout()
+	for i, r := range batch {
+		ran := p.soak.checker.runs(r.attempt) > 0
+		if due := i == 0 && (first || timedOut); due || ran {
+			p.soak.checker.violate("LOST: %s by %s, life %d: pipelined, ran: %t: %v", r.attempt, p.node.name, starts, ran, err)
 		}
 	}
 }
