budget: a first attempt pays 0.65 of the ratio in its window and 0.35 in the next; more slack, slower starts

The weights still add up to 1, so the sum over gates stays within the ratio. The slack is used to 0.78, and by new processes to a quarter of that instead of half: together 0.975 of it, as before.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -32,14 +32,14 @@
 	// process used before it restarted. TestBudgetHoldsOverAnyWindow checks that the limit holds with
 	// these values.
 	ratioShare = 0.97
-	slackShare = 0.65
+	slackShare = 0.78
 	// startupShare is the part of its slack that a process may use until it has run for a
 	// window. It is reached gradually: the usable part grows linearly from 0, so that all processes
 	// that a gate starts within a window use at most startupShare in total. The process before them
 	// may have used all of its slack within the same window, and slackShare × (1 + startupShare)
 	// stays below 1. So the limit also holds if the whole fleet restarts, once or several times
 	// within a window.
-	startupShare = 0.5
+	startupShare = 0.25
 	// hedgeReserve is the part of the budget that hedges may not use. It is reserved for failed
 	// attempts, which need a repeat more than slow ones.
 	hedgeReserve = 0.3
@@ -195,7 +195,7 @@
 	newest := b.clock.bucketOf(now)
 	b.reserve.need(newest, k, u)
 	needed, drawn := b.reserve.before(newest, u)
-	paidRate := paidShare * b.ratio * b.attempts.firstsInWindow(newest) / window.Seconds()
+	paidRate := ownShare * b.ratio * b.attempts.firstsInWindow(newest) / window.Seconds()
 	var wait time.Duration
 	b.attempts.each(newest, func(s span) {
 		if lacking := s.repeats + float64(others) + 1 - b.limit(b.bound(s, now), k, needed, drawn); lacking > 0 {
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -1,16 +1,19 @@
 package budget
 
 const (
-	// paidShare is the part of the ratio that a first attempt pays in each of the two windows that it counts in.
-	paidShare = 0.5
+	// ownShare and nextShare are the parts of the ratio that a first attempt pays in its own window and in the
+	// next one. Together they are 1. The more it pays in its own, the sooner gates that get more requests than
+	// before may repeat more; what it pays in the next is there at once when errors begin.
+	ownShare  = 0.65
+	nextShare = 0.35
 	// ledgerBuckets covers the first attempts that pay for the repeats of the last window.
 	ledgerBuckets = 2 * buckets
 )
 
 // ledger counts a gate's attempts and says how many more repeats may start.
 //
-// A first attempt pays for repeats of its own window with half of the ratio, and for those of the next
-// window with the other half. What a window's repeats are paid with is therefore linear in the first
+// A first attempt pays for repeats of its own window with one part of the ratio, and for those of the next
+// window with the rest. What a window's repeats are paid with is therefore linear in the first
 // attempts, with the same weights at all gates, and the sum over all gates is at most the ratio of the
 // service's first attempts in one of the two windows. That also holds if requests move from some
 // gates to others. It would not if each gate counted the window that ends when it uses its part:
@@ -26,12 +29,13 @@
 // span is the time from the beginning of a bucket until now.
 type span struct {
 	begin   int64   // The number of the bucket.
-	firsts  float64 // First attempts that pay for the repeats: since one window before the span.
+	own     float64 // First attempts in the span.
+	before  float64 // First attempts in the window before it.
 	repeats float64
 }
 
 // paid returns how many repeats the first attempts pay for at a ratio.
-func (s span) paid(ratio float64) float64 { return paidShare * ratio * s.firsts }
+func (s span) paid(ratio float64) float64 { return ratio * (ownShare*s.own + nextShare*s.before) }
 
 // at returns the counts of a bucket that the ring covers.
 func (l *ledger) at(n int64) *counts { return &l.ring[(n+ledgerBuckets)%ledgerBuckets] }
@@ -69,11 +73,15 @@
 // may begin and end anywhere in a bucket, so first attempts are counted low and repeats high.
 func (l *ledger) each(newest int64, f func(s span)) {
 	l.advance(newest)
-	s := span{begin: l.newest, firsts: l.firstsSince(l.newest - buckets + 1), repeats: l.at(l.newest).repeats}
+	s := span{begin: l.newest, before: l.firstsSince(l.newest - buckets + 1), repeats: l.at(l.newest).repeats}
 	f(s)
 	for s.begin > l.newest-buckets {
+		// A window that begins in a bucket has the first attempts of the next one; those of the bucket itself may
+		// lie before it.
+		begun := l.at(s.begin).firsts
 		s.begin--
-		s.firsts += l.at(s.begin - buckets + 1).firsts
+		s.own += begun
+		s.before += l.at(s.begin-buckets+1).firsts - begun
 		s.repeats += l.at(s.begin).repeats
 		f(s)
 	}
