--- a/ingress/request.go
+++ b/ingress/request.go
@@ -32,7 +32,7 @@
 	*http.Request
 	body        []byte
 	reservation *bodymemory.Reservation // Memory reserved for the body.
-	bodyLimit   int64        // In bytes.
+	bodyLimit   int64                   // In bytes.
 	arrived     time.Time
 }
 
