review: case 8, uploads from several nodes add up at the node that runs them

Eight uploads of 11,000,000 bytes at once, one at each of eight nodes, take the node beside the backend above its 184 MB.

--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -14,9 +14,12 @@
 	Slots    int
 	MemoryMB int
 	Work     func(path string) time.Duration
+	// Intake is how many of the nodes, the first ones, have a backend of the service for uploads; with 0, all backends
+	// take them.
+	Intake int
 }
 
-// Fleet is a small deployment: a store, and nodes with a backend of one service beside each.
+// Fleet is a small deployment: a store, and nodes with a backend beside each.
 type Fleet struct {
 	Store    *Store
 	Nodes    []*Node
@@ -26,19 +29,21 @@
 	block    *Block
 }
 
-// The service and the host of all routes.
+// The services, and the host of all routes.
 const (
-	Service = "desk"
-	Host    = "desk.example"
+	deskService   = "desk"
+	intakeService = "intake"
+	Host          = "desk.example"
 )
 
-// configurationText is the operator's configuration: an idempotent route /look/ and a non-idempotent one /order/.
+// configurationText is the operator's configuration: an idempotent route /look/, a non-idempotent one /order/, and one for
+// uploads. It has the version and the service for uploads as gaps.
 const configurationText = `{"version":"r%d","limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "listeners":[{"authority":"desk.example","rules":[
 {"name":"look","routeKind":"idempotent","priority":1,"targetLatencyMs":1500,"match":{"pathPrefix":"/look/"},"action":{"service":"desk","timeoutMs":8000,"maxAttempts":2}},
 {"name":"order","routeKind":"non_idempotent","priority":1,"targetLatencyMs":1500,"match":{"pathPrefix":"/order/"},"action":{"service":"desk","timeoutMs":8000,"maxAttempts":2}},
-{"name":"upload","routeKind":"upload","priority":1,"targetLatencyMs":6000,"match":{"pathPrefix":"/upload/"},"action":{"service":"desk","timeoutMs":20000,"maxAttempts":1}}]}],
-"clusters":[{"name":"desk","healthPath":"/health","maxConnections":390}]}`
+{"name":"upload","routeKind":"upload","priority":1,"targetLatencyMs":6000,"match":{"pathPrefix":"/upload/"},"action":{"service":%q,"timeoutMs":20000,"maxAttempts":1}}]}],
+"clusters":[{"name":"desk","healthPath":"/health","maxConnections":390},{"name":"intake","healthPath":"/health","maxConnections":390}]}`
 
 // StartFleet starts everything and waits until all nodes are ready.
 func StartFleet(record *Record, o FleetOptions) (*Fleet, error) {
@@ -55,10 +60,18 @@
 	if err := f.Store.Serve(store); err != nil {
 		return f, err
 	}
-	f.Store.Put("op/config", fmt.Appendf(nil, configurationText, 1))
+	uploads := deskService
+	if o.Intake > 0 {
+		uploads = intakeService
+	}
+	f.Store.Put("op/config", fmt.Appendf(nil, configurationText, 1, uploads))
 	for i := range o.Nodes {
-		n := &Node{Name: fmt.Sprintf("n%d", i), IP: block.Host(i), Zone: "zone", Service: Service, Store: store, MemoryMB: o.MemoryMB, Root: o.Root, Dir: dir}
-		b := &Backend{Service: Service, Address: n.App(), Control: n.Control(), Zone: n.Zone, Slots: o.Slots, Work: o.Work}
+		service := deskService
+		if i < o.Intake {
+			service = intakeService
+		}
+		n := &Node{Name: fmt.Sprintf("n%d", i), IP: block.Host(i), Zone: "zone", Service: service, Store: store, MemoryMB: o.MemoryMB, Root: o.Root, Dir: dir}
+		b := &Backend{Service: service, Address: n.App(), Control: n.Control(), Zone: n.Zone, Slots: o.Slots, Work: o.Work}
 		f.Nodes, f.Backends = append(f.Nodes, n), append(f.Backends, b)
 		if err := b.Start(record, fmt.Sprintf("i-%d-1", i)); err != nil {
 			return f, err
