review: the cases in order of their gravity; scripts end their processes when they are ended

4: uploads add up (was 8), 5: one upload (was 4), 6: endless answers (was 5), 7: a heartbeat of another writer (was 6), 8: a late heartbeat (was 7).

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,52 +1,90 @@
-// Command 6 shows that one heartbeat of another writer, with fields missing, takes a backend out of use for good.
+// Command 6 shows that answers which announce a large body and go on without end take the node beside the backend above
+// its memory, so that the platform kills it and the requests that clients have in flight there are lost.
 package main
 
 import (
 	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"review/stand2"
 )
 
 const (
-	slots    = 4
-	workTime = 200 * time.Millisecond
-	// Four backends can run 80 requests a second; 60 are sent.
-	sendEvery    = time.Second / 60
-	deadline     = 2 * time.Second
-	forgedBeats  = 2 // One each at two of four nodes.
-	calmBefore   = 5 * time.Second
-	observedTime = 15 * time.Second
+	memoryMB = 184
+	slots    = 11
+	workTime = 300 * time.Millisecond
+	clients  = 30
+	// The dose of `garble`: two of four backends spoil 2 in 100 of their answers, for 5.5 s at a time.
+	faultyBackends = 2
+	spoilEvery     = 50
+	spoilTime      = 5500 * time.Millisecond
+	pauseTime      = 6 * time.Second
+	windows        = 4
+	announcedBytes = 64 << 20
+	maxLost        = 3
+	maxEnds        = 3
 )
 
 func main() { stand2.Main(run) }
 
 func run(record *stand2.Record, root string, trouble bool) (bool, error) {
-	f, err := stand2.StartFleet(record, stand2.FleetOptions{Root: root, Nodes: 4, Slots: slots, MemoryMB: 184, Work: func(string) time.Duration { return workTime }})
+	var spoiling atomic.Bool
+	f, err := stand2.StartFleet(record, stand2.FleetOptions{Root: root, Nodes: 4, Slots: slots, MemoryMB: memoryMB, Work: func(string) time.Duration { return workTime }})
 	defer f.Close()
 	if err != nil {
 		return false, err
 	}
-	stop, done := make(chan struct{}), make(chan struct{})
-	a := &stand2.Arrivals{Every: sendEvery, Deadline: deadline}
-	go func() {
-		defer close(done)
-		a.Run(record, f.Nodes, stop)
-	}()
-	time.Sleep(calmBefore)
-	if trouble {
-		for i, b := range f.Backends[:forgedBeats] {
-			// A heartbeat has the fields zone, version and coldLeftMs too.
-			body := fmt.Sprintf(`{"service":%q,"address":%q,"slots":%d,"state":"ready","callSeq":1}`, b.Service, b.Address, slots)
-			id := fmt.Sprintf("i-other-%d", i)
-			record.Printf("another writer sends to %s, of=%s: %s; acknowledged: %t", b.Control, id, body, b.SendBeat(id, body))
+	for _, b := range f.Backends[:faultyBackends] {
+		var answers atomic.Int64
+		b.Spoils = func() bool { return spoiling.Load() && answers.Add(1)%spoilEvery == 0 }
+		b.Spoiled = func(c net.Conn, r *http.Request) { writeWithoutEnd(record, b, c, r) }
+	}
+	stop, stopLoad := make(chan struct{}), make(chan struct{})
+	defer close(stop)
+	load := &stand2.Load{Method: http.MethodPost}
+	for _, n := range f.Nodes {
+		go n.Supervise(stop)
+		running := load.Run(record, n, clients, 20*time.Millisecond, stopLoad)
+		defer running.Wait()
+	}
+	defer close(stopLoad)
+	for range windows {
+		time.Sleep(pauseTime)
+		spoiling.Store(trouble)
+		time.Sleep(spoilTime)
+		spoiling.Store(false)
+	}
+	time.Sleep(pauseTime)
+	return judge(record, f, load), nil
+}
+
+// writeWithoutEnd writes a head that announces a body, and then bytes until the caller closes.
+func writeWithoutEnd(record *stand2.Record, b *stand2.Backend, c net.Conn, r *http.Request) {
+	written, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", announcedBytes)
+	piece := make([]byte, 64<<10)
+	for n := 0; err == nil; written += n {
+		n, err = c.Write(piece)
+	}
+	record.Printf("backend %s wrote %d bytes to %s until its caller closed", b.ID(), written, r.Header.Get("Attempt-Id"))
+}
+
+// judge applies the rules LOST and Fault. Requests that ran at a faulty backend do not count.
+func judge(record *stand2.Record, f *stand2.Fleet, load *stand2.Load) bool {
+	ended := 0
+	for _, n := range f.Nodes {
+		record.Result("node %s: ended %d times, largest memory %d MB of %d MB", n.Name, n.Ends(), n.PeakKB()>>10, n.MemoryMB)
+		if n.Ends() >= maxEnds {
+			ended++
 		}
 	}
-	sound := time.Now().Add(stand2.SoundAfter)
-	time.Sleep(stand2.SoundAfter + observedTime)
-	until := time.Now()
-	close(stop)
-	<-done
-	stand2.CountRuns(record, f.Backends, sound)
-	return a.FloorBroken(record, f.Backends, sound, until), nil
+	lost := load.Lost(f.Backends[faultyBackends:])
+	for _, o := range lost {
+		record.Printf("lost: %s at %s ran at a sound backend, and its connection was closed without an answer", o.Attempt, o.Node.Name)
+	}
+	record.Result("LOST: %d of %d requests ran at a sound backend and got no answer on a kept connection (more than %d break the rule)", len(lost), len(load.Sent()), maxLost)
+	record.Result("Fault: on %d machines the process ended %d times or more (two break the rule)", ended, maxEnds)
+	return len(lost) > maxLost || ended >= 2
 }
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -25,7 +27,6 @@
 	Nodes    []*Node
 	Backends []*Backend
 	dir      string
-	record   *Record
 	block    *Block
 }
 
@@ -55,7 +56,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Store: NewStore(), dir: dir, record: record, block: block}
+	f := &Fleet{Store: NewStore(), dir: dir, block: block}
+	closeAtSignal(f)
 	store := block.Host(100) + ":8200"
 	if err := f.Store.Serve(store); err != nil {
 		return f, err
@@ -90,8 +92,16 @@
 	return f, nil
 }
 
-// Dir returns the folder of settings and logs.
-func (f *Fleet) Dir() string { return f.dir }
+// closeAtSignal ends all processes when the script is told to end.
+func closeAtSignal(f *Fleet) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		f.Close()
+		os.Exit(cannotRun)
+	}()
+}
 
 // Close ends all processes and removes the temporary folder.
 func (f *Fleet) Close() {
@@ -99,9 +109,7 @@
 		return
 	}
 	for _, n := range f.Nodes {
-		if n.process != nil {
-			n.Kill()
-		}
+		n.Close()
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
--- a/review/stand2/node.go
+++ b/review/stand2/node.go
@@ -1,6 +1,7 @@
 package stand2
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -36,6 +37,9 @@
 // Host returns address i of the block.
 func (b *Block) Host(i int) string { return fmt.Sprintf("%s.%d", b.prefix, 10+i) }
 
+// errClosed is returned when a node that was closed is to start.
+var errClosed = errors.New("the node was closed")
+
 // Node is one process of the system under test, started with the command of the deploy file and settings as its
 // template lays them.
 type Node struct {
@@ -54,6 +58,7 @@
 	exited  chan struct{}
 	peakKB  int
 	ends    int
+	closed  bool // No process is started any more.
 }
 
 // The ports of a node and of the backend beside it.
@@ -117,13 +122,10 @@
 	c.Dir = n.Root
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "EIDERFOLD_BOOT=" + settings}
 	c.Stdout, c.Stderr = log, log
-	if err := c.Start(); err != nil {
+	exited := make(chan struct{})
+	if err := n.launch(c, exited); err != nil {
 		return err
 	}
-	exited := make(chan struct{})
-	n.mu.Lock()
-	n.process, n.exited = c, exited
-	n.mu.Unlock()
 	go func() {
 		err := c.Wait()
 		record.Printf("node %s: process %d has ended: %v", n.Name, c.Process.Pid, err)
@@ -133,6 +135,31 @@
 	return nil
 }
 
+// launch starts the process, unless the node was closed.
+func (n *Node) launch(c *exec.Cmd, exited chan struct{}) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return errClosed
+	}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	n.process, n.exited = c, exited
+	return nil
+}
+
+// Close kills the process for good.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	started := n.process != nil
+	n.mu.Unlock()
+	if started {
+		n.Kill()
+	}
+}
+
 // Signal sends a signal to the process.
 func (n *Node) Signal(s syscall.Signal) {
 	n.mu.Lock()
