--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -16,7 +16,8 @@
 	Path     string
 	Attempt  string
 	Deadline time.Duration
-	Body     int64 // Bytes, sent with a length.
+	Body     int64  // Bytes, sent with a length.
+	Key      string // Of the tenant, "" for none.
 }
 
 // Outcome is how a request ended for its client.
@@ -70,6 +71,9 @@
 	}
 	_ = c.conn.SetDeadline(began.Add(r.Deadline + 500*time.Millisecond))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n", r.Method, r.Path, c.Host, r.Attempt, r.Deadline.Milliseconds())
+	if r.Key != "" {
+		head += "Authorization: Token " + r.Key + "\r\n"
+	}
 	if r.Method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", r.Body)
 	}
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -1,6 +1,7 @@
 package stand2
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -19,6 +20,8 @@
 	// Intake is how many of the nodes, the first ones, have a backend of the service for uploads; with 0, all backends
 	// take them.
 	Intake int
+	// Tenants is the list of tenants of the configuration, as JSON; "" for none.
+	Tenants string
 }
 
 // Fleet is a small deployment: a store, and nodes with a backend beside each.
@@ -38,8 +41,8 @@
 )
 
 // configurationText is the operator's configuration: an idempotent route /look/, a non-idempotent one /order/, and one for
-// uploads. It has the version and the service for uploads as gaps.
-const configurationText = `{"version":"r%d","limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+// uploads. It has the version, the tenants and the service for uploads as gaps.
+const configurationText = `{"version":"r%d","limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":%s,
 "listeners":[{"authority":"desk.example","rules":[
 {"name":"look","routeKind":"idempotent","priority":1,"targetLatencyMs":1500,"match":{"pathPrefix":"/look/"},"action":{"service":"desk","timeoutMs":8000,"maxAttempts":2}},
 {"name":"order","routeKind":"non_idempotent","priority":1,"targetLatencyMs":1500,"match":{"pathPrefix":"/order/"},"action":{"service":"desk","timeoutMs":8000,"maxAttempts":2}},
@@ -66,7 +69,7 @@
 	if o.Intake > 0 {
 		uploads = intakeService
 	}
-	f.Store.Put("op/config", fmt.Appendf(nil, configurationText, 1, uploads))
+	f.Store.Put("op/config", fmt.Appendf(nil, configurationText, 1, cmp.Or(o.Tenants, "[]"), uploads))
 	for i := range o.Nodes {
 		service := deskService
 		if i < o.Intake {
--- a/review/stand2/load.go
+++ b/review/stand2/load.go
@@ -13,6 +13,7 @@
 // Load sends requests from many clients, each on a kept connection of its own, and keeps what became of them.
 type Load struct {
 	Method string // GET for idempotent requests, POST for orders, which may run once.
+	Key    string // Of the tenant, "" for none.
 	mu     sync.Mutex
 	sent   []Sent
 }
@@ -47,7 +48,7 @@
 }
 
 func (l *Load) send(c *Client, n *Node, attempt string) {
-	r := Request{Method: l.Method, Path: "/look/" + attempt, Attempt: attempt, Deadline: 5 * time.Second}
+	r := Request{Method: l.Method, Path: "/look/" + attempt, Attempt: attempt, Deadline: 5 * time.Second, Key: l.Key}
 	if l.Method == http.MethodPost {
 		r.Path, r.Body = "/order/"+attempt, orderBytes
 	}
@@ -82,3 +83,23 @@
 	}
 	return out
 }
+
+// Span is when a request was sent and when a backend began to run it.
+type Span struct{ SentAt, RanAt time.Time }
+
+// Spans returns the spans of all requests that ran, one for each run.
+func (l *Load) Spans(backends []*Backend) []Span {
+	sentAt := map[string]time.Time{}
+	for _, o := range l.Sent() {
+		sentAt[o.Attempt] = o.SentAt
+	}
+	var out []Span
+	for _, b := range backends {
+		for _, r := range b.Runs() {
+			if at, ok := sentAt[r.Attempt]; ok {
+				out = append(out, Span{SentAt: at, RanAt: r.At})
+			}
+		}
+	}
+	return out
+}
--- a/review/stand2/node.go
+++ b/review/stand2/node.go
@@ -101,6 +101,10 @@
 retries:
   ratio: 0.2
   slack: 56
+account_limits:
+  window: 5s
+  over: 0.1
+  slack: 20
 stop:
   grace: 6s
 `
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,7 @@
 	items    map[string]item
 	events   []item
 	changed  chan struct{} // Closed and replaced at each change.
+	busy     atomic.Bool
 }
 
 type item struct {
@@ -50,10 +52,28 @@
 	mux.HandleFunc("GET /-/kv-range", s.list)
 	mux.HandleFunc("GET /-/kv-watch", s.watch)
 	mux.HandleFunc("POST /-/kv-txn", s.transaction)
-	go http.Serve(l, mux) //nolint:errcheck // It ends with the process.
+	go http.Serve(l, s.unlessBusy(mux)) //nolint:errcheck // It ends with the process.
 	return nil
 }
 
+// SetBusy sets whether the store is down: it answers every call with 503, and ends the watches that wait.
+func (s *Store) SetBusy(on bool) {
+	s.busy.Store(on)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake()
+}
+
+func (s *Store) unlessBusy(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.busy.Load() {
+			reply(w, http.StatusServiceUnavailable, map[string]any{})
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Put writes a key as the operator does.
 func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
@@ -123,6 +143,10 @@
 	}
 	until := time.After(min(time.Duration(ms)*time.Millisecond, maxWait))
 	for {
+		if s.busy.Load() {
+			reply(w, http.StatusServiceUnavailable, map[string]any{})
+			return
+		}
 		s.mu.Lock()
 		events := []item{}
 		for _, e := range s.events {
