--- a/bodymemory/bodymemory.go
+++ b/bodymemory/bodymemory.go
@@ -1,98 +1,156 @@
-// Package bodymemory bounds the memory that bodies of messages take.
+// Package bodymemory bounds the memory that the bodies of messages take.
 //
-// Bodies are read whole before they are passed on, so that a slow sender holds nothing but its connection;
-// without a limit, many large bodies at once would exhaust the process's memory. Memory is reserved as
-// bytes arrive, so that a slow sender holds none for bytes that it has not sent.
+// A node holds bodies whole, and holds them in many places: while they are read, queued for another node, kept for a
+// broken link or written to a slow peer. The buffers of all of them come from one Memory, which counts a buffer until
+// the garbage collector has freed it. So no place has to give memory back, and none can forget to.
+//
+// Work that ends frees memory, and work that begins takes some. Requests therefore get only a part of the memory, and
+// the rest is left for the answers to those that have run.
 //
 // # Usage
 //
-//	memory := bodymemory.New(16 << 20)
-//	r := memory.Reservation()
-//	defer r.Release()                             // Once the body is not used any more.
-//	body, err := io.ReadAll(r.Reader(connection)) // ErrNone if there is no memory.
+//	memory := bodymemory.New(64 << 20)
+//	body, err := memory.ReadAll(bodymemory.CallerRequest, connection, length) // ErrNone if there is no memory.
+//	buffer, err := memory.Make(bodymemory.Answer, bytes, 100*time.Millisecond)
 package bodymemory
 
 import (
-	"context"
-	"io"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/semaphore"
 )
 
 const (
-	// reserveTimeout is how long a body waits, unread, for memory. Backpressure on the
-	// connection holds up its sender meanwhile.
-	reserveTimeout = 500 * time.Millisecond
-	// Step is how many bytes are reserved at a time while a body is read.
-	Step = 64 << 10
+	// SmallBytes is the size up to which a buffer is not counted: the buffers of its connection are as large.
+	SmallBytes = 4 << 10
+	// collectInterval is the shortest time between two garbage collections that lack of memory causes.
+	collectInterval = 50 * time.Millisecond
+	// retryInterval is how often a buffer that waits for memory tries again.
+	retryInterval = 5 * time.Millisecond
 )
 
 // ErrNone is returned when there is no memory for a body.
 var ErrNone = errors.New("no memory for the body")
 
+// Use is what a buffer is for.
+type Use uint8
+
+// Uses, by how much of the memory they may fill.
+const (
+	CallerRequest    Use = iota // A request that a caller sends to this node.
+	ForwardedRequest            // A request that another node has accepted, for the upstream beside this one.
+	Answer                      // An answer to a request that has run.
+)
+
+// The parts of the memory that uses may fill together with those before them, in quarters.
+const (
+	quarters        = 4
+	callerQuarters  = 2
+	forwardQuarters = 3
+)
+
 // Memory limits the memory that bodies take together. It is safe for concurrent use.
 type Memory struct {
-	bytes *semaphore.Weighted
-	limit int64
+	limit      int64
+	held       atomic.Int64
+	peak       atomic.Int64
+	refused    atomic.Int64
+	collecting sync.Mutex
+	// collectAt is when lack of memory may cause the next garbage collection.
+	collectAt time.Time
 }
 
 // New returns a Memory with a limit in bytes.
-func New(limit int64) *Memory {
-	return &Memory{bytes: semaphore.NewWeighted(limit), limit: limit}
-}
+func New(limit int64) *Memory { return &Memory{limit: limit} }
 
-// Limit returns the limit in bytes.
-func (m *Memory) Limit() int64 { return m.limit }
+// Limit returns how many bytes the buffers of a use may fill, together with those of the uses before it.
+func (m *Memory) Limit(u Use) int64 {
+	switch u {
+	case CallerRequest:
+		return m.limit / quarters * callerQuarters
+	case ForwardedRequest:
+		return m.limit / quarters * forwardQuarters
+	default:
+		return m.limit
+	}
+}
 
-// Reservation returns the reservation of a body, which holds nothing yet.
-func (m *Memory) Reservation() *Reservation { return &Reservation{memory: m} }
+// State is what a Memory has counted, for logs.
+type State struct {
+	Limit   int64 `json:"limit"`   // In bytes.
+	Held    int64 `json:"held"`    // Bytes of all buffers, with those that wait for the garbage collector.
+	Peak    int64 `json:"peak"`    // The most bytes that were held so far.
+	Refused int64 `json:"refused"` // Buffers for which there was no memory.
+}
 
-// Reservation is the memory that one body holds.
-type Reservation struct {
-	memory *Memory
-	held   int64
+// State returns what was counted so far.
+func (m *Memory) State() State {
+	return State{Limit: m.limit, Held: m.held.Load(), Peak: m.peak.Load(), Refused: m.refused.Load()}
 }
 
-// reserve reserves more bytes, waiting for at most reserveTimeout. A body larger than the
-// limit gets all of the memory, alone.
-func (r *Reservation) reserve(bytes int64) error {
-	bytes = min(bytes, r.memory.limit-r.held)
-	ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
-	defer cancel()
-	if r.memory.bytes.Acquire(ctx, bytes) != nil {
-		return ErrNone
+// Make returns a buffer of n bytes. It waits for memory for at most the given time and then returns ErrNone, at once if
+// the buffer can never be had.
+func (m *Memory) Make(u Use, n int, wait time.Duration) ([]byte, error) {
+	if n <= SmallBytes {
+		return make([]byte, n), nil
 	}
-	r.held += bytes
-	return nil
+	if int64(n) > m.Limit(u) || !m.await(u, int64(n), time.Now().Add(wait)) {
+		m.refused.Add(1)
+		return nil, errors.WithStack(ErrNone)
+	}
+	buffer := make([]byte, n)
+	runtime.AddCleanup(&buffer[0], m.free, int64(n))
+	return buffer, nil
 }
 
-// Release frees the reserved memory.
-func (r *Reservation) Release() {
-	r.memory.bytes.Release(r.held)
-	r.held = 0
+// await reserves n bytes, and reports whether they were free before a time.
+func (m *Memory) await(u Use, n int64, until time.Time) bool {
+	for !m.reserve(u, n) {
+		if !time.Now().Before(until) {
+			return false
+		}
+		m.collect()
+		time.Sleep(retryInterval)
+	}
+	return true
 }
 
-// Reader returns a reader that reserves memory for what it reads, Step bytes at a time. Its Read returns
-// ErrNone if no memory can be reserved.
-func (r *Reservation) Reader(from io.Reader) io.Reader { return &reader{from: from, reservation: r} }
-
-type reader struct {
-	from        io.Reader
-	reservation *Reservation
-	left        int64 // Reserved bytes that are not read yet.
+// reserve reserves n bytes if they are free.
+func (m *Memory) reserve(u Use, n int64) bool {
+	for {
+		held := m.held.Load()
+		if held+n > m.Limit(u) {
+			return false
+		}
+		if m.held.CompareAndSwap(held, held+n) {
+			m.notePeak(held + n)
+			return true
+		}
+	}
 }
 
-// Read implements io.Reader.
-func (r *reader) Read(p []byte) (int, error) {
-	if r.left == 0 {
-		if err := r.reservation.reserve(Step); err != nil {
-			return 0, err
+func (m *Memory) notePeak(held int64) {
+	for {
+		peak := m.peak.Load()
+		if held <= peak || m.peak.CompareAndSwap(peak, held) {
+			return
 		}
-		r.left = Step
 	}
-	n, err := r.from.Read(p[:min(int64(len(p)), r.left)])
-	r.left -= int64(n)
-	return n, err
+}
+
+// free counts a buffer of n bytes as freed.
+func (m *Memory) free(n int64) { m.held.Add(-n) }
+
+// collect runs the garbage collector, unless that was done a moment ago.
+func (m *Memory) collect() {
+	m.collecting.Lock()
+	defer m.collecting.Unlock()
+	if time.Now().Before(m.collectAt) {
+		return
+	}
+	runtime.GC()
+	m.collectAt = time.Now().Add(collectInterval)
 }
--- a/cmd/eiderfold/gc.go
+++ b/cmd/eiderfold/gc.go
@@ -10,9 +10,13 @@
 // where memory costs more than the CPU time of more frequent collections.
 const gcPercent = 50
 
-// tuneGC applies gcPercent, unless GOGC is set in the environment.
-func tuneGC() {
+// tuneGC applies gcPercent and a soft limit on the process's memory, in bytes, unless GOGC and GOMEMLIMIT are set in
+// the environment. Near the limit, freed memory goes back to the system before more is taken.
+func tuneGC(memory int64) {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memory)
+	}
 }
--- a/cmd/eiderfold/mesh.go
+++ b/cmd/eiderfold/mesh.go
@@ -43,7 +43,7 @@
 }
 
 func runMesh(c *cobra.Command, path string, s *settings.Mesh, reloads <-chan os.Signal) error {
-	tuneGC()
+	tuneGC(s.ProcessMemory())
 	metrics := mesh.NewMetrics()
 	log, flush, err := meshLogger(s.LogLevel(), metrics)
 	if err != nil {
--- a/gate/answer.go
+++ b/gate/answer.go
@@ -35,36 +35,28 @@
 	body   []byte
 	readAt time.Time // When its header was read.
 	said   statement
-	memory *bodymemory.Reservation // For the body; nil for none.
+	rest   *http.Response // Until the body is read.
 }
 
-// release frees the memory that the body has reserved, once the answer has been passed on.
-func (a *answer) release() {
-	if a != nil && a.memory != nil {
-		a.memory.Release()
-	}
-}
-
-// classify checks whether an answer is complete and comes from the upstream itself, and returns
-// a failure if not.
-func (c *client) classify(a *answer, meta port.ResponseMetadata, reusable bool) (*answer, bool, *failure) {
+// classify checks by its head whether an answer comes from the upstream itself, and returns a failure if not.
+func classify(a *answer, meta port.ResponseMetadata) *failure {
 	switch {
 	case meta.NotRun && a.status == http.StatusMisdirectedRequest:
-		return nil, reusable, &failure{outcome: Replaced, reason: link.ReasonMisdirected, detail: "the address is held by " + meta.Upstream}
+		return &failure{outcome: Replaced, reason: link.ReasonMisdirected, detail: "the address is held by " + meta.Upstream}
 	case meta.NotRun:
-		return nil, reusable, &failure{outcome: Shed, reason: link.ReasonShed, detail: "refused with status " + strconv.Itoa(a.status)}
+		return &failure{outcome: Shed, reason: link.ReasonShed, detail: "refused with status " + strconv.Itoa(a.status)}
 	case meta.Attempt == "":
-		return nil, false, &failure{outcome: Broken, detail: "an answer that names no request"}
+		return &failure{outcome: Broken, detail: "an answer that names no request"}
 	case a.header.Get("Content-Encoding") != "":
-		return nil, false, &failure{outcome: Broken, detail: "an answer in an encoding that nobody asked for"}
+		return &failure{outcome: Broken, detail: "an answer in an encoding that nobody asked for"}
 	case !meta.Genuine && a.status < http.StatusBadRequest:
-		return nil, false, &failure{outcome: Broken, detail: "a success that no upstream made"}
+		return &failure{outcome: Broken, detail: "a success that no upstream made"}
 	case impliesNotRun(a.status):
 		// Without the upstream's not-run header the request may have run, but the status would
 		// tell the caller that it has not.
-		return nil, reusable, &failure{outcome: Erred, detail: "status " + strconv.Itoa(a.status) + " without the mark of a refusal"}
+		return &failure{outcome: Erred, detail: "status " + strconv.Itoa(a.status) + " without the mark of a refusal"}
 	default:
-		return a, reusable, nil
+		return nil
 	}
 }
 
@@ -103,22 +95,53 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// read reads one final answer from the connection, with a body of at most the given size.
-func (c *client) read(conn *upstreamConn, method string, bodyLimit int64) (*answer, bool, error) {
+// read reads the head of one final answer from the connection.
+func (c *client) read(conn *upstreamConn, method string) (*answer, error) {
 	response, err := readHead(conn, method)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
-	a := &answer{status: response.StatusCode, header: response.Header, readAt: time.Now(), memory: c.memory.Reservation()}
-	if response.ContentLength < 0 {
-		bodyLimit = min(bodyLimit, c.memory.Limit()) // Nothing shows that it ends.
+	conn.idleUntil = time.Now().Add(keepAliveTimeout(response.Header))
+	return &answer{status: response.StatusCode, header: response.Header, readAt: time.Now(), rest: response}, nil
+}
+
+// readBody reads an answer's body.
+func (c *client) readBody(conn *upstreamConn, a *answer) error {
+	limit := int64(maxAnswerBytes)
+	if a.rest.ContentLength < 0 {
+		limit = min(limit, c.memory.UnannouncedLimit(bodymemory.Answer))
 	}
-	if a.body, err = readBody(conn, response, a.memory, bodyLimit); err != nil {
-		a.release()
-		return nil, false, err
+	err := copyBody(conn, a.rest, limit, func(body io.Reader) (n int64, err error) {
+		a.body, err = c.memory.ReadAll(bodymemory.Answer, body, bodyLength(a.rest))
+		return int64(len(a.body)), err
+	})
+	return err
+}
+
+// bodyLength returns the length of a response's body, or bodymemory.UnknownLength.
+func bodyLength(r *http.Response) int64 {
+	if r.Body == http.NoBody {
+		return 0 // The length may be that of the body which an answer to HEAD does not have.
 	}
-	conn.idleUntil = time.Now().Add(keepAliveTimeout(response.Header))
-	return a, !response.Close && conn.reader.Buffered() == 0, nil
+	return r.ContentLength
+}
+
+// discardBody reads a body that is not used, of at most limit bytes.
+func discardBody(conn *upstreamConn, a *answer, limit int64) error {
+	return copyBody(conn, a.rest, limit, func(body io.Reader) (int64, error) { return io.Copy(io.Discard, body) })
+}
+
+// copyBody passes a body of at most limit bytes to read, which returns how many it has read.
+func copyBody(conn *upstreamConn, response *http.Response, limit int64, read func(io.Reader) (int64, error)) error {
+	if bodyLength(response) > limit {
+		return errBodyTooLarge
+	}
+	conn.limit.N = limit + limit/8 + readBufferBytes // Leaves space for chunk headers.
+	n, err := read(io.LimitReader(response.Body, limit+1))
+	if n > limit || err != nil && conn.limit.N <= 0 {
+		return errBodyTooLarge
+	}
+	return errors.Wrap(err, "answer's body")
 }
 
 // readHead reads the head of a final answer and the interim answers before it.
@@ -138,22 +161,6 @@
 	}
 }
 
-// readBody reads an answer's body of at most limit bytes.
-func readBody(conn *upstreamConn, response *http.Response, memory *bodymemory.Reservation, limit int64) ([]byte, error) {
-	if response.ContentLength > limit && response.Body != http.NoBody {
-		return nil, errBodyTooLarge
-	}
-	conn.limit.N = limit + limit/8 + readBufferBytes // Leaves space for chunk headers.
-	body, err := io.ReadAll(io.LimitReader(memory.Reader(response.Body), limit+1))
-	switch {
-	case int64(len(body)) > limit || err != nil && conn.limit.N <= 0:
-		return nil, errBodyTooLarge
-	case err != nil:
-		return nil, errors.Wrap(err, "answer's body")
-	}
-	return body, nil
-}
-
 // failure describes why an attempt got no answer.
 type failure struct {
 	outcome      Outcome
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -70,7 +70,6 @@
 	g.logLeavingUpstream(ao, upstream, started, outcome)
 	g.observe("upstream_answer", took)
 	g.finish(ao, frame)
-	a.release()
 	g.update(Ended{At: time.Now(), Key: ao.offer.Key, Outcome: outcome, Took: took, Unwritten: ao.written.IsZero()})
 }
 
@@ -141,7 +140,7 @@
 		g.count("first_not_written")
 	}
 	if !ao.offer.Retryable {
-		g.ended[ao.offer.Key] = endedAttempt{frame: frame, expires: time.Now().Add(answerRetention)}
+		g.ended.put(ao.offer.Key, frame, time.Now())
 	}
 	room := g.admission.roomAfter(time.Now(), 1)
 	switch {
--- a/gate/endlessanswer_test.go
+++ b/gate/endlessanswer_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"eiderfold/bodymemory"
+	"eiderfold/link"
 )
 
 // writeWithoutEnd writes what begins an answer and then the same text again and again until the peer closes, and
@@ -78,11 +79,11 @@
 	}
 }
 
-// Bodies without end, or more at once than there is memory for, must not take more than the memory for answers, and
+// Bodies without end, or more at once than there is memory for, must not take more than the memory for bodies, and
 // must give it back.
 func TestBodiesWithoutEndExhaustTheMemory(t *testing.T) {
 	const limit = 2 << 20
-	for _, head := range []string{"Connection: close\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nfffffff\r\n", "Content-Length: 60000000\r\n\r\n"} {
+	for _, head := range []string{"Connection: close\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nfffffff\r\n", "Content-Length: 60000000\r\n\r\n", "Content-Length: 1500000\r\n\r\n"} {
 		u := startRaw(t, func(conn *net.TCPConn, r *http.Request, _ []byte) bool {
 			writeWithoutEnd(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get("Attempt-Id")+"\r\nResponse-Stamp: s\r\n"+head, "x")
 			return false
@@ -94,33 +95,44 @@
 			attempts.Go(func() {
 				a, f := client.do(context.Background(), testContent(fmt.Sprintf("x%d", i)), testMetadata, true, noGuard{})
 				if f == nil {
-					assert.Len(t, a.body, 60000000)
-					a.release()
+					assert.Len(t, a.body, 1500000)
 				}
 			})
 		}
 		attempts.Wait()
+		assert.LessOrEqual(t, client.memory.State().Peak, int64(limit), head)
 		assert.NoError(t, allMemoryIsFree(client.memory), head)
 	}
 }
 
-// allMemoryIsFree returns an error if some memory is reserved.
+// allMemoryIsFree returns an error if buffers that nobody uses stay counted.
 func allMemoryIsFree(m *bodymemory.Memory) error {
-	r := m.Reservation()
-	defer r.Release()
-	_, err := io.CopyN(io.Discard, r.Reader(neverEnds{}), m.Limit())
+	_, err := m.Make(bodymemory.Answer, int(m.Limit(bodymemory.Answer)), 10*time.Second)
 	return err
 }
 
-// neverEnds is a reader without end.
-type neverEnds struct{}
-
-func (neverEnds) Read(p []byte) (int, error) { return len(p), nil }
+// An answer whose head shows that it is of no use must not be read, whatever length it announces.
+func TestUselessAnswerIsRead(t *testing.T) {
+	for _, head := range []string{"", "Attempt-Id: {id}\r\n", "Attempt-Id: {id}\r\nResponse-Stamp: s\r\nContent-Encoding: gzip\r\n"} {
+		written := make(chan int, 1)
+		u := startRaw(t, func(conn *net.TCPConn, r *http.Request, _ []byte) bool {
+			written <- writeWithoutEnd(conn, "HTTP/1.1 200 OK\r\n"+strings.ReplaceAll(head, "{id}", r.Header.Get("Attempt-Id"))+"Content-Length: 60000000\r\n\r\n", "x")
+			return false
+		})
+		client := newTestClient(u.Addr().String())
+		_, f := client.do(context.Background(), testContent("x1"), testMetadata, true, noGuard{})
+		require.NotNil(t, f)
+		assert.Equal(t, Broken, f.outcome, f.detail)
+		assert.Zero(t, client.memory.State().Peak)
+		assert.LessOrEqual(t, <-written, socketBytes)
+	}
+}
 
-// An answer without a length that is larger than the memory for answers must be refused, and one with a length be read.
-func TestAnswerWithoutLengthTakesAllMemory(t *testing.T) {
+// An answer that is larger than the memory must be refused at once, and be evidence against its upstream only if nothing
+// shows that it ends.
+func TestAnswerLargerThanTheMemoryIsRead(t *testing.T) {
 	const limit = 1 << 20
-	for head, outcome := range map[string]string{"Connection: close\r\n\r\n": "broken", "Content-Length: 1572864\r\n\r\n": ""} {
+	for head, outcome := range map[string]Outcome{"Connection: close\r\n\r\n": Broken, "Content-Length: 1572864\r\n\r\n": NoEvidence} {
 		u := startRaw(t, func(conn *net.TCPConn, r *http.Request, _ []byte) bool {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get("Attempt-Id")+"\r\nResponse-Stamp: s\r\n"+head+strings.Repeat("x", limit*3/2))
 			_ = conn.Close()
@@ -128,15 +140,36 @@
 		})
 		client := newTestClient(u.Addr().String())
 		client.memory = bodymemory.New(limit)
-		a, f := client.do(context.Background(), testContent("x1"), testMetadata, true, noGuard{})
-		if outcome == "" {
-			require.Nil(t, f)
-			assert.Len(t, a.body, limit*3/2)
-			a.release()
+		_, f := client.do(context.Background(), testContent("x1"), testMetadata, true, noGuard{})
+		require.NotNil(t, f)
+		assert.Equal(t, outcome, f.outcome, f.detail)
+		assert.LessOrEqual(t, client.memory.State().Peak, int64(limit), head)
+		assert.NoError(t, allMemoryIsFree(client.memory), head)
+	}
+}
+
+// Answers that are kept for a broken link must not fill the memory of new ones: the oldest are dropped, and said to be
+// of unknown end.
+func TestKeptAnswersFillTheMemory(t *testing.T) {
+	const answerBytes, kept = 1000, 3
+	now := time.Now()
+	k := newKeptResults(kept*answerBytes + answerBytes/2)
+	for i := range 10 {
+		key := link.Key{Number: uint64(i)}
+		k.put(key, &link.Frame{Answer: &link.Answer{Key: key, Status: 200, Body: make([]byte, answerBytes)}}, now.Add(time.Duration(i)))
+	}
+	for i := range 10 {
+		key := link.Key{Number: uint64(i)}
+		frame, ok := k.get(key)
+		require.True(t, ok)
+		if i < 10-kept {
+			assert.Equal(t, noLongerKept(key), frame)
 		} else {
-			require.NotNil(t, f)
-			assert.Equal(t, outcome, outcomeNames[f.outcome])
+			assert.Len(t, frame.Answer.Body, answerBytes)
 		}
-		assert.NoError(t, allMemoryIsFree(client.memory), head)
 	}
+	expired := 0
+	k.expire(now.Add(2*answerRetention), func(link.Key) { expired++ })
+	assert.Equal(t, 10, expired)
+	assert.Zero(t, k.bodyBytes)
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -19,10 +19,6 @@
 const (
 	// tickInterval is the resolution of all timeouts that depend on time alone.
 	tickInterval = 50 * time.Millisecond
-	// answerRetention is how long the result of a finished attempt is kept for an OutcomeQuery
-	// after a broken link. It has to exceed how long an ingress waits for the link (its
-	// reconnectTimeout).
-	answerRetention = 6 * time.Second
 )
 
 // Sink receives the frames that answer an offer: a link or the local ingress. Package ingress
@@ -39,12 +35,6 @@
 	Observe(name string, d time.Duration)
 }
 
-// endedAttempt is the result of a finished attempt, kept for an OutcomeQuery.
-type endedAttempt struct {
-	frame   *link.Frame
-	expires time.Time
-}
-
 // upstreamClient sends requests to the upstream.
 type upstreamClient interface {
 	// do sends a request once, if the guard still allows it, and returns the complete answer.
@@ -60,7 +50,7 @@
 // Gate runs the upstream's work. Its methods are safe for concurrent use.
 type Gate struct {
 	client       upstreamClient
-	answerMemory *bodymemory.Memory
+	bodies       *bodymemory.Memory
 	log          *zap.Logger
 	records      Records
 	counters     Counters
@@ -70,7 +60,7 @@
 	budget       *budget.Budget
 	admission    *Admission
 	active       map[link.Key]*activeOffer
-	ended        map[link.Key]endedAttempt
+	ended        *keptResults
 	writes       map[string]*pendingWrites // First writes in progress, by id of the upstream.
 	expiredUpTo  map[uint64]uint64         // By origin, the highest number of a non-retryable request whose result is no longer kept.
 	failures     []localFailure
@@ -110,11 +100,8 @@
 // held. It gets no status, which could be out of date; it can call Status for the current one.
 func WithAnnounce(f func()) Option { return func(g *Gate) { g.announce = f } }
 
-// WithAnswerMemory limits the memory for the bodies of answers that are being read, in bytes. An answer without a
-// length may have as much.
-func WithAnswerMemory(bytes int64) Option {
-	return func(g *Gate) { g.answerMemory = bodymemory.New(bytes) }
-}
+// WithBodyMemory sets the memory for the bodies of answers, which the gate may share with others.
+func WithBodyMemory(m *bodymemory.Memory) Option { return func(g *Gate) { g.bodies = m } }
 
 // WithHealthPath sets a function that returns the path of the upstream's health check.
 func WithHealthPath(f func() string) Option { return func(g *Gate) { g.path = f } }
@@ -126,7 +113,6 @@
 		announce:    func() {},
 		path:        func() string { return "" },
 		active:      map[link.Key]*activeOffer{},
-		ended:       map[link.Key]endedAttempt{},
 		writes:      map[string]*pendingWrites{},
 		expiredUpTo: map[uint64]uint64{},
 		done:        make(chan struct{}),
@@ -137,16 +123,17 @@
 	if g.budget == nil {
 		g.budget = budget.New(0, 0, time.Now())
 	}
-	if g.answerMemory == nil {
-		g.answerMemory = bodymemory.New(maxAnswerBytes)
+	if g.bodies == nil {
+		g.bodies = bodymemory.New(maxAnswerBytes)
 	}
+	g.ended = newKeptResults(g.bodies.Limit(bodymemory.Answer) / keptPart)
 	if g.tracker == nil {
 		g.tracker = quarantine.NewSharedTracker(func([]quarantine.Command) {})
 	}
 	g.admission = NewAdmission(u.Service, g.budget)
 	g.admission.SetSwitches(g.switches)
 	g.admission.SetNestedWait(g.nestedWait)
-	g.client = &client{address: u.Address, dialect: dialect, memory: g.answerMemory, dialed: func() { g.count("upstream_connections") }}
+	g.client = &client{address: u.Address, dialect: dialect, memory: g.bodies, dialed: func() { g.count("upstream_connections") }}
 	return g
 }
 
@@ -238,12 +225,7 @@
 func (g *Gate) expire(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for k, e := range g.ended {
-		if now.After(e.expires) {
-			delete(g.ended, k)
-			g.expiredUpTo[k.Origin] = max(g.expiredUpTo[k.Origin], k.Number)
-		}
-	}
+	g.ended.expire(now, func(k link.Key) { g.expiredUpTo[k.Origin] = max(g.expiredUpTo[k.Origin], k.Number) })
 	g.client.closeIdle(false)
 }
 
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -157,13 +157,13 @@
 		ao.sink = from
 		return &link.Frame{Granted: &link.Granted{Key: k, Started: true}}
 	}
-	if e, ok := g.ended[k]; ok {
-		return stripRoom(e.frame)
+	if frame, ok := g.ended.get(k); ok {
+		return stripRoom(frame)
 	}
 	if g.active[k] == nil && k.Number <= g.expiredUpTo[k.Origin] {
 		// It may have run and its result may have expired: the asking node may have been
 		// suspended, and its clock with it, so its OutcomeQuery can come at any later time.
-		return &link.Frame{Failed: &link.Failed{Key: k, Detail: "its end is no longer kept"}}
+		return noLongerKept(k)
 	}
 	return nil
 }
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -55,7 +55,7 @@
 		}
 		return nil, &failure{outcome: Unreached, reason: link.ReasonNotConnected, detail: err.Error(), processEnded: connectionRefused(err)}
 	}
-	request := c.encode(r, m)
+	head := c.encodeHead(r, m)
 	if f := guard.begin(); f != nil {
 		c.putIdle(conn)
 		return nil, f
@@ -63,7 +63,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	idle := conn.idleFor()
 	_ = conn.SetDeadline(time.Now().Add(m.TimeLeft + answerGrace)) // Fails only on a closed connection, as the write does.
-	writing := startWrite(conn, request, guard.end)
+	writing := startWrite(conn, head, r.Body, guard.end)
 	a, reusable, f := c.receive(conn, r, writing)
 	conn.unused = false
 	c.adaptIdle(idle, f)
@@ -86,18 +86,20 @@
 }
 
 // startWrite writes the first bytes of a request, calls begun, and writes the rest in the background: an upstream
-// may take long to read it, and answer before.
-func startWrite(conn net.Conn, request []byte, begun func()) *requestWrite {
+// may take long to read it, and answer before. A long body is not copied.
+func startWrite(conn net.Conn, head, body []byte, begun func()) *requestWrite {
 	w := &requestWrite{conn: conn, ended: make(chan error, 1)}
-	first := min(len(request), firstWriteBytes)
-	_, err := conn.Write(request[:first])
+	first := min(len(head), firstWriteBytes)
+	withFirst := min(len(body), firstWriteBytes-first)
+	rest := net.Buffers{head[first:], body[withFirst:]}
+	_, err := conn.Write(append(head[:first:first], body[:withFirst]...))
 	begun()
-	if err != nil || first == len(request) {
+	if err != nil || len(rest[0])+len(rest[1]) == 0 {
 		w.ended <- err
 		return w
 	}
 	go func() {
-		_, err := conn.Write(request[first:])
+		_, err := rest.WriteTo(conn)
 		w.ended <- err
 	}()
 	return w
@@ -113,43 +115,60 @@
 // before the whole request is written, or after the write has failed.
 func (c *client) receive(conn *upstreamConn, r *link.Content, writing *requestWrite) (*answer, bool, *failure) {
 	for range maxStaleAnswers {
-		a, reusable, err := c.read(conn, r.Method, maxAnswerBytes)
+		a, err := c.read(conn, r.Method)
 		if err != nil {
 			return nil, false, c.failed(err, writing.stop())
 		}
 		meta := c.dialect.Answer(a.status, a.header)
 		if meta.Attempt != "" && meta.Attempt != c.attemptOf(r) {
-			a.release()
+			if err := discardBody(conn, a, maxAnswerBytes); err != nil {
+				return nil, false, c.failed(err, writing.stop())
+			}
 			continue // The answer to an earlier request; ours may follow.
 		}
-		said := statementOf(a, meta)
-		// A request that was not wholly written leaves the upstream waiting for its rest. Late copies of an answer
-		// without an id can't be told from answers to later requests.
-		reusable = writing.stop() == nil && reusable && meta.Attempt != ""
-		answered, reusable, f := c.classify(a, meta, reusable)
-		if f != nil || a.status >= http.StatusInternalServerError {
-			conn.unfinished = append(conn.unfinished, c.attemptOf(r))
-			reusable = reusable && len(conn.unfinished) < maxUnfinished
-		}
-		if f != nil {
-			f.said = said
-			a.release()
-		} else {
-			answered.said = said
-		}
-		return answered, reusable, f
+		return c.accept(conn, a, meta, writing)
 	}
 	_ = writing.stop() // The connection is closed.
 	return nil, false, &failure{outcome: Broken, detail: "answers of other requests only"}
 }
 
+// accept reads the body of the answer to a request, unless its head shows that it is of no use.
+func (c *client) accept(conn *upstreamConn, a *answer, meta port.ResponseMetadata, writing *requestWrite) (*answer, bool, *failure) {
+	f := classify(a, meta)
+	var err error
+	switch {
+	case f == nil:
+		err = c.readBody(conn, a)
+	case f.outcome != Broken:
+		err = discardBody(conn, a, maxAnswerBytes)
+	}
+	writeErr := writing.stop()
+	if err != nil {
+		return nil, false, c.failed(err, writeErr)
+	}
+	said := statementOf(a, meta)
+	// A request that was not wholly written leaves the upstream waiting for its rest. Late copies of an answer
+	// without an id can't be told from answers to later requests.
+	reusable := writeErr == nil && meta.Attempt != "" && !a.rest.Close && conn.reader.Buffered() == 0
+	if f != nil || a.status >= http.StatusInternalServerError {
+		conn.unfinished = append(conn.unfinished, meta.Attempt)
+		reusable = reusable && len(conn.unfinished) < maxUnfinished
+	}
+	if f != nil {
+		f.said = said
+		return nil, reusable && f.outcome != Broken, f
+	}
+	a.said = said
+	return a, reusable, nil
+}
+
 // attemptOf returns the id of the caller's attempt, which is the same each time that it is sent.
 func (c *client) attemptOf(r *link.Content) string {
 	return http.Header(r.Header).Get(c.dialect.AttemptHeader())
 }
 
-// encode returns the request as the caller sent it, with the headers for the upstream.
-func (c *client) encode(r *link.Content, m port.OutgoingMetadata) []byte {
+// encodeHead returns the head of the request as the caller sent it, with the headers for the upstream.
+func (c *client) encodeHead(r *link.Content, m port.OutgoingMetadata) []byte {
 	h := http.Header(r.Header).Clone()
 	c.dialect.SetOutgoing(h, m)
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
@@ -159,7 +178,6 @@
 	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	_ = h.Write(&out) // Writes to a buffer do not fail.
 	out.WriteString("\r\n")
-	out.Write(r.Body)
 	return out.Bytes()
 }
 
@@ -183,11 +201,13 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, c.address); err != nil {
 		return nil, errors.Wrap(err, "health check")
 	}
-	a, _, err := c.read(conn, http.MethodGet, maxHealthBytes)
+	a, err := c.read(conn, http.MethodGet)
 	if err != nil {
 		return nil, err
 	}
-	a.release()
+	if err := discardBody(conn, a, maxHealthBytes); err != nil {
+		return nil, err
+	}
 	meta := c.dialect.Answer(a.status, a.header)
 	said := statement{Statement: meta.Statement, at: a.readAt}
 	if meta.Limit.State == port.LimitNone {
--- a/ingress/bodymemory_test.go
+++ b/ingress/bodymemory_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"eiderfold/bodymemory"
 	"eiderfold/route"
 )
 
@@ -30,7 +32,7 @@
 	refused = &atomic.Int64{}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := NewServer(serve, func() route.Limits { return route.Limits{} }, WithBodyMemory(bytes, func() { refused.Add(1) }))
+	s := NewServer(serve, func() route.Limits { return route.Limits{} }, WithBodyMemory(bodymemory.New(bytes), func() { refused.Add(1) }))
 	go s.Serve(l) //nolint:errcheck // It ends with the listener.
 	t.Cleanup(func() { _ = l.Close() })
 	return l.Addr().String(), refused
@@ -89,6 +91,38 @@
 	assert.Zero(t, refused.Load())
 }
 
+// A body that announces more than the node can hold must be refused at once, before the rest of it is read or offered,
+// and must take no memory from others.
+func TestBodyLargerThanTheMemoryIsRead(t *testing.T) {
+	const announced = 60_000_000
+	var served, refused atomic.Int64
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	memory := bodymemory.New(uploadMemory)
+	serve := func(context.Context, *Request) *Response {
+		served.Add(1)
+		return text(200, "")
+	}
+	limits := func() route.Limits { return route.Limits{BodyBytes: 64 << 20} }
+	s := NewServer(serve, limits, WithBodyMemory(memory, func() { refused.Add(1) }))
+	go s.Serve(l)
+	t.Cleanup(func() { _ = l.Close() })
+	c, err := net.Dial("tcp4", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close() //nolint:errcheck // Nothing more is sent.
+	_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\nxxxx", announced)
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	defer r.Body.Close() //nolint:errcheck // Only read from.
+	assert.Equal(t, 503, r.StatusCode)
+	assert.NotEmpty(t, r.Header.Get("Retry-After"))
+	assert.EqualValues(t, 1, refused.Load())
+	assert.Zero(t, served.Load())
+	assert.Zero(t, memory.State().Peak)
+}
+
 // BenchmarkUploads reports the peak heap size of 200 concurrent uploads with memory for
 // eleven.
 func BenchmarkUploads(b *testing.B) {
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -267,7 +267,6 @@
 
 // answer runs a request when its turn has come and passes its response to the writer.
 func (c *serverConn) answer(ctx context.Context, p *pendingAnswer, r *parsed, t turn) {
-	defer r.reservation.Release()
 	defer t.done()
 	t.await()
 	if ctx.Err() != nil {
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"cmp"
 	"io"
 	"net/http"
@@ -30,10 +29,9 @@
 // parsed is a request as read from a connection, with its body.
 type parsed struct {
 	*http.Request
-	body        []byte
-	reservation *bodymemory.Reservation // Memory reserved for the body.
-	bodyLimit   int64                   // In bytes.
-	arrived     time.Time
+	body      []byte
+	bodyLimit int64 // In bytes.
+	arrived   time.Time
 }
 
 // header reads the header of one request, or returns the refusal of an invalid one.
@@ -51,7 +49,7 @@
 	case !strings.HasPrefix(r.RequestURI, "/") || r.Host == "":
 		return nil, refusal(result.New(result.BadRequest, "no path or no host"))
 	}
-	return &parsed{Request: r, reservation: c.server.bodyMemory.Reservation(), bodyLimit: cmp.Or(l.BodyBytes, defaultBodyBytes)}, nil
+	return &parsed{Request: r, bodyLimit: cmp.Or(l.BodyBytes, defaultBodyBytes)}, nil
 }
 
 // expectsContinue reports whether the caller waits for "100 Continue" before it sends the body.
@@ -73,7 +71,13 @@
 		return nil
 	}
 	r.arrived = time.Now()
-	return c.server.checkHeader(r.request())
+	if refused := c.server.checkHeader(r.request()); refused != nil {
+		return refused
+	}
+	if !c.server.bodyMemory.Fits(bodymemory.CallerRequest, r.ContentLength) {
+		return c.refuseBody()
+	}
+	return nil
 }
 
 // keeps reports whether the connection can be used further after a request that was refused without its body: not if
@@ -93,9 +97,6 @@
 // body reads a request's body, or returns the refusal if it is invalid, late or too large.
 func (c *serverConn) body(p *pendingAnswer, r *parsed) *Response {
 	fault := c.bodyFault(p, r)
-	if fault != nil {
-		r.reservation.Release()
-	}
 	r.arrived = time.Now()
 	return fault
 }
@@ -109,7 +110,7 @@
 	err := c.awaitBody(p)
 	if err == nil {
 		_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
-		r.body, err = r.readBody(r.bodyLimit)
+		r.body, err = c.server.bodyMemory.ReadAll(bodymemory.CallerRequest, io.LimitReader(r.Body, r.bodyLimit+1), r.ContentLength)
 	}
 	switch {
 	case int64(len(r.body)) > r.bodyLimit:
@@ -137,17 +138,6 @@
 	}
 }
 
-// readBody reads at most limit+1 bytes. It reserves memory as bytes arrive, so that a slow
-// sender holds no memory for bytes it has not sent.
-func (r *parsed) readBody(limit int64) ([]byte, error) {
-	var body bytes.Buffer
-	if r.ContentLength > 0 {
-		body.Grow(int(min(r.ContentLength, bodymemory.Step)) + bytes.MinRead) // Most bodies fit and need no second copy.
-	}
-	_, err := body.ReadFrom(io.LimitReader(r.reservation.Reader(r.Body), limit+1))
-	return body.Bytes(), err
-}
-
 // refuseBody refuses a request for lack of memory. The request has not been offered to any
 // gate.
 func (c *serverConn) refuseBody() *Response {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -37,11 +37,11 @@
 // ServerOption configures a Server in NewServer.
 type ServerOption func(*Server)
 
-// WithBodyMemory limits the memory for request bodies, in bytes. refused is called for each body
-// that is refused for lack of memory.
-func WithBodyMemory(bytes int64, refused func()) ServerOption {
+// WithBodyMemory sets the memory for request bodies, which the server may share with others. refused is called for each
+// body that is refused for lack of memory.
+func WithBodyMemory(m *bodymemory.Memory, refused func()) ServerOption {
 	return func(s *Server) {
-		s.bodyMemory = bodymemory.New(bytes)
+		s.bodyMemory = m
 		s.onBodyRefused = refused
 	}
 }
--- a/link/link.go
+++ b/link/link.go
@@ -15,8 +15,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/binary"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -26,6 +24,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"eiderfold/bodymemory"
 	"eiderfold/socket"
 )
 
@@ -45,8 +44,6 @@
 	// bufferBytes is the size of the read and write buffers; it holds a dozen
 	// messages without content.
 	bufferBytes = 4 << 10
-	// beginningBytes is how much of a message has to arrive before there is memory for more.
-	beginningBytes = 256 << 10
 )
 
 // ErrFrameTooLarge is returned when a peer announces a message larger than maxFrame.
@@ -65,6 +62,7 @@
 	writtenFrames atomic.Uint64
 	writtenBytes  atomic.Uint64
 	meter         atomic.Pointer[Meter]
+	bodies        *bodymemory.Memory
 }
 
 // Dial connects to a node from the given local IP address. A node passes the one at which it
@@ -88,11 +86,15 @@
 
 // New returns a link over an established connection.
 func New(conn net.Conn) *Link {
-	l := &Link{conn: conn, outbox: newOutbox(), closed: make(chan struct{})}
+	l := &Link{conn: conn, outbox: newOutbox(), closed: make(chan struct{}), bodies: bodymemory.New(defaultBodyMemory)}
 	l.lastReceived.Store(time.Now().UnixNano())
 	return l
 }
 
+// SetBodyMemory sets the memory for the bodies of received messages, which the link may share with others. It must be
+// called before Run.
+func (l *Link) SetBodyMemory(m *bodymemory.Memory) { l.bodies = m }
+
 // Send queues a message. It returns false if the link is closed. If the outbox is
 // full because the peer does not keep up, Send closes the link.
 func (l *Link) Send(f *Frame) bool {
@@ -163,56 +165,27 @@
 // Run writes queued messages and passes received ones to handle until the link
 // fails or is closed. It returns the error that ended reading. If the link was closed at
 // this end, which includes a failed write and a full outbox, that is the error of reading
-// from a closed connection.
+// from a closed connection. A message whose body finds no memory ends its request: see refuse.
 func (l *Link) Run(handle func(*Frame)) error {
 	defer l.Close()
 	go l.runWriter()
 	in := l.reader()
 	for {
-		f, err := read(in)
-		if err != nil {
+		f, err := l.read(in)
+		var unread *unreadError
+		switch {
+		case errors.As(err, &unread):
+			l.refuse(unread, handle)
+		case err != nil:
 			return err
-		}
-		if f.Ping == nil {
+		case f.Ping == nil:
 			handle(f)
-			continue
-		}
-		if f.Ping.Reply {
+		case f.Ping.Reply:
 			l.lastPong.Store(time.Now().UnixNano())
-			continue
+		default:
+			l.Send(&Frame{Ping: &Ping{Reply: true}})
 		}
-		l.Send(&Frame{Ping: &Ping{Reply: true}})
-	}
-}
-
-// read reads and decodes one message.
-func read(in *bufio.Reader) (*Frame, error) {
-	var prefix [prefixLength]byte
-	if _, err := io.ReadFull(in, prefix[:]); err != nil {
-		return nil, errors.Wrap(err, "read")
-	}
-	n := binary.BigEndian.Uint32(prefix[:])
-	if n > maxFrame {
-		return nil, errors.WithStack(ErrFrameTooLarge)
-	}
-	payload, err := readPayload(in, int(n))
-	if err != nil {
-		return nil, errors.Wrap(err, "read")
 	}
-	f := &Frame{}
-	return f, errors.Wrap(decoding.Unmarshal(payload, f), "decode")
-}
-
-// readPayload reads n bytes. It takes the memory for a long message once its beginning has arrived: a peer may announce
-// one and not send it.
-func readPayload(in io.Reader, n int) ([]byte, error) {
-	beginning := make([]byte, min(n, beginningBytes))
-	if _, err := io.ReadFull(in, beginning); err != nil || len(beginning) == n {
-		return beginning, err
-	}
-	payload := make([]byte, n)
-	_, err := io.ReadFull(in, payload[copy(payload, beginning):])
-	return payload, err
 }
 
 // decoding accepts text that is not UTF-8: headers and paths may hold any bytes, and are passed on unchanged.
@@ -267,18 +240,3 @@
 	l.writtenFrames.Add(uint64(len(frames)))
 	return nil
 }
-
-// encode writes one length-prefixed message and returns its size in bytes, prefix included.
-func encode(out *bufio.Writer, f *Frame) (int, error) {
-	payload, err := cbor.Marshal(f)
-	if err != nil {
-		return 0, errors.Wrap(err, "encode")
-	}
-	var prefix [prefixLength]byte
-	binary.BigEndian.PutUint32(prefix[:], uint32(len(payload)))
-	if _, err := out.Write(prefix[:]); err != nil {
-		return 0, errors.Wrap(err, "write")
-	}
-	_, err = out.Write(payload)
-	return prefixLength + len(payload), errors.Wrap(err, "write")
-}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -180,7 +180,7 @@
 func TestTooLarge(t *testing.T) {
 	var prefix [prefixLength]byte
 	binary.BigEndian.PutUint32(prefix[:], maxFrame+1)
-	_, err := read(bufio.NewReader(bytes.NewReader(prefix[:])))
+	_, err := New(nil).read(bufio.NewReader(bytes.NewReader(prefix[:])))
 	assert.ErrorIs(t, err, ErrFrameTooLarge)
 }
 
@@ -189,7 +189,7 @@
 	message := binary.BigEndian.AppendUint32(nil, maxFrame)
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	_, err := read(bufio.NewReader(bytes.NewReader(append(message, "some bytes"...))))
+	_, err := New(nil).read(bufio.NewReader(bytes.NewReader(append(message, "some bytes"...))))
 	runtime.ReadMemStats(&after)
 	assert.Error(t, err)
 	assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxFrame/8))
@@ -200,15 +200,15 @@
 	whole, err := cbor.Marshal(&Frame{Answer: &Answer{Key: Key{1, 2}, Status: 200, Body: bytes.Repeat([]byte("x"), beginningBytes+1000)}})
 	require.NoError(t, err)
 	message := append(binary.BigEndian.AppendUint32(nil, uint32(len(whole))), whole...)
-	f, err := read(bufio.NewReader(bytes.NewReader(message)))
+	f, err := New(nil).read(bufio.NewReader(bytes.NewReader(message)))
 	require.NoError(t, err)
 	assert.Len(t, f.Answer.Body, beginningBytes+1000)
 	for _, length := range []int{0, 3, prefixLength, prefixLength + 1, beginningBytes, len(message) - 1} {
-		_, err := read(bufio.NewReader(bytes.NewReader(message[:length])))
+		_, err := New(nil).read(bufio.NewReader(bytes.NewReader(message[:length])))
 		assert.Error(t, err, length)
 	}
 	nested := bytes.Repeat([]byte{0x81}, 100_000) // Lists of one element.
-	_, err = read(bufio.NewReader(bytes.NewReader(append(binary.BigEndian.AppendUint32(nil, uint32(len(nested))), nested...))))
+	_, err = New(nil).read(bufio.NewReader(bytes.NewReader(append(binary.BigEndian.AppendUint32(nil, uint32(len(nested))), nested...))))
 	assert.Error(t, err)
 }
 
@@ -224,7 +224,7 @@
 		if len(input) > 4 && binary.BigEndian.Uint32(input) > 1<<20 {
 			return // Avoids large allocations for an announced length.
 		}
-		m, err := read(bufio.NewReader(bytes.NewReader(input)))
+		m, err := New(nil).read(bufio.NewReader(bytes.NewReader(input)))
 		if err == nil {
 			assert.NotNil(t, m)
 		}
--- a/link/message.go
+++ b/link/message.go
@@ -23,7 +23,7 @@
 	Target string              `cbor:"2,keyasint"` // Request target, as the caller sent it.
 	Host   string              `cbor:"3,keyasint"`
 	Header map[string][]string `cbor:"4,keyasint"`
-	Body   []byte              `cbor:"5,keyasint,omitempty"`
+	Body   Body                `cbor:"5,keyasint,omitempty"`
 }
 
 // Offer requests a slot at a gate.
@@ -113,9 +113,10 @@
 	ReasonLimited             // The limit that the upstream names keeps the offer from starting in time.
 	ReasonNested              // The services that its nested requests lead to have no room for them.
 	ReasonShare               // No slot will be free in time for the offer's account, which has taken more than its share.
+	ReasonMemory              // The gate's node has no memory for the request's body.
 )
 
-var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget", "quarantined", "limited", "nested", "share"}
+var reasonNames = [...]string{"none", "closed", "trial", "busy", "misdirected", "not-connected", "shed", "never-seen", "expired", "budget", "quarantined", "limited", "nested", "share", "memory"}
 
 // String returns the reason's name, or "unknown".
 func (r Reason) String() string {
@@ -151,7 +152,7 @@
 	Key              Key                 `cbor:"1,keyasint"`
 	Status           int                 `cbor:"2,keyasint"`
 	Header           map[string][]string `cbor:"3,keyasint"`
-	Body             []byte              `cbor:"4,keyasint,omitempty"`
+	Body             Body                `cbor:"4,keyasint,omitempty"`
 	MeanResponseTime time.Duration       `cbor:"5,keyasint,omitempty"` // At the gate.
 	// BudgetSpent is set on an error that follows from a nested request for which no budget for
 	// repeats was left: a repeat would make the same nested request and fail too.
--- a/mesh/dump.go
+++ b/mesh/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"eiderfold/bodymemory"
 	"eiderfold/budget"
 	"eiderfold/link"
 )
@@ -13,9 +14,11 @@
 	Configuration uint64      `json:"configuration"`
 	Ready         bool        `json:"ready"`
 	// Evacuated are the data centres whose upstreams receive no requests.
-	Evacuated []string   `json:"evacuated,omitempty"`
-	Gate      gateDump   `json:"gate"`
-	Peers     []peerDump `json:"peers"`
+	Evacuated []string `json:"evacuated,omitempty"`
+	Gate      gateDump `json:"gate"`
+	// Bodies is the memory that the bodies of requests and answers take.
+	Bodies bodymemory.State `json:"bodies"`
+	Peers  []peerDump       `json:"peers"`
 	// Accounts are the accounts whose home this node is, the most used first.
 	Accounts []accountDump `json:"accounts,omitempty"`
 }
@@ -55,6 +58,7 @@
 		Node:          n.self,
 		Configuration: version,
 		Ready:         n.ready(),
+		Bodies:        n.bodies.State(),
 		Evacuated:     n.evacuation.list(),
 		Gate: gateDump{Mode: s.Mode.String(), Upstream: s.Upstream, Slots: s.Slots, InFlight: n.gate.ActiveOffers(), Suspicion: s.Suspicion,
 			Budget: n.budget.State(time.Now())},
--- a/mesh/inbound.go
+++ b/mesh/inbound.go
@@ -90,6 +90,7 @@
 
 // serve serves an inbound link until it closes.
 func (l *links) serve(in *link.Link) {
+	in.SetBodyMemory(l.node.bodies)
 	l.mu.Lock()
 	l.inbound[in] = &inbound{}
 	in.Send(l.hello()) // Under the lock, so that no newer status precedes it.
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -87,7 +87,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
-			n.log.Info("summary", zap.Any("counts", json.RawMessage(n.metrics.Counts())), zap.Any("budget", n.budget.State(now)))
+			n.log.Info("summary", zap.Any("counts", json.RawMessage(n.metrics.Counts())), zap.Any("budget", n.budget.State(now)), zap.Any("bodies", n.bodies.State()))
 		}
 	}
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"eiderfold/bodymemory"
 	"eiderfold/budget"
 	"eiderfold/gate"
 	"eiderfold/ingress"
@@ -34,6 +35,7 @@
 	self         link.Member
 	upstream     gate.Upstream // As the gate uses it: changed settings need a restart.
 	process      uint64        // Identifies this process; differs after a restart.
+	bodies       *bodymemory.Memory
 	endpoints    *ingress.Endpoints
 	forwarder    *ingress.Forwarder
 	budget       *budget.Budget
@@ -59,6 +61,7 @@
 		self:      link.Member{Name: s.Node(), Address: s.Advertised(), DataCentre: s.DataCentre(), Service: s.Service()},
 		upstream:  gate.Upstream{Address: s.Upstream(), Service: s.Service()},
 		process:   rand.Uint64(),
+		bodies:    bodymemory.New(s.BodyMemory()),
 		endpoints: ingress.NewEndpoints(s.DataCentre(), s.FloorShare()),
 	}
 	ratio, slack := s.Retries()
@@ -78,7 +81,7 @@
 		ingress.WithFailures(func(f overload.Failure) { n.gate.RecordFailure(f) }))
 	n.server = ingress.NewServer(n.forwarder.Serve, n.callerLimits,
 		ingress.WithHeaderCheck(n.forwarder.RefuseByHeader),
-		ingress.WithBodyMemory(s.BodyMemory(), func() { metrics.Count("body_without_room") }),
+		ingress.WithBodyMemory(n.bodies, func() { metrics.Count("body_without_room") }),
 		ingress.WithUnanswered(func(c ingress.ConnectionState) { n.logUnanswered("connection ended without an answer", c) }))
 	n.directory = newDirectory(n)
 	n.config = newConfiguration(n)
@@ -90,7 +93,7 @@
 		gate.WithSwitches(s.Switches()),
 		gate.WithQuarantine(n.quarantine.tracker),
 		gate.WithRecords(n.directory),
-		gate.WithAnswerMemory(s.BodyMemory()),
+		gate.WithBodyMemory(n.bodies),
 		gate.WithCounters(metrics),
 		gate.WithAnnounce(n.links.announce),
 		gate.WithHealthPath(n.healthPath),
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -97,6 +97,7 @@
 
 // serve uses a link until it closes.
 func (p *peer) serve(l *link.Link) {
+	l.SetBodyMemory(p.links.node.bodies)
 	p.mu.Lock()
 	p.link = l
 	p.pinged = time.Time{}
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -23,10 +23,14 @@
 	defaultMemory      = 256             // Memory of the instance, in megabytes.
 )
 
-// bodyMemoryDivisor is the divisor that gives the part of an instance's memory that
-// request bodies may use. Up to three copies of a body exist while it is sent, and
-// responses, links and tables need the rest.
-const bodyMemoryDivisor = 16
+// The parts of an instance's memory, in eighths: three for the bodies of requests and answers together, and six for the
+// process as a whole. A third of the smallest instance is for control; sockets, threads and what the runtime frees late
+// need the rest.
+const (
+	memoryParts        = 8
+	bodyMemoryParts    = 3
+	processMemoryParts = 6
+)
 
 // minMeshGrace is the minimum grace period. It is longer than the margin that a
 // node reserves before it is killed (killMargin of package mesh).
@@ -189,9 +193,11 @@
 // registers before it reads the directory.
 func (m *Mesh) FirstStart() bool { return m.file.FirstStart }
 
-// BodyMemory returns the memory limit of request bodies in bytes, and also that of the answers that the local
-// upstream is writing.
-func (m *Mesh) BodyMemory() int64 { return m.file.Memory << 20 / bodyMemoryDivisor }
+// BodyMemory returns the memory limit of the bodies of requests and answers together, in bytes.
+func (m *Mesh) BodyMemory() int64 { return m.file.Memory << 20 / memoryParts * bodyMemoryParts }
+
+// ProcessMemory returns the memory, in bytes, above which the process collects garbage more often than usual.
+func (m *Mesh) ProcessMemory() int64 { return m.file.Memory << 20 / memoryParts * processMemoryParts }
 
 // LogLevel returns the minimum level that is logged.
 func (m *Mesh) LogLevel() string { return m.file.Log.Level }
