socket, gate, proxy, storehttp: a reader learns of a reset that a write has got

Callers got a part of an answer as a complete one (MIXED): an upstream answered a long upload at once, without a length, and reset the connection while the upload was being written. The system reports a reset once. If the write gets it, the reader sees a plain end, which is how an answer without a length ends.

socket.KeepReset remembers that a write got ECONNRESET. A reader that comes to the end of a connection that is closed in both directions waits for a write in progress, which ends at once then, and gets ECONNRESET too. If the upstream's own end arrived first, the write gets EPIPE and the answer is whole, as before. The gate (answers and health checks), the older path and the stores' clients use it.

--- a/gate/conncheck.go
+++ b/gate/conncheck.go
@@ -1,9 +1,6 @@
 package gate
 
-import (
-	"net"
-	"syscall"
-)
+import "syscall"
 
 // isUsable reports whether an idle connection is open and has nothing to read. Readable data
 // would be an EOF or an answer that belongs to no request.
@@ -11,7 +8,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	conn, ok := c.Conn.(*net.TCPConn)
+	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/gate/connection.go
+++ b/gate/connection.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"eiderfold/socket"
 )
 
 const (
@@ -85,8 +87,10 @@
 		return nil, errors.Wrap(err, "dial")
 	}
 	c.dialed()
-	limit := &io.LimitedReader{R: raw}
-	return &upstreamConn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, unused: true}, nil
+	conn := &upstreamConn{Conn: socket.KeepReset(raw), unused: true}
+	conn.limit = &io.LimitedReader{R: conn.Conn}
+	conn.reader = bufio.NewReaderSize(conn.limit, readBufferBytes)
+	return conn, nil
 }
 
 // processEnded reports whether the upstream's process is gone, after a connection to it broke.
--- a/proxy/brokenhead_test.go
+++ b/proxy/brokenhead_test.go
@@ -55,6 +55,24 @@
 	}
 }
 
+// An answer that is reset while the request is still being written must not be taken for a whole one.
+func TestAnswerResetUnderAnUploadIsWhole(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go listener.Serve(l, func(c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		_, _ = c.(*net.TCPConn).SetLinger(0), c.Close()
+	})
+	b := newTestCluster(t, l.Addr().String())
+	body := strings.Repeat("x", 8<<20)
+	for range 200 {
+		status, _, text, err := b.send(t, http.MethodPost, "/post", "", body)
+		assert.True(t, err != nil || status >= http.StatusInternalServerError, "%d %q", status, text)
+	}
+}
+
 // A head without end must not be read until the deadline.
 func TestHeadWithoutEndIsRead(t *testing.T) {
 	for _, c := range []struct{ begin, again string }{
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"eiderfold/core"
+	"eiderfold/socket"
 )
 
 const (
@@ -80,7 +81,7 @@
 			if err != nil {
 				return nil, &connectError{err}
 			}
-			return connection, nil
+			return socket.KeepReset(connection), nil
 		},
 		MaxConnsPerHost:        max(connections/2, 1),
 		MaxIdleConnsPerHost:    max(connections/2, 1),
--- a/storehttp/transport.go
+++ b/storehttp/transport.go
@@ -5,16 +5,22 @@
 // idle connection that has also stalled. The transport therefore closes its idle connections
 // after a call that fails without a complete response, so that the next call opens a new one.
 //
+// A response that its connection's reset has cut is a failure.
+//
 // # Usage
 //
 //	client := &http.Client{Transport: storehttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 2})}
 package storehttp
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"eiderfold/socket"
 )
 
 // Transport is an http.RoundTripper that closes its idle connections after a call that fails
@@ -29,6 +35,17 @@
 // NewTransport returns a Transport that sends requests with base.
 func NewTransport(base *http.Transport) *Transport {
 	base.MaxResponseHeaderBytes = maxHeadBytes
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return socket.KeepReset(conn), nil
+	}
 	return &Transport{Transport: base}
 }
 
