httphead: which heads are valid is decided once, and answers with other ones are none

Package httphead decides for all readers. Its Reader sees the bytes of a head on connections of ours (gate, health checks), CheckResponse what the parsed head shows to clients of net/http (older path, stores). Such an answer is of unknown outcome and ends its connection; a call to a store fails.

Status 000 with a plain body and control bytes in names were refused before and stay so.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -148,7 +148,7 @@
 func readHead(conn *upstreamConn, method string) (*http.Response, error) {
 	conn.limit.N = maxHeadBytes
 	for {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+		response, err := conn.head.ReadResponse(conn.reader, method)
 		switch {
 		case err != nil && conn.limit.N <= 0:
 			return nil, errors.New("answer's head is too large")
--- a/gate/connection.go
+++ b/gate/connection.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"eiderfold/httphead"
 	"eiderfold/socket"
 )
 
@@ -52,7 +53,8 @@
 type upstreamConn struct {
 	net.Conn
 	reader    *bufio.Reader
-	limit     *io.LimitedReader // Below reader: how many more bytes may be read.
+	head      *httphead.Reader  // Below reader.
+	limit     *io.LimitedReader // Below head: how many more bytes may be read.
 	idleUntil time.Time         // By the upstream's Keep-Alive header or maxIdleTime.
 	idleSince time.Time
 	unused    bool // Nothing has been sent on it yet.
@@ -89,7 +91,8 @@
 	c.dialed()
 	conn := &upstreamConn{Conn: socket.KeepReset(raw), unused: true}
 	conn.limit = &io.LimitedReader{R: conn.Conn}
-	conn.reader = bufio.NewReaderSize(conn.limit, readBufferBytes)
+	conn.head = httphead.NewReader(conn.limit)
+	conn.reader = bufio.NewReaderSize(conn.head, readBufferBytes)
 	return conn, nil
 }
 
--- a/gate/cutanswer_test.go
+++ b/gate/cutanswer_test.go
@@ -79,3 +79,18 @@
 		}
 	}
 }
+
+// A health check must not take an answer with an invalid head for that of a healthy upstream.
+func TestInvalidHealthAnswerIsHealthy(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n", "HTTP/1.1 200 OK\r\nA B: c\r\n", "HTTP/2.0 200 OK\r\n"} {
+		u := startRaw(t, func(conn *net.TCPConn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(conn, head+"Instance-Id: i-1\r\nConnection: close\r\n\r\n")
+			_ = conn.Close()
+			return false
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		_, err := newTestClient(u.Addr().String()).checkHealth(ctx, "/health")
+		cancel()
+		assert.Error(t, err, head)
+	}
+}
--- a/proxy/brokenhead_test.go
+++ b/proxy/brokenhead_test.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// An answer with an invalid head must not be passed on.
+func TestInvalidHeadIsPassedOn(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 A\r\n", "HTTP/1.1 200 OK\r\nA B: c\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n"} {
+		address, _ := startRawUpstream(t, head+"Connection: close\r\n\r\ntext", "")
+		b := newTestCluster(t, address)
+		status, _, text, err := b.send(t, http.MethodGet, "/get/1", "", "")
+		assert.True(t, err != nil || status == http.StatusBadGateway, "%q: %d %q", head, status, text)
+	}
+}
+
 // An answer that is reset while the request is still being written must not be taken for a whole one.
 func TestAnswerResetUnderAnUploadIsWhole(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -18,6 +18,7 @@
 	"eiderfold/config"
 	"eiderfold/core"
 	"eiderfold/hop"
+	"eiderfold/httphead"
 	"eiderfold/result"
 )
 
@@ -135,6 +136,11 @@
 	if err != nil {
 		return nil, t.fail(c.classify(err))
 	}
+	if err := httphead.CheckResponse(response); err != nil {
+		_ = t.conn.Load().Conn.Close() // What follows on it is not known.
+		_ = response.Body.Close()
+		return nil, t.fail(&failure{reason: unconfirmed, detail: err.Error()})
+	}
 	if foreign := t.identify(response); foreign != nil {
 		return nil, t.fail(foreign)
 	}
--- a/storehttp/reset_test.go
+++ b/storehttp/invalid_test.go
@@ -33,6 +33,15 @@
 	return "http://" + l.Addr().String()
 }
 
+// A response with an invalid head must be an error.
+func TestInvalidHeadIsAResponse(t *testing.T) {
+	client := &http.Client{Transport: NewTransport(&http.Transport{}), Timeout: time.Minute}
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 A\r\n", "HTTP/1.1 200 OK\r\nA B: c\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n"} {
+		_, err := client.Get(startStore(t, head+"Connection: close\r\n\r\ntext", func(c *net.TCPConn) { _ = c.Close() })) //nolint:bodyclose // There is no response.
+		assert.Error(t, err, head)
+	}
+}
+
 // A response that is reset while the call is still being written must not be taken for a whole one.
 func TestResponseResetUnderACallIsWhole(t *testing.T) {
 	client := &http.Client{Transport: NewTransport(&http.Transport{}), Timeout: time.Minute}
--- a/storehttp/transport.go
+++ b/storehttp/transport.go
@@ -5,7 +5,7 @@
 // idle connection that has also stalled. The transport therefore closes its idle connections
 // after a call that fails without a complete response, so that the next call opens a new one.
 //
-// A response that its connection's reset has cut is a failure.
+// A response with an invalid head, or that its connection's reset has cut, is a failure.
 //
 // # Usage
 //
@@ -20,6 +20,7 @@
 
 	"github.com/pkg/errors"
 
+	"eiderfold/httphead"
 	"eiderfold/socket"
 )
 
@@ -56,6 +57,11 @@
 		t.CloseIdleConnections()
 		return nil, err
 	}
+	if err := httphead.CheckResponse(response); err != nil {
+		_ = response.Body.Close() // Only read from.
+		t.CloseIdleConnections()
+		return nil, err
+	}
 	response.Body = &responseBody{ReadCloser: response.Body, transport: t}
 	return response, nil
 }
