ingress: a request within the body of another one is not run

With "Transfer-Encoding : chunked" the chunks were the next request. http.ReadRequest accepts such names, and net/http's server checks them afterwards, which ours did not. A length beside chunks was ignored and the connection used on; so was a transfer coding in HTTP/1.0.

The server reads heads by package httphead: 400, and the connection ends. TestRequestWithinABodyIsServed: six of nine forms fail before, none now. All that TestBadRequests and TestBodies ask holds.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"eiderfold/httphead"
 	"eiderfold/socket"
 )
 
@@ -48,7 +49,8 @@
 	net.Conn
 	server  *Server
 	reader  *bufio.Reader
-	limit   *io.LimitedReader // Below reader; reset for each part of a request.
+	head    *httphead.Reader  // Below reader.
+	limit   *io.LimitedReader // Below head; reset for each part of a request.
 	answers chan *pendingAnswer
 	mu      sync.Mutex
 	// answered is how many requests were answered, without those whose caller left.
@@ -68,12 +70,14 @@
 // open registers a new connection. It is open until handle returns.
 func (s *Server) open(raw net.Conn) *serverConn {
 	limit := &io.LimitedReader{R: raw, N: defaultHeaderBytes}
+	head := httphead.NewReader(limit)
 	now := time.Now()
 	c := &serverConn{
 		Conn:      raw,
 		server:    s,
 		limit:     limit,
-		reader:    bufio.NewReaderSize(limit, bufferBytes),
+		head:      head,
+		reader:    bufio.NewReaderSize(head, bufferBytes),
 		answers:   make(chan *pendingAnswer, maxPipelined),
 		accepted:  now,
 		keepUntil: now.Add(freshTime),
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -38,7 +38,7 @@
 func (c *serverConn) header() (*parsed, *Response) {
 	l := c.server.limits()
 	_ = c.SetReadDeadline(time.Now().Add(orDefaultTime(l.HeaderTimeout, defaultHeaderTimeout))) // Fails only on a closed connection, as the read does.
-	r, err := http.ReadRequest(c.reader)
+	r, err := c.head.ReadRequest(c.reader)
 	switch {
 	case err != nil && c.limit.N <= 0:
 		return nil, refusal(result.New(result.HeaderTooLarge, "the header is over the limit"))
