proxy: recorded answers and requests' bodies share a bound on memory

The same fault on the older path: an answer to a keyed operation was read to its end before it was recorded, whatever its length, and each body of a request that is buffered had a limit of its own only. An upstream that writes without end took 603 MB in the three seconds of one request's timeout, and callers of that node would have got no answer when it was ended for it.

Both now come from one bodymemory.Memory of 256 MB. A request without memory gets 503 with Retry-After, not run; an answer without memory is cut, as one that breaks off. TestRecordedAnswerWithoutEndFillsTheMemory read 603 MB (no length) and 60 MB (announced) before, and stays within 3 MB and the sockets now.

--- a/proxy/brokenhead_test.go
+++ b/proxy/brokenhead_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"eiderfold/bodymemory"
 	"eiderfold/listener"
 )
 
@@ -95,3 +96,17 @@
 		assert.Less(t, written.Load(), int64(16<<20)) // Both ends' sockets hold some megabytes.
 	}
 }
+
+// A recorded answer without end must not be read until the deadline.
+func TestRecordedAnswerWithoutEndFillsTheMemory(t *testing.T) {
+	const memory = 3 << 20
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n"} {
+		address, written := startRawUpstream(t, head, "x")
+		b := newTestCluster(t, address)
+		b.bodies = bodymemory.New(memory)
+		status, _, _, err := b.send(t, http.MethodPost, "/post", "k", "")
+		assert.True(t, err != nil || status == http.StatusBadGateway, "%d", status)
+		assert.Less(t, written.Load(), int64(memory+16<<20)) // Both ends' sockets hold some megabytes.
+		assert.LessOrEqual(t, b.bodies.State().Peak, int64(memory))
+	}
+}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"eiderfold/bodymemory"
 	"eiderfold/config"
 	"eiderfold/core"
 	"eiderfold/result"
@@ -30,6 +30,7 @@
 	operations Operations
 	node       string
 	limits     Limits
+	bodies     *bodymemory.Memory
 	attributor *attributor
 	latencies  sync.Map // *core.LatencyPercentile by routeKey.
 	stopping   atomic.Bool
@@ -53,7 +54,8 @@
 const (
 	defaultBodyBytes      = 16 << 20
 	defaultKeyedBodyBytes = 1 << 20
-	maxRewindBytes        = 64 << 10 // Bodies without a key that declare more are streamed and cannot be sent again.
+	bodyMemory            = 256 << 20 // Of the requests and answers that are buffered, together, in bytes.
+	maxRewindBytes        = 64 << 10  // Bodies without a key that declare more are streamed and cannot be sent again.
 )
 
 // NewHandler returns a handler over the configuration in force.
@@ -63,6 +65,7 @@
 		directory:  d,
 		operations: o,
 		limits:     Limits{Body: defaultBodyBytes, KeyedBody: defaultKeyedBodyBytes},
+		bodies:     bodymemory.New(bodyMemory),
 		attributor: newAttributor(),
 		isSuspect:  func(*Upstream) bool { return false },
 		results:    new(expvar.Map).Init(),
@@ -182,7 +185,7 @@
 	// The error is ignored: only a test's recorder does not support deadlines.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(c.deadline)
-	text, err := io.ReadAll(body)
+	text, err := h.bodies.ReadAll(bodymemory.CallerRequest, body, r.ContentLength)
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 		c.body = text
@@ -190,6 +193,8 @@
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, bodymemory.ErrNone):
+		return result.New(result.Overloaded, "no room for the body").WithRetryAfter(minRetryAfter)
 	case errors.As(err, &tooLarge):
 		return result.New(result.BodyTooLarge, "the body is over the limit")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/proxy/once.go
+++ b/proxy/once.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
+	"eiderfold/bodymemory"
 	"eiderfold/core"
 	"eiderfold/hop"
 	"eiderfold/result"
@@ -53,7 +55,7 @@
 		h.writeResult(w, res)
 		return
 	}
-	recorded, complete := record(res.answer)
+	recorded, complete := h.record(res.answer)
 	if !complete {
 		operation.Finish(core.Uncertain, nil)
 		h.refuse(w, result.New(result.AnswerCut, "the upstream's answer broke off"))
@@ -114,17 +116,17 @@
 	}
 }
 
-// record reads an answer of any size to its end and reports whether it is complete. If
-// the operation table cannot keep it, the table only records that the operation ran.
-func record(a *answer) (*core.Recorded, bool) {
+// record reads an answer to its end and reports whether it is complete, which it is not if there is no memory for it.
+// If the operation table cannot keep it, the table only records that the operation ran.
+func (h *Handler) record(a *answer) (*core.Recorded, bool) {
 	defer a.close()
 	body := a.prefix
 	if !a.complete {
-		rest, err := io.ReadAll(a.response.Body)
+		whole, err := h.bodies.ReadAll(bodymemory.Answer, io.MultiReader(bytes.NewReader(a.prefix), a.response.Body), a.response.ContentLength)
 		if err != nil {
 			return nil, false
 		}
-		body = append(body, rest...)
+		body = whole
 	}
 	hop.Strip(a.response.Header)
 	recorded := &core.Recorded{Status: a.response.StatusCode, Body: body, Header: make(map[string]string, len(a.response.Header))}
