ingress: a stopping node takes no order of a call that it may have to break off

What was asked was the usual time alone.

Now such an order is taken only if its deadline, and that of the request that makes it, ends before the node breaks off; otherwise it is refused as not run. Retryable calls are taken as before.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -156,53 +156,6 @@
 	return f.outgoing(response)
 }
 
-// Refuse makes Serve refuse new requests, as the node stops and will call Finish at a time. Calls of
-// requests that still run on the upstream beside this node are served, since nobody else takes
-// them, unless they might not be answered by then.
-func (f *Forwarder) Refuse(finishAt time.Time) { f.finishAt.Store(&finishAt) }
-
-// boundByStop returns the refusal of a request that arrived after Refuse. The deadline of a call
-// that is served is moved so that its upstream answers before Finish breaks it off.
-func (f *Forwarder) boundByStop(req *inFlightRequest) *Response {
-	finishAt := f.finishAt.Load()
-	if finishAt == nil {
-		return nil
-	}
-	last := finishAt.Add(-lateGrace)
-	if refused := f.refusedByStop(req.parent != "", req.latency, req.arrived, last); refused != nil {
-		return refused
-	}
-	if last.Before(req.deadline) {
-		req.deadline = last
-	}
-	return nil
-}
-
-// refusedByStop returns the refusal of a request that arrived after Refuse, and nil for a call that its upstream
-// usually answers by a time.
-func (f *Forwarder) refusedByStop(isNested bool, latency *core.LatencyPercentile, arrived, last time.Time) *Response {
-	if isNested && arrived.Add(latency.StallThreshold()).Before(last) {
-		return nil
-	}
-	return refusal(result.New(result.Stopping, "").WithRetryAfter(shortRetryAfter))
-}
-
-// RefuseByHeader returns the refusal of a request whose body has not arrived if its header decides that: no body would
-// change it. Otherwise it returns nil.
-func (f *Forwarder) RefuseByHeader(r *Request) *Response {
-	if f.table.Load() == nil {
-		return nil // There may be a configuration by the time the body has arrived.
-	}
-	a, refused := f.checkHeader(r)
-	if finishAt := f.finishAt.Load(); refused == nil && finishAt != nil {
-		refused = f.refusedByStop(a.isNested, f.latencyOf(a.route), r.Arrived, finishAt.Add(-lateGrace))
-	}
-	if refused != nil {
-		f.explain(r, nil, refused)
-	}
-	return refused
-}
-
 // acceptedHeader is what the header of a request that can be forwarded says.
 type acceptedHeader struct {
 	table    *route.Table
@@ -213,6 +166,11 @@
 	isNested bool
 }
 
+// deadline returns the deadline by the request's arrival that the caller or the operator has set.
+func (a *acceptedHeader) deadline(arrived time.Time) time.Time {
+	return arrived.Add(callerTimeout(a.metadata.Timeout, a.route.Timeout))
+}
+
 // checkHeader matches the route and the account of a request, or returns the refusal of one that cannot be forwarded.
 func (f *Forwarder) checkHeader(r *Request) (*acceptedHeader, *Response) {
 	a := &acceptedHeader{table: f.table.Load()}
@@ -254,7 +212,7 @@
 	if table.HasAccounts() {
 		f.dialect.StripPrivate(header)
 	}
-	deadline := r.Arrived.Add(callerTimeout(metadata.Timeout, matched.Timeout))
+	deadline := a.deadline(r.Arrived)
 	requirements := overload.NewRequirements(matched.Priority, r.Arrived, matched.Target, deadline).ForAccount(table.Priority(matched, account))
 	if a.isNested && f.endpoints.switches.On(switches.NestedRequirements) {
 		requirements = requirements.ForAccount(table.NestedPriority(matched, parent.Priority)).ForNested(parent)
