--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -44,6 +44,7 @@
 	limits := c.Flags().Bool("limits", false, "upstreams name limits in their answers, or that they leave")
 	leaving := c.Flags().Bool("leaving", false, "upstreams report late or deregister first, and their nodes are disturbed right after the acknowledgement")
 	pipelining := c.Flags().Bool("pipelining", false, "callers send batches of requests and read slowly, upstreams answer early and twice")
+	garbling := c.Flags().Bool("garbling", false, "upstreams send what is no answer, or does not end, and cut answers to large uploads")
 	commit := c.Flags().String("previous", "", "a commit: its build runs beside today's, nodes are replaced one after the other")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		dir, err := os.MkdirTemp("", "eiderfold-soak")
@@ -62,7 +63,7 @@
 		}
 		failed := 0
 		for seed := *from; seed < *from+*seeds; seed++ {
-			violated, err := runSeed(c, soak.Options{Program: program, Previous: previous, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads, Limits: *limits, Leaving: *leaving, Pipelining: *pipelining})
+			violated, err := runSeed(c, soak.Options{Program: program, Previous: previous, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, For: *length, Nodes: *nodes, Accounts: *accounts, Ending: *ending, Operator: *operator, Uploads: *uploads, Limits: *limits, Leaving: *leaving, Pipelining: *pipelining, Garbling: *garbling})
 			if err != nil {
 				return err
 			}
--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -41,7 +41,7 @@
 		attempt := fmt.Sprintf("s%d-c%d-%d", s.options.Seed, caller, i)
 		body := ""
 		if i%orderEvery == 0 {
-			body = s.orderBody(attempt, caller)
+			body = s.orderBody(attempt, caller, i)
 		}
 		s.request(ctx, client, n, attempt, body, s.keyOf(caller+i))
 		time.Sleep(callPause/2 + rand.N(callPause))
@@ -79,7 +79,11 @@
 	if key != "" {
 		r.Header.Set("Authorization", "Token "+key)
 	}
-	s.checker.recordSent(n, attempt, method+" "+path+" "+body, once, key)
+	request := method + " " + path + " "
+	if len(body) < largeUploadBytes { // Those never run.
+		request += body
+	}
+	s.checker.recordSent(n, attempt, request, once, key)
 	if mustBeServed(key) {
 		s.asked.Add(1)
 	}
--- a/bench/soak/evacuation.go
+++ b/bench/soak/evacuation.go
@@ -76,7 +76,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	store.Restore(backup)
-	if err := store.Put(ctx, "op/config", configurationText(s.version, s.options.Accounts)); err != nil {
+	if err := store.Put(ctx, "op/config", configurationText(s.version, s.options)); err != nil {
 		return "store restored without its configuration: " + err.Error()
 	}
 	for i := range dataCentres {
--- a/bench/soak/node.go
+++ b/bench/soak/node.go
@@ -35,6 +35,7 @@
 	upstream                                  *upstream
 	mu                                        sync.Mutex // Guards process; held during stops, pauses and restarts.
 	process                                   *fleet.Process
+	pid                                       atomic.Int64 // Of the latest process.
 	starts                                    atomic.Int64 // Number of starts of the process.
 	disruptedAt                               atomic.Int64 // Time of the last kill, pause or unexpected exit, in Unix nanoseconds.
 	stops                                     stops
@@ -76,6 +77,9 @@
 	n.settings = filepath.Join(s.options.Dir, n.name+".yaml")
 	text := fmt.Sprintf("node: %s\ndata_centre: %s\nupstream: {address: %q, service: a}\nlisten: {callers: %q, links: %q, advertise: %q, reports: %q, ready: %q}\nstore: %q\nstop: {grace: %v}\naccount_limits: {window: %v, over: %v, slack: %v}\n",
 		n.name, n.dataCentre, n.upstream.address, callers, links, advertised, reports, ready, s.storeAddress, stopGrace, limitWindow, limitOver, limitSlack)
+	if s.options.Garbling {
+		text += fmt.Sprintf("memory_mb: %d\n", garblingMemoryMB)
+	}
 	return errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), n.name)
 }
 
@@ -84,6 +88,9 @@
 func (n *node) start() error {
 	p, err := fleet.StartProgram(n.name, n.dir, n.program, "mesh", "--settings", n.settings)
 	n.process = p
+	if err == nil {
+		n.pid.Store(int64(p.PID()))
+	}
 	n.starts.Add(1)
 	n.forget()
 	return err
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -71,6 +71,9 @@
 	// Pipelining adds callers that send batches of requests, some with Expect, and read long answers slowly, and
 	// upstreams that refuse before they have read the body and send some answers twice.
 	Pipelining bool
+	// Garbling adds upstreams that answer some requests with what is no answer or does not end, and large uploads
+	// that are answered early and cut. Nodes must stay within their memory.
+	Garbling bool
 }
 
 // Report is the result of a run.
@@ -129,6 +132,12 @@
 			clients.Go(func() { s.runPipeliner(callerCtx, n, i) })
 		}
 	}
+	if o.Garbling {
+		for _, n := range s.nodes {
+			n.upstream.garbling.Store(true)
+		}
+		clients.Go(func() { s.watchMemory(callerCtx) })
+	}
 	time.Sleep(warmupTime)
 	for _, e := range s.crashingRequests {
 		clients.Go(func() { s.sendCrashing(callerCtx, e) })
@@ -218,19 +227,22 @@
 // publish writes the next version of the configuration to the operators' key.
 func (s *soak) publish(ctx context.Context) error {
 	s.version++
-	return s.store.Directory().Put(ctx, "op/config", configurationText(s.version, s.options.Accounts))
+	return s.store.Directory().Put(ctx, "op/config", configurationText(s.version, s.options))
 }
 
 // configurationText returns the configuration of the given version. Its body limit
-// admits the large bodies of a run with uploads.
-func configurationText(version int, withAccounts bool) []byte {
-	accounts := ""
-	if withAccounts {
+// admits the large bodies of the run.
+func configurationText(version int, o Options) []byte {
+	accounts, bodyBytes := "", 64<<10
+	if o.Accounts {
 		accounts = accountsText(version)
 	}
+	if o.Garbling {
+		bodyBytes = largeUploadBytes
+	}
 	const rule = `{"name":"%s","routeKind":"%s","priority":1,"targetLatencyMs":1000,"match":{"pathPrefix":"%s"},"action":{"service":"a","timeoutMs":3000,"maxAttempts":2}}`
-	return fmt.Appendf(nil, `{"version":"r%d","limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},%s
-"listeners":[{"authority":"soak.example","rules":[%s,%s,%s]}],"clusters":[{"name":"a","healthPath":"/health","maxConnections":100}]}`, version, accounts,
+	return fmt.Appendf(nil, `{"version":"r%d","limits":{"maxHeaderBytes":16384,"maxBodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000},%s
+"listeners":[{"authority":"soak.example","rules":[%s,%s,%s]}],"clusters":[{"name":"a","healthPath":"/health","maxConnections":100}]}`, version, bodyBytes, accounts,
 		fmt.Sprintf(rule, "look", "idempotent", "/look/"), fmt.Sprintf(rule, "order", "non_idempotent", "/order/"),
 		fmt.Sprintf(rule, "version", "idempotent", fmt.Sprintf("/v%d/", version)))
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -55,6 +55,12 @@
 	runSeed(t, Options{Seed: 33, Nodes: 5, For: 10 * time.Second, Pipelining: true})
 }
 
+// TestGarbling makes upstreams send what is no answer, or does not end, and cut answers to large uploads, while nodes are
+// stopped, killed, paused and cut off: no node may pass such an answer on, or take more than its memory.
+func TestGarbling(t *testing.T) {
+	runSeed(t, Options{Seed: 76, Nodes: 5, For: 10 * time.Second, Garbling: true})
+}
+
 // previousCommit is the commit whose build TestUpgrade runs beside today's.
 const previousCommit = "ee95dbe5"
 
--- a/bench/soak/upload.go
+++ b/bench/soak/upload.go
@@ -16,9 +16,12 @@
 	slowBodyMin = 4 << 10
 )
 
-// orderBody returns the body of an order. In a run with uploads every other caller sends
+// orderBody returns the body of request i of a caller, an order. In a run with uploads every other caller sends
 // large bodies.
-func (s *soak) orderBody(attempt string, caller int) string {
+func (s *soak) orderBody(attempt string, caller, i int) string {
+	if s.isLargeUpload(i) {
+		return largeUpload
+	}
 	if s.options.Uploads && caller%2 == 0 {
 		return strings.Repeat(attempt+" ", uploadRepeats)
 	}
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -40,6 +40,7 @@
 	checker          *checker
 	failing          atomic.Bool
 	unruly           atomic.Bool // It answers early and sends answers twice.
+	garbling         atomic.Bool // It sends what is no answer.
 	draining         sync.Mutex  // Held while it drains.
 	limiting         sync.Mutex  // Held while it names limits.
 	mu               sync.Mutex
@@ -130,7 +131,7 @@
 		return
 	}
 	attempt := r.Header.Get("Attempt-Id")
-	if u.sheds(w, r) {
+	if u.sheds(w, r) || u.garbles(w, r, stamp) {
 		return
 	}
 	body, err := io.ReadAll(r.Body)
