--- a/mesh/incarnation_test.go
+++ b/mesh/incarnation_test.go
@@ -62,10 +62,10 @@
 	u := n.upstream
 	for _, body := range []string{
 		"", "\xff", "[]", `{"state":"ready"}`,
-		`{"service":"births","address":"` + u.address + `","slots":2,"state":"resting","callSeq":5}`,
-		`{"service":"births","address":"` + u.address + `","slots":"2","state":"ready","callSeq":5}`,
-		`{"service":"births","address":"127.0.0.1:1","slots":2,"state":"ready","callSeq":5}`,
-		`{"service":"other","address":"` + u.address + `","slots":2,"state":"ready","callSeq":5}`,
+		`{"service":"births","address":"` + u.address + `","slots":2,"state":"resting","zone":"d","version":"v1","coldLeftMs":0,"callSeq":5}`,
+		`{"service":"births","address":"` + u.address + `","slots":"2","state":"ready","zone":"d","version":"v1","coldLeftMs":0,"callSeq":5}`,
+		`{"service":"births","address":"127.0.0.1:1","slots":2,"state":"ready","zone":"d","version":"v1","coldLeftMs":0,"callSeq":5}`,
+		`{"service":"other","address":"` + u.address + `","slots":2,"state":"ready","zone":"d","version":"v1","coldLeftMs":0,"callSeq":5}`,
 	} {
 		n.post("i-other", body)
 		assert.Equal(t, link.ModeOpen, n.gateMode(), body)
--- a/mesh/leaving_test.go
+++ b/mesh/leaving_test.go
@@ -174,8 +174,8 @@
 	one := b.add("one", "births")
 	b.awaitReady()
 	for _, body := range []string{
-		`{"service":"other","address":"` + one.upstream.address + `","slots":2,"state":"draining","callSeq":5}`,
-		`{"service":"births","address":"127.0.0.1:1","slots":2,"state":"draining","callSeq":5}`,
+		`{"service":"other","address":"` + one.upstream.address + `","slots":2,"state":"draining","zone":"d","version":"v1","coldLeftMs":0,"callSeq":5}`,
+		`{"service":"births","address":"127.0.0.1:1","slots":2,"state":"draining","zone":"d","version":"v1","coldLeftMs":0,"callSeq":5}`,
 	} {
 		status, err := one.post(one.upstream.identity(), body)
 		require.NoError(t, err)
