gate: a live upstream that a heartbeat has displaced comes back

What a process says at the address outweighs reports about it: the id that its 421 names, or its health answer where it is confirmed without the store, leaves the list, and its next heartbeat takes effect.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -66,6 +66,8 @@
 		out = a.reported(m)
 	case Confirmed:
 		a.confirmed(m)
+	case Held:
+		a.reinstate(m.Holder)
 	case Stated:
 		out = a.stated(m)
 	case Evacuated:
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -149,6 +149,7 @@
 	}
 	if m.Outcome == Replaced {
 		a.retire()
+		a.reinstate(m.Holder)
 		return nil
 	}
 	a.closeSample(m, e)
--- a/gate/answer.go
+++ b/gate/answer.go
@@ -42,7 +42,7 @@
 func classify(a *answer, meta port.ResponseMetadata) *failure {
 	switch {
 	case meta.NotRun && a.status == http.StatusMisdirectedRequest:
-		return &failure{outcome: Replaced, reason: link.ReasonMisdirected, detail: "the address is held by " + meta.Upstream}
+		return &failure{outcome: Replaced, reason: link.ReasonMisdirected, detail: "the address is held by " + meta.Upstream, holder: meta.Upstream}
 	case meta.NotRun:
 		return &failure{outcome: Shed, reason: link.ReasonShed, detail: "refused with status " + strconv.Itoa(a.status)}
 	case meta.Attempt == "":
@@ -170,5 +170,6 @@
 	closedByPeer bool // The upstream closed the connection.
 	// processEnded is set if nothing listened at the upstream's address when the attempt failed.
 	processEnded bool
+	holder       string    // ID of the incarnation that holds the address, if the outcome is Replaced.
 	said         statement // What the upstream's refusal says of the upstream.
 }
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -70,7 +70,11 @@
 	g.logLeavingUpstream(ao, upstream, started, outcome)
 	g.observe("upstream_answer", took)
 	g.finish(ao, frame)
-	g.update(Ended{At: time.Now(), Key: ao.offer.Key, Outcome: outcome, Took: took, Unwritten: ao.written.IsZero()})
+	ended := Ended{At: time.Now(), Key: ao.offer.Key, Outcome: outcome, Took: took, Unwritten: ao.written.IsZero()}
+	if f != nil {
+		ended.Holder = f.holder
+	}
+	g.update(ended)
 }
 
 // updateQuarantine reports the attempt's outcome to the quarantine tracker, even if it is no
--- a/gate/confirm.go
+++ b/gate/confirm.go
@@ -133,6 +133,8 @@
 	same := answer.upstream == upstream.ID
 	if same {
 		g.update(answer.said.message(upstream))
+	} else {
+		g.update(Held{At: time.Now(), Holder: answer.upstream})
 	}
 	if !answer.healthy && !answer.said.Leaving {
 		return false, "", errors.New("health check: not healthy")
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -22,6 +22,12 @@
 	a.health = health{switches: a.switches, meanResponseTime: a.meanResponseTime, hangDetector: hangDetector{kinds: a.kinds}}
 }
 
+// reinstate lets an incarnation that was replaced become current again with its next report, as it has shown that it
+// holds the address: what replaced it was a delayed report, or one of another writer.
+func (a *Admission) reinstate(holder string) {
+	a.replaced = slices.DeleteFunc(a.replaced, func(i port.Incarnation) bool { return i.ID == holder })
+}
+
 // addIncarnation adds an incarnation and evicts the oldest one when the list is full.
 func addIncarnation(list []port.Incarnation, i port.Incarnation) []port.Incarnation {
 	if slices.Contains(list, i) {
--- a/gate/message.go
+++ b/gate/message.go
@@ -73,7 +73,8 @@
 	Key       link.Key
 	Outcome   Outcome
 	Took      time.Duration
-	Unwritten bool // It has ended before its request was written to the upstream.
+	Unwritten bool   // It has ended before its request was written to the upstream.
+	Holder    string // ID of the incarnation that holds the address, if the outcome is Replaced.
 }
 
 // Reported carries a report of the upstream.
@@ -89,6 +90,12 @@
 	Leaving  bool
 }
 
+// Held reports which incarnation holds the upstream's address, by its own answer.
+type Held struct {
+	At     time.Time
+	Holder string
+}
+
 // Stated carries what the upstream says of itself in an answer.
 type Stated struct {
 	At       time.Time
@@ -121,6 +128,7 @@
 func (m Ended) at() time.Time            { return m.At }
 func (m Reported) at() time.Time         { return m.At }
 func (m Confirmed) at() time.Time        { return m.At }
+func (m Held) at() time.Time             { return m.At }
 func (m Stated) at() time.Time           { return m.At }
 func (m Evacuated) at() time.Time        { return m.At }
 func (m ColdBoundChanged) at() time.Time { return m.At }
--- a/gate/script_test.go
+++ b/gate/script_test.go
@@ -47,6 +47,7 @@
 	Evacuate *bool         `yaml:"evacuate"`
 	Bound    *coldStep     `yaml:"bound"`
 	Say      *sayStep      `yaml:"say"`
+	Held     string        `yaml:"held"`  // The incarnation that holds the address, by its health answer.
 	After    time.Duration `yaml:"after"` // Time passes, then a tick.
 	Want     []string      `yaml:"want"`  // Commands, in any order.
 	Mode     string        `yaml:"mode"`  // Checked if given.
@@ -75,6 +76,7 @@
 	Key     uint64        `yaml:"key"`
 	Outcome string        `yaml:"outcome"`
 	Took    time.Duration `yaml:"took"`
+	Holder  string        `yaml:"holder"`
 }
 
 type reportStep struct {
@@ -152,7 +154,7 @@
 	case s.End != nil:
 		o := slices.Index(outcomeNames[:], s.End.Outcome)
 		require.GreaterOrEqual(t, o, 0, s.End.Outcome)
-		return Ended{At: now, Key: key(s.End.Key), Outcome: Outcome(o), Took: s.End.Took}
+		return Ended{At: now, Key: key(s.End.Key), Outcome: Outcome(o), Took: s.End.Took, Holder: s.End.Holder}
 	case s.Report != nil:
 		r := s.Report
 		service := r.Service
@@ -162,6 +164,8 @@
 		return Reported{At: now, Report: port.Report{Incarnation: port.Incarnation{ID: r.Upstream, StartedAt: r.Born}, Service: service, Slots: r.Slots, Sequence: r.Sequence, Leaving: r.Leaving, ColdLeft: r.Cold}}
 	case s.Confirm != nil:
 		return Confirmed{At: now, Upstream: port.Incarnation{ID: s.Confirm.Upstream, StartedAt: s.Confirm.Born}, Leaving: s.Confirm.Leaving}
+	case s.Held != "":
+		return Held{At: now, Holder: s.Held}
 	case s.Say != nil:
 		return s.Say.message(now)
 	case s.Evacuate != nil:
--- a/mesh/incarnation_test.go
+++ b/mesh/incarnation_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -53,6 +54,27 @@
 	}
 }
 
+// A whole heartbeat that is another writer's, or late, must not shut the live upstream out for good.
+func TestOtherHeartbeatShutsTheUpstreamOut(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	n := b.add("one", "births")
+	b.awaitReady()
+	u := n.upstream
+	for i, id := range []string{"i-other", "i-late"} {
+		n.post(id, `{"service":"births","address":"`+u.address+`","zone":"d","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"callSeq":1}`)
+		attempt := 0
+		assert.Eventually(t, func() bool {
+			attempt++
+			if _, err := n.sendReport(10+attempt, false); err != nil {
+				return false
+			}
+			status := n.status(http.MethodGet, "/look/x", fmt.Sprintf("x%d-%d", i, attempt))
+			return status == http.StatusOK && n.gate.Status().Upstream == "i-one"
+		}, 5*time.Second, 50*time.Millisecond, "%s is still taken for the upstream", id)
+	}
+}
+
 // Malformed reports and reports of other upstreams must not affect the current one.
 func TestForeignReportsAreIgnored(t *testing.T) {
 	t.Parallel()
