quota, mesh: a node that knows no others is no account's home

A node that had its configuration and had not read the directory knew only itself, ranked first for every account and granted the whole rate.

Until it has read the directory, or has had a configuration for three seconds (the store is out then, and others have told it of the fleet), a node is no home by its own search and admits no share of a limit: it asks homes that it knows, or refuses as not run, with a Retry-After of 0.25 to 0.5 s.

--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -64,6 +64,7 @@
 	if packed == nil {
 		packed = pack(text)
 	}
+	c.node.limits.configured(time.Now())
 	c.node.forwarder.SetTable(table)
 	c.mu.Lock()
 	c.version, c.packed = table.Version(), packed
--- a/mesh/homes.go
+++ b/mesh/homes.go
@@ -50,6 +50,12 @@
 
 func homeRank(account, node string) uint64 { return xxhash.Sum64String(account + " " + node) }
 
+// Complete implements quota.Fleet. The directory shows the fleet; while the store is out, other nodes do.
+func (v fleetView) Complete() bool {
+	toldBy := v.node.limits.toldBy.Load()
+	return v.node.directory.discovered.Load() || toldBy != nil && !time.Now().Before(*toldBy)
+}
+
 // Known implements quota.Fleet.
 func (v fleetView) Known(node string) bool {
 	v.mu.Lock()
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,6 +26,8 @@
 	// that the lost nodes admit as well.
 	limitCheckEvery  = 350 * time.Millisecond
 	limitPingTimeout = 220 * time.Millisecond
+	// fleetToldTime is how long after the first configuration other nodes may take to tell of the fleet.
+	fleetToldTime = 3 * time.Second
 	// maxUses bounds the number of accounts in a dump.
 	maxUses = 20
 	// limitSample is how many nodes are pinged while no account runs low.
@@ -45,6 +48,8 @@
 	dialers        map[*link.Link]string // Addresses of these nodes.
 	flushScheduled bool                  // A flush is scheduled.
 	seenChanges    uint64                // Value of links.changes when the home was last notified.
+	// toldBy is when other nodes have told this one of the fleet, if the directory can't be read; nil without a configuration.
+	toldBy atomic.Pointer[time.Time]
 }
 
 // pendingRequest is a request that waits for a home's answer.
@@ -61,6 +66,12 @@
 		pending: map[uint64]pendingRequest{}, inbound: map[string]*link.Link{}, dialers: map[*link.Link]string{}}
 }
 
+// configured records that there is a configuration: limits hold from now on.
+func (l *limits) configured(now time.Time) {
+	toldBy := now.Add(fleetToldTime)
+	l.toldBy.CompareAndSwap(nil, &toldBy)
+}
+
 // setBounds changes how much is granted above limits.
 func (l *limits) setBounds(b quota.Bounds) {
 	l.mu.Lock()
@@ -91,7 +102,7 @@
 	nodes := l.node.links.fleetSize()
 	count := limitSample
 	l.mu.Lock()
-	l.limiter.SetNodes(nodes)
+	l.setNodes(nodes)
 	l.noteFleetChanges(now)
 	l.handBack(now)
 	if l.home.Low(now) {
@@ -108,6 +119,15 @@
 	l.mu.Unlock()
 }
 
+// setNodes sets the number of nodes, or that it is not known. The lock must be held.
+func (l *limits) setNodes(nodes int) {
+	view := fleetView{l.node.links}
+	if !view.Complete() {
+		nodes = 0
+	}
+	l.limiter.SetNodes(nodes)
+}
+
 // handBack returns accounts to their homes when these are reachable again. The lock must be
 // held.
 func (l *limits) handBack(now time.Time) {
--- a/mesh/limittake.go
+++ b/mesh/limittake.go
@@ -53,8 +53,10 @@
 func (l *limits) start(ctx context.Context, a *route.Account, hops int, until time.Time) (uint64, chan ingress.Admission) {
 	at := l.awaitHome(ctx, a.Name, until)
 	now := time.Now()
+	nodes := l.node.links.fleetSize()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.setNodes(nodes)
 	l.number++
 	answer := make(chan ingress.Admission, 1)
 	l.pending[l.number] = pendingRequest{answer: answer, location: at, hops: hops}
--- a/quota/homes.go
+++ b/quota/homes.go
@@ -35,6 +35,9 @@
 	// First returns the node that ranks first for an account, apart from the excluded ones.
 	// Nodes that know the same fleet get the same result.
 	First(account string, excluded map[string]bool) string
+	// Complete reports whether the known nodes are those of the whole fleet. A node that has just started may know none
+	// but itself.
+	Complete() bool
 	// Known reports whether a node is still part of the known fleet.
 	Known(node string) bool
 	// Linked reports whether there is a link to a node, and when it last answered a ping.
@@ -116,6 +119,8 @@
 		s := h.suspects[node]
 		linked, _ := h.fleet.Linked(node)
 		switch {
+		case node == h.fleet.Self() && !h.fleet.Complete():
+			return Location{Pending: true} // The others may have a home for it.
 		case node == h.fleet.Self() || linked && s == nil:
 			return Location{Home: node, Via: node, Acting: len(gone) > 0}
 		case h.fleet.Dial(node):
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -58,8 +58,9 @@
 // SetBounds changes the tolerance granted above limits.
 func (l *Limiter) SetBounds(b Bounds) { l.bounds = b }
 
-// SetNodes sets the number of nodes in the fleet; each has an equal share of every limit.
-func (l *Limiter) SetNodes(n int) { l.nodes = max(n, 1) }
+// SetNodes sets the number of nodes in the fleet; each has an equal share of every limit. While it is 0, it is not known,
+// and no request is admitted without a home.
+func (l *Limiter) SetNodes(n int) { l.nodes = max(n, 0) }
 
 // Dirty reports whether there are tokens to report.
 func (l *Limiter) Dirty() bool { return len(l.unflushed) > 0 }
@@ -133,6 +134,9 @@
 // toleranceShare allows. The bucket is kept until sweep removes the account: after a later
 // loss, it starts with the tokens that have accrued by then, one at most.
 func (l *Limiter) decideLocally(now time.Time, number uint64, a *accountState, account string) []Command {
+	if l.nodes == 0 {
+		return []Command{l.refuseUnconfirmed(number)}
+	}
 	if a.local == nil {
 		a.local = &bucket{depth: 1, level: l.random(), updatedAt: now}
 		if l.random()*float64(l.nodes) < toleranceShare*l.bounds.tolerance(a.limit) {
@@ -142,12 +146,17 @@
 	a.local.rate = localShare * a.limit.Rate / float64(l.nodes)
 	a.local.refill(now)
 	if !a.local.take() {
-		return []Command{Refuse{Number: number, RetryAfter: unconfirmedRetryAfter + time.Duration(l.random()*float64(unconfirmedRetryAfter)), Unconfirmed: true}}
+		return []Command{l.refuseUnconfirmed(number)}
 	}
 	l.spend(account, 1)
 	return []Command{Admit{Number: number}}
 }
 
+// refuseUnconfirmed refuses a request whose account may have tokens at a home that is not reached.
+func (l *Limiter) refuseUnconfirmed(number uint64) Refuse {
+	return Refuse{Number: number, RetryAfter: unconfirmedRetryAfter + time.Duration(l.random()*float64(unconfirmedRetryAfter)), Unconfirmed: true}
+}
+
 // answered applies the home's answer.
 func (l *Limiter) answered(m Answered) []Command {
 	request, ok := l.pending[m.Number]
--- a/quota/modelnode_test.go
+++ b/quota/modelnode_test.go
@@ -80,6 +80,9 @@
 // isKnown reports whether the node has a record of another one: all know the initial nodes.
 func (n *modelNode) isKnown(id int) bool { return id != n.newcomer || id == n.id || n.metNewcomer }
 
+// Complete implements Fleet.
+func (n *modelNode) Complete() bool { return true }
+
 // Known implements Fleet.
 func (n *modelNode) Known(string) bool { return true }
 
--- a/quota/successors_test.go
+++ b/quota/successors_test.go
@@ -12,6 +12,8 @@
 	nodes   []string
 	replied map[string]time.Time
 	pings   []string
+	// incomplete is set while the fleet may have other nodes.
+	incomplete bool
 }
 
 func (f *rankedFleet) Self() string    { return f.nodes[0] }
@@ -26,6 +28,7 @@
 	return f.Self()
 }
 
+func (f *rankedFleet) Complete() bool                       { return !f.incomplete }
 func (f *rankedFleet) Known(string) bool                    { return true }
 func (f *rankedFleet) Linked(node string) (bool, time.Time) { return true, f.replied[node] }
 func (f *rankedFleet) Dial(string) bool                     { return false }
@@ -70,3 +73,24 @@
 	h = NewHomes(&rankedFleet{nodes: []string{"home"}, replied: map[string]time.Time{}})
 	assert.Empty(t, h.Successors("office", scriptStart))
 }
+
+// A node that knows no others yet must not take itself for the home of an account, nor admit a share of its limit: in a
+// fleet that starts at once, each of them would.
+func TestNodeThatKnowsNoOthersIsHome(t *testing.T) {
+	f := &rankedFleet{nodes: []string{"a"}, incomplete: true}
+	h := NewHomes(f)
+	assert.Equal(t, Location{Pending: true}, h.Of("office", scriptStart))
+	l := NewLimiter(Bounds{Window: 5 * time.Second, Over: 0.1, Slack: 20}, func() float64 { return 0.5 })
+	l.SetNodes(0)
+	limit := Limit{Rate: 1000, Burst: 1000}
+	for i := range 100 {
+		out := l.Update(TokenWanted{At: scriptStart.Add(time.Duration(i) * 50 * time.Millisecond), Number: uint64(i), Account: "office", Limit: limit})
+		assert.IsType(t, Refuse{}, out[0])
+		assert.True(t, out[0].(Refuse).Unconfirmed)
+	}
+	f.incomplete = false
+	assert.Equal(t, Location{Home: "a", Via: "a"}, h.Of("office", scriptStart))
+	l.SetNodes(1)
+	out := l.Update(TokenWanted{At: scriptStart.Add(time.Minute), Number: 1000, Account: "office", Limit: limit})
+	assert.Equal(t, []Command{Admit{Number: 1000}}, out)
+}
