socket, bodymemory: what waits unread is bounded; collections for want of memory rest

Connections of callers, to the upstream and between nodes now hold about 0.5 MB at most.

A garbage collection that lack of memory causes is followed by a pause of four times its length, at least 50 ms, so that on a machine with a sixth of a core it takes a fifth of the time at most.

--- a/bodymemory/bodymemory.go
+++ b/bodymemory/bodymemory.go
@@ -26,8 +26,10 @@
 const (
 	// SmallBytes is the size up to which a buffer is not counted: the buffers of its connection are as large.
 	SmallBytes = 4 << 10
-	// collectInterval is the shortest time between two garbage collections that lack of memory causes.
+	// collectInterval is the shortest time between two garbage collections that lack of memory causes, and collectRest
+	// how many times as long as the last one took it is at least.
 	collectInterval = 50 * time.Millisecond
+	collectRest     = 4
 	// retryInterval is how often a buffer that waits for memory tries again.
 	retryInterval = 5 * time.Millisecond
 )
@@ -151,6 +153,8 @@
 	if time.Now().Before(m.collectAt) {
 		return
 	}
+	began := time.Now()
 	runtime.GC()
-	m.collectAt = time.Now().Add(collectInterval)
+	ended := time.Now()
+	m.collectAt = ended.Add(max(collectInterval, collectRest*ended.Sub(began)))
 }
--- a/gate/connection.go
+++ b/gate/connection.go
@@ -89,6 +89,7 @@
 		return nil, errors.Wrap(err, "dial")
 	}
 	c.dialed()
+	socket.LimitUnread(raw)
 	conn := &upstreamConn{Conn: socket.KeepReset(raw), unused: true}
 	conn.limit = &io.LimitedReader{R: conn.Conn}
 	conn.head = httphead.NewReader(conn.limit)
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -69,6 +69,7 @@
 
 // open registers a new connection. It is open until handle returns.
 func (s *Server) open(raw net.Conn) *serverConn {
+	socket.LimitUnread(raw)
 	limit := &io.LimitedReader{R: raw, N: defaultHeaderBytes}
 	head := httphead.NewReader(limit)
 	now := time.Now()
--- a/link/link.go
+++ b/link/link.go
@@ -88,6 +88,7 @@
 func New(conn net.Conn) *Link {
 	l := &Link{conn: conn, outbox: newOutbox(), closed: make(chan struct{}), bodies: bodymemory.New(defaultBodyMemory)}
 	l.lastReceived.Store(time.Now().UnixNano())
+	socket.LimitUnread(conn)
 	return l
 }
 
