gate: an order that its node can never hold is refused by its offer

A node with much memory accepts uploads that one with little can never hold. Such an order was granted there, sent whole, dropped and refused, and then offered to the next gate, until its deadline. The offer says the body's size now, and a gate whose node can't hold it refuses at once, as not run ("memory"). Nodes of earlier builds send no size and are refused as before.

--- a/gate/offer.go
+++ b/gate/offer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"eiderfold/bodymemory"
 	"eiderfold/budget"
 	"eiderfold/link"
 	"eiderfold/switches"
@@ -26,6 +27,11 @@
 // offer registers an offer and passes it to the admission.
 func (g *Gate) offer(now time.Time, from Sink, o *link.Offer) {
 	g.noteNamedLimit(now, o)
+	if !g.bodies.Fits(bodymemory.ForwardedRequest, o.BodyBytes) {
+		g.count("gate_refused_" + link.ReasonMemory.String())
+		from.Send(&link.Frame{Refused: &link.Refused{Key: o.Key, Reason: link.ReasonMemory}})
+		return
+	}
 	g.mu.Lock()
 	if g.active[o.Key] != nil {
 		g.mu.Unlock()
--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -92,6 +92,7 @@
 		Account:       f.accountName(),
 		Record:        f.record,
 		Nested:        f.parent != "",
+		BodyBytes:     int64(len(f.content.Body)),
 	}
 	f.share.addTo(m)
 	return m
--- a/link/message.go
+++ b/link/message.go
@@ -53,6 +53,7 @@
 	// ParentAccount is the client account of its parent, which it counts towards. The upstream
 	// gets Account only.
 	ParentAccount string `cbor:"19,keyasint,omitempty"`
+	BodyBytes     int64  `cbor:"20,keyasint,omitempty"` // The size of the request's body.
 }
 
 // Room is how much more work a gate has room for when it sends the message.
