--- a/ingress/offer.go
+++ b/ingress/offer.go
@@ -53,6 +53,7 @@
 	status := c.endpoint.Status()
 	o := &offer{endpoint: c.endpoint, process: l.process, upstream: incarnationOf(status), key: f.forwarder.newKey(), suspectAt: now.Add(offerTimeout)}
 	message := f.offerMessage(o, c.force, now)
+	message.BodyBytes = int64(len(f.content.Body))
 	message.Limit = f.forwarder.endpoints.statements.limitFor(status, now)
 	if f.route.Retryable && f.offersMade == 0 {
 		message.Content = f.content
@@ -92,7 +93,6 @@
 		Account:       f.accountName(),
 		Record:        f.record,
 		Nested:        f.parent != "",
-		BodyBytes:     int64(len(f.content.Body)),
 	}
 	f.share.addTo(m)
 	return m
