--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -53,9 +53,10 @@
 // down, and a restarted node finds its record in place. The record of a node that is gone
 // for good is removed by the first of the removers that forget it.
 //
-// Records are ordered by a hash of their addresses. A node reads one page, starting at its
+// Records are ordered by a hash of their addresses. A node reads a page, starting at its
 // own record: the page holds that record, the leaving upstreams recorded for this node, and
-// some hundred nodes that are effectively random. Nodes found this way send the rest of the
+// some hundred nodes that are effectively random. It reads on while it lacks records of its own
+// or knows too few nodes. Nodes found this way send the rest of the
 // membership, so a start needs as many calls in a large fleet as in a small one.
 type directory struct {
 	node         *Node
@@ -124,11 +125,11 @@
 			return err
 		}
 	}
-	entries, more, at, err := d.node.platform.Store.Page(ctx, nodesPrefix, nodesPrefix+addressHash(d.node.self.Address))
+	own := nodesPrefix + addressHash(d.node.self.Address)
+	registered, more, at, err := d.readFrom(ctx, own, own)
 	if err != nil {
 		return err
 	}
-	registered := d.read(ctx, entries)
 	if !registered {
 		if err := d.register(ctx); err != nil {
 			return err
@@ -146,6 +147,26 @@
 	return nil
 }
 
+// readFrom applies the records behind a key: those whose keys begin with own, and others until the node knows enough. It
+// reports whether this node's own record is among them and up to date, and whether there are more.
+func (d *directory) readFrom(ctx context.Context, after, own string) (registered, more bool, at port.StoreRevision, err error) {
+	for {
+		var entries []port.Entry
+		entries, more, at, err = d.node.platform.Store.Page(ctx, nodesPrefix, after)
+		if err != nil {
+			return registered, more, at, err
+		}
+		registered = d.read(ctx, entries) || registered
+		if !more || len(entries) == 0 {
+			return registered, false, at, nil
+		}
+		after = entries[len(entries)-1].Key
+		if !strings.HasPrefix(after, own) && d.node.links.fleetSize() > minContacts {
+			return registered, true, at, nil
+		}
+	}
+}
+
 // findMore reads from the beginning if too few other nodes are known after contactsTimeout.
 func (d *directory) findMore(ctx context.Context) error {
 	for until := time.Now().Add(contactsTimeout); d.node.links.fleetSize() <= minContacts; {
@@ -157,11 +178,9 @@
 			}
 			continue
 		}
-		entries, _, _, err := d.node.platform.Store.Page(ctx, nodesPrefix, nodesPrefix)
-		if err != nil {
+		if _, _, _, err := d.readFrom(ctx, nodesPrefix, nodesPrefix+addressHash(d.node.self.Address)); err != nil {
 			return err
 		}
-		d.read(ctx, entries)
 		d.node.links.update(membership.Ticked{At: time.Now()})
 		break
 	}
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -17,6 +17,8 @@
 	peeks  atomic.Int64 // Number of calls of StaleRange.
 	calls  atomic.Int64 // Number of all calls except watches.
 	puts   atomic.Int64 // Number of calls of Put.
+	// pageEntries is the size of a page; 0 for that of the store.
+	pageEntries int
 }
 
 func (s *nodeStore) check() error {
@@ -53,7 +55,11 @@
 	if err := s.check(); err != nil {
 		return nil, false, port.StoreRevision{}, err
 	}
-	return s.Directory.Page(ctx, prefix, after)
+	entries, more, at, err := s.Directory.Page(ctx, prefix, after)
+	if s.pageEntries > 0 && len(entries) > s.pageEntries {
+		entries, more = entries[:s.pageEntries], true
+	}
+	return entries, more, at, err
 }
 
 func (s *nodeStore) Watch(ctx context.Context, prefix string, after port.StoreRevision, wait time.Duration) ([]port.Entry, port.StoreRevision, error) {
