--- a/bench/soak/crashing.go
+++ b/bench/soak/crashing.go
@@ -88,14 +88,19 @@
 	r.Host = "soak.example"
 	r.Header.Set("Attempt-Id", attempt)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(callDeadline.Milliseconds(), 10))
-	s.checker.recordSent(n, attempt, e.method+" "+e.path+" ", e.method == http.MethodPost, "")
+	key := ""
+	if s.options.Accounts {
+		key = keyOffice
+		r.Header.Set("Authorization", "Token "+key)
+	}
+	s.checker.recordSent(n, attempt, e.method+" "+e.path+" ", e.method == http.MethodPost, key)
 	resp, err := client.Do(r)
 	if err != nil {
 		return // The node may be down; runCaller checks for that.
 	}
 	defer resp.Body.Close() //nolint:errcheck // The body is only read.
 	text, _ := io.ReadAll(resp.Body)
-	s.check(n, attempt, "", resp.StatusCode, string(text), nil)
+	s.check(n, attempt, key, resp.StatusCode, string(text), nil)
 }
 
 // crash stops the upstream together with all requests in flight. After a pause it restarts
