soak: garbling ends with the other faults, before recovery is checked

It ends with the others now, and callers send no large uploads any more; what RECOVER asks is as before.

--- a/bench/soak/garbling.go
+++ b/bench/soak/garbling.go
@@ -35,7 +35,7 @@
 // garbledMark is in each body that must not be passed on.
 const garbledMark = "garbled"
 
-// largeUpload is the body of large uploads. They never run, and share it.
+// largeUpload is the body of large uploads. They never run, as each answer to one is cut, and share it.
 var largeUpload = strings.Repeat("x", largeUploadBytes)
 
 // garbledAnswer is what a garbling upstream sends in the place of an answer.
@@ -65,7 +65,7 @@
 // reports whether it did.
 func (u *upstream) garbles(w http.ResponseWriter, r *http.Request, stamp string) bool {
 	isLarge := r.ContentLength >= largeUploadBytes
-	if !u.garbling.Load() || !isLarge && rand.Float64() >= garbleShare {
+	if !isLarge && (!u.garbling.Load() || rand.Float64() >= garbleShare) {
 		return false
 	}
 	conn, _, err := w.(http.Hijacker).Hijack()
@@ -95,8 +95,16 @@
 	}
 }
 
+// setGarbling makes all upstreams garble, or stop that.
+func (s *soak) setGarbling(on bool) {
+	s.garbling.Store(on)
+	for _, n := range s.nodes {
+		n.upstream.garbling.Store(on)
+	}
+}
+
 // isLargeUpload reports whether request i of a caller has a large body.
-func (s *soak) isLargeUpload(i int) bool { return s.options.Garbling && i%largeUploadEvery == 0 }
+func (s *soak) isLargeUpload(i int) bool { return s.garbling.Load() && i%largeUploadEvery == 0 }
 
 // watchMemory reports nodes that are above their memory, for which the platform would kill them, until ctx ends.
 func (s *soak) watchMemory(ctx context.Context) {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -104,6 +104,7 @@
 	kernel           kernelCounters // Values at the start of the run.
 	version          int
 	leaving          *leavingRandom
+	garbling         atomic.Bool // Upstreams garble, and callers send large uploads.
 	// evacuations holds the data centres under evacuation.
 	evacuations evacuations
 }
@@ -133,9 +134,7 @@
 		}
 	}
 	if o.Garbling {
-		for _, n := range s.nodes {
-			n.upstream.garbling.Store(true)
-		}
+		s.setGarbling(true)
 		clients.Go(func() { s.watchMemory(callerCtx) })
 	}
 	time.Sleep(warmupTime)
@@ -149,6 +148,7 @@
 	s.injectFaults(ctx)
 	builds.Wait()
 	s.clearFaults()
+	s.setGarbling(false)
 	time.Sleep(recoverTime)
 	s.checkRecovery()
 	s.checkKeys(ctx)
